--- /dev/null
+++ b/include/walkthread/dispatch/advice_book.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+/// @file
+/// @brief What the placement advisor said: per step, which workers may run it, and until when tickets count.
+///
+/// Whether a worker may run a step never changes; only tickets run out. So answers are remembered for the
+/// step's life, and later questions name only workers that may.
+/// @since 0.2
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <walkthread/dispatch/orders.hpp>
+
+namespace walkthread
+{
+
+/// @brief What is known about one worker for one step.
+struct advice_entry
+{
+    bool good{};
+    std::string ticket;
+    monotonic_time valid_until{};
+};
+
+/// @brief What is known for one step.
+struct step_advice
+{
+    std::map<worker_life_id, advice_entry> entries;
+    bool in_flight{};
+    monotonic_time ask_after{};
+};
+
+/// @brief All answers of the advisor, and the share of good ones by queue.
+/// @since 0.2
+class advice_book
+{
+  public:
+    /// @brief What is known for a step; made if new.
+    step_advice& of(const step_ref& step);
+    /// @brief Forgets a step.
+    void forget(const step_ref& step);
+    /// @brief Forgets all steps of which `keep` says no.
+    void prune(const std::function<bool(const step_ref&)>& keep);
+    /// @brief Takes an answer in.
+    /// @param asked the workers that were named, with their lives
+    /// @param sent when the question left; tickets are counted from then
+    void take(const step_ref& step, const std::string& queue, const std::vector<worker_life_id>& asked,
+              const std::map<worker_life_id, std::string>& tickets, monotonic_time sent, milliseconds validity);
+    /// @brief The learned share of workers that may run a step of this queue, 0 to 1.
+    [[nodiscard]] double good_share(const std::string& queue) const;
+    /// @brief Whether a ticket counts for a while longer.
+    [[nodiscard]] static bool usable(const advice_entry& entry, monotonic_time now, milliseconds margin)
+    {
+        return entry.good && entry.valid_until > now + margin;
+    }
+
+  private:
+    std::map<step_ref, step_advice> m_steps;
+    std::map<std::string, double> m_shares;
+};
+
+} // namespace walkthread
--- /dev/null
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -0,0 +1,168 @@
+#pragma once
+
+/// @file
+/// @brief The leader's decisions: what to start where and when, and what became of it.
+///
+/// Pure: the present time is an argument or comes with an answer, and everything that is to be done goes
+/// through `dispatch_hooks`. The replicated state is only changed by commands that are proposed here.
+/// @since 0.2
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <walkthread/dispatch/advice_book.hpp>
+#include <walkthread/dispatch/objective.hpp>
+#include <walkthread/dispatch/orders.hpp>
+#include <walkthread/dispatch/worker_view.hpp>
+#include <walkthread/observe/decision_log.hpp>
+#include <walkthread/workload/workload_state.hpp>
+
+namespace walkthread
+{
+
+/// @brief Counts since this process began to lead.
+struct dispatch_counters
+{
+    std::uint64_t starts{};
+    std::uint64_t ends{};
+    std::uint64_t refused_starts{};
+    std::uint64_t unanswered_orders{};
+    std::uint64_t lost_workers{};
+    std::uint64_t questions{};
+    std::uint64_t preemptions{};
+};
+
+/// @brief The leader's decisions. One object lives as long as one term of leadership.
+/// @since 0.2
+class dispatcher
+{
+  public:
+    /// @param state the replicated state, read only
+    /// @param fence this leader's term
+    dispatcher(const workload_state& state, dispatch_settings settings, dispatch_hooks hooks, decision_log& log,
+               std::uint64_t fence, monotonic_time now);
+
+    /// @brief Takes a worker's report. A life that is not known yet is proposed first.
+    /// @param done called once the report counts: its life is in the replicated state
+    void take_report(const worker_report& report, monotonic_time now, std::function<void(bool)> done);
+    /// @brief A worker says that it ends now.
+    void take_leave(const std::string& life, std::function<void(bool)> done);
+    /// @brief Decides all that can be decided at `now`. Complexity: ready steps times workers at most.
+    void pass(monotonic_time now, wall_ms wall);
+    /// @brief When `pass` is needed again at the latest.
+    [[nodiscard]] monotonic_time next_pass(monotonic_time now) const;
+
+    [[nodiscard]] const dispatch_counters& counters() const
+    {
+        return m_counters;
+    }
+    [[nodiscard]] const std::map<worker_life_id, worker_view>& views() const
+    {
+        return m_views;
+    }
+
+  private:
+    /// A step that may be started, with its place in the order.
+    struct candidate
+    {
+        step_ref ref{};
+        const submission* owner{};
+        const step_spec* step{};
+        const queue_spec* queue{};
+        bool missed{};
+        double slack_ms{};
+        [[nodiscard]] bool urgent() const
+        {
+            return queue != nullptr && queue->priority == 0;
+        }
+    };
+    struct choice
+    {
+        worker_life_id worker{};
+        std::string ticket;
+    };
+
+    // dispatcher.cpp: the pass, order
+    void sync_views(monotonic_time now);
+    [[nodiscard]] std::vector<candidate> order_candidates(monotonic_time now, wall_ms wall);
+    void forget_old(wall_ms wall);
+    void stop_unwanted(monotonic_time now);
+    void propose_starts(const candidate& item, const std::vector<planned_start>& starts,
+                        const std::vector<std::string>& tickets, monotonic_time now);
+    void note(monotonic_time now, std::string_view event, std::string_view subject,
+              std::initializer_list<log_field> fields);
+
+    // dispatcher_place.cpp: which worker
+    void place(const candidate& item, monotonic_time now);
+    void place_each(const candidate& item, monotonic_time now);
+    void place_gang(const candidate& item, monotonic_time now);
+    [[nodiscard]] bool allowed(const candidate& item, const worker_life& worker, const worker_view& view,
+                               monotonic_time now) const;
+    [[nodiscard]] std::string ticket_for(const candidate& item, worker_life_id worker, monotonic_time now);
+    [[nodiscard]] resources free_room(const worker_life& worker, const worker_view& view) const;
+    [[nodiscard]] std::uint32_t slots(const candidate& item, const resources& room) const;
+    [[nodiscard]] std::uint32_t waiting_tasks(const candidate& item) const;
+    [[nodiscard]] std::map<worker_life_id, std::uint32_t> spread(const candidate& item) const;
+    void ask_advice(const candidate& item, std::uint32_t need, monotonic_time now);
+    void reserve(const candidate& item, monotonic_time now);
+    void preempt_for(const candidate& item, monotonic_time now);
+    [[nodiscard]] bool reserved_from(const candidate& item, worker_life_id worker) const;
+
+    // dispatcher_workers.cpp: looks, orders, ends
+    void look_at_all(monotonic_time now);
+    void look_at(worker_view& view, monotonic_time now);
+    void take_look(worker_life_id worker, const look_answer& answer, monotonic_time sent, monotonic_time now);
+    void take_runs(worker_view& view, const look_answer& answer, monotonic_time now);
+    void take_ends(worker_view& view, const look_answer& answer, monotonic_time sent, monotonic_time now);
+    void judge_end(worker_view& view, const listed_end& end, monotonic_time now);
+    void drop_lost(monotonic_time now);
+    void drop_worker_life(worker_view& view, std::string_view reason, monotonic_time now);
+    void send_start(worker_life_id worker, const run_ref& run, monotonic_time now);
+    void take_start(worker_life_id worker, const run_ref& run, const order_answer& answer, monotonic_time now);
+    void send_stop(worker_view& view, const run_ref& run, monotonic_time now);
+    void take_stop(worker_life_id worker, const run_ref& run, const order_answer& answer, monotonic_time now);
+    void retry_orders(monotonic_time now);
+    void watch_runs(monotonic_time now);
+    void end_run(worker_life_id worker, const run_ref& run, run_end how, monotonic_time now);
+    [[nodiscard]] worker_address address_of(worker_life_id worker) const;
+    worker_view* view_of(worker_life_id worker);
+
+    // dispatcher_upkeep.cpp
+    void advance_waves(monotonic_time now, wall_ms wall);
+    void advance_wave(const upkeep_wave& wave, monotonic_time now, wall_ms wall);
+    bool empty_host(const worker_life& worker, monotonic_time now, bool hurry);
+
+    const workload_state& m_state;
+    dispatch_settings m_settings;
+    dispatch_hooks m_hooks;
+    decision_log& m_log;
+    std::uint64_t m_fence;
+    monotonic_time m_began;
+    wall_ms m_wall{};
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< answers after the end of the term find it gone
+
+    std::map<worker_life_id, worker_view> m_views;
+    std::map<task_ref, worker_life_id> m_planned; ///< starts that wait for their commit
+    advice_book m_advice;
+    objective_book m_objectives;
+    std::map<worker_life_id, step_ref> m_reserved; ///< hosts kept free for a gang, for one pass
+    std::set<std::string> m_joining; ///< lives whose admission is proposed
+    std::set<std::string> m_upkeep_in_flight;
+    std::map<std::string, monotonic_time> m_upkeep_retry;
+    std::set<std::string> m_upkeep_hosts; ///< hosts being emptied for upkeep
+    bool m_forgetting = false;
+    dispatch_counters m_counters;
+
+  public:
+    ~dispatcher()
+    {
+        *m_alive = false;
+    }
+    dispatcher(const dispatcher&) = delete;
+    dispatcher& operator=(const dispatcher&) = delete;
+};
+
+} // namespace walkthread
--- /dev/null
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+/// @file
+/// @brief What the leader knows of a worker besides the replicated state: its clock, its lease, its health.
+/// @since 0.2
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include <walkthread/dispatch/orders.hpp>
+#include <walkthread/units/time.hpp>
+
+namespace walkthread
+{
+
+/// @brief Times and bounds of the dispatcher. Defaults suit the users' platform; settings may replace them.
+/// @since 0.2
+struct dispatch_settings
+{
+    milliseconds lease{4500};          ///< longer than an election, so that a new leader renews in time
+    milliseconds lease_cap{6000};      ///< workers cut longer leases to this; from the platform's settings
+    double clock_drift = 0.02;         ///< how much slower or faster a worker's clock may run; platform's bound
+    milliseconds look_wait{1000};      ///< a look waits that long for an end: well under the lease
+    milliseconds look_patience{600};   ///< beyond `look_wait` before a look counts as unanswered
+    milliseconds look_retry{150};      ///< after an unanswered look
+    milliseconds start_window{2500};   ///< an order to start that is carried out later is refused by the worker
+    milliseconds order_retry{250};     ///< before an unanswered order is sent again
+    int start_tries = 3;               ///< unanswered ones before the run is stopped instead
+    milliseconds suspect_after{1300};  ///< unheard for that long: nothing new is placed there
+    milliseconds ticket_margin{150};   ///< a ticket is not used that shortly before its end: commit and way
+    milliseconds advice_gap{60};       ///< least time between two questions for one step
+    milliseconds advice_retry{250};    ///< after a question without an answer
+    milliseconds quarantine{4000};     ///< the first one; doubles each time
+    milliseconds quarantine_cap{30000};
+    int quarantine_failures = 3;       ///< failed runs in a row of different submissions
+    milliseconds unhealthy_pause{800}; ///< after a worker said that it cannot start anything
+    milliseconds stuck_after{2500};    ///< no progress for that long, and three times the usual: the run stands still
+    milliseconds drain_stop{1000};     ///< before a draining worker goes: checkpointing runs are stopped
+    milliseconds keep_final{150000};   ///< final submissions are known for that long; above the platform's bound
+    milliseconds gang_reserve{3500};   ///< a gang whose slack falls below that has hosts kept free for it
+};
+
+/// @brief A run as the leader sees it; the replicated state says that it may exist.
+struct run_view
+{
+    monotonic_time sent{};                   ///< the last order to start it
+    std::optional<monotonic_time> settled;   ///< when the worker gave a definite answer about it
+    bool order_in_flight{};
+    int tries{};
+    bool stopping{};
+    bool stop_in_flight{};
+    monotonic_time stop_retry{};
+    std::optional<monotonic_time> stop_settled;
+    std::string ticket;
+    std::int32_t percent{};
+    monotonic_time progressed{}; ///< when the percentage last rose
+    std::string checkpoint;
+    bool listed{};    ///< by the last look
+    bool inherited{}; ///< started by an earlier leader
+};
+
+/// @brief A worker's life as the leader sees it.
+/// @since 0.2
+struct worker_view
+{
+    worker_life_id id{};
+    bool answered{};          ///< under this leader's fence
+    monotonic_time heard{};   ///< last answer to a look
+    monotonic_time clock_at{};
+    std::int64_t clock_ms{};  ///< the worker's clock at `clock_at` or a little before
+    bool clock_known{};
+    std::int64_t granted_until_ms{}; ///< the latest lease end ever sent, on the worker's clock
+    monotonic_time foreign_lease_end{}; ///< what an earlier leader may have granted ends by then
+    bool look_in_flight{};
+    monotonic_time look_sent{};
+    monotonic_time look_due{};
+    bool recording{};         ///< ends wait for their commit; the next look waits for it
+    bool gone{};              ///< a drop is proposed
+    bool draining{};
+    monotonic_time leaves_at{}; ///< while draining: not before that
+    int failures_in_row{};
+    submission_id last_failed{};
+    monotonic_time avoid_until{};
+    milliseconds next_quarantine{};
+    resources planned{};      ///< room of starts that wait for their commit
+    std::uint64_t sequence{}; ///< of the newest report
+    std::map<run_ref, run_view> runs;
+
+    /// @brief Notes the worker's clock as read by it no later than `now`.
+    void note_clock(std::int64_t ms, monotonic_time now);
+    /// @brief About the worker's clock now.
+    [[nodiscard]] std::int64_t clock_now(monotonic_time now) const;
+    /// @brief The lease end to ask for, on the worker's clock; remembered as granted.
+    std::int64_t grant(monotonic_time now, milliseconds lease);
+    /// @brief Whether nothing can run there any more under any lease that was ever granted.
+    [[nodiscard]] bool lease_surely_over(monotonic_time now, double drift) const;
+    /// @brief Whether new work may go there.
+    [[nodiscard]] bool usable(monotonic_time now, const dispatch_settings& settings) const;
+};
+
+} // namespace walkthread
--- /dev/null
+++ b/include/walkthread/fabric/advice_desk.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+/// @file
+/// @brief Spreads questions to the placement advisor over processes, each of which may ask one at a time.
+/// @since 0.2
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+#include <walkthread/dispatch/orders.hpp>
+#include <walkthread/units/time.hpp>
+
+namespace walkthread
+{
+
+/// @brief Questions and the processes that may ask them. Pure: `ask` does the asking.
+/// @since 0.2
+class advice_desk
+{
+  public:
+    using answer_handler = std::function<void(const advice_answer&)>;
+    /// @param ask puts a question through one process; the answer may come at any time
+    explicit advice_desk(std::function<void(const std::string& asker, const advice_question&, answer_handler)> ask);
+
+    /// @brief Tells that a process is there and may ask.
+    void note_asker(const std::string& asker, monotonic_time now);
+    /// @brief Puts a question in its queue; urgent ones go first.
+    void put(const advice_question& question, bool urgent, answer_handler handler, monotonic_time now);
+    /// @brief Forgets all questions, when this process leads no longer.
+    void clear();
+
+    [[nodiscard]] std::size_t waiting() const
+    {
+        return m_urgent.size() + m_normal.size();
+    }
+    [[nodiscard]] std::size_t busy() const
+    {
+        return m_busy;
+    }
+
+  private:
+    struct open_question
+    {
+        advice_question question;
+        answer_handler handler;
+    };
+    struct asker_state
+    {
+        monotonic_time seen{};
+        monotonic_time avoid_until{};
+        bool busy{};
+    };
+
+    void send_next(monotonic_time now);
+    void send(const std::string& asker, open_question item, bool urgent, monotonic_time now);
+    [[nodiscard]] std::string free_asker(monotonic_time now);
+    [[nodiscard]] std::size_t live_askers(monotonic_time now) const;
+
+    std::function<void(const std::string&, const advice_question&, answer_handler)> m_ask;
+    std::map<std::string, asker_state> m_askers;
+    std::deque<open_question> m_urgent;
+    std::deque<open_question> m_normal;
+    std::size_t m_busy = 0;
+    std::size_t m_busy_normal = 0;
+    std::uint64_t m_generation = 0;
+    std::function<monotonic_time()> m_clock;
+
+  public:
+    /// @brief How the desk learns the time when an answer comes.
+    void set_clock(std::function<monotonic_time()> clock)
+    {
+        m_clock = std::move(clock);
+    }
+};
+
+} // namespace walkthread
--- /dev/null
+++ b/include/walkthread/fabric/call_router.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+/// @file
+/// @brief Carries calls to the leader, whoever that is, until they are answered or given up.
+/// @since 0.2
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <walkthread/fabric/mesh.hpp>
+#include <walkthread/units/time.hpp>
+
+namespace walkthread
+{
+
+/// @brief Takes the answer to a call.
+using call_handler = std::function<void(service_reply)>;
+
+/// @brief Calls on their way to the leader. Belongs to the loop's thread.
+/// @since 0.2
+class call_router
+{
+  public:
+    /// @param peers where calls go out
+    /// @param local handles a call if this process leads; says whether it did
+    call_router(boost::asio::io_context& loop, mesh& peers,
+                std::function<bool(const service_call&, const call_handler&)> local);
+    ~call_router();
+    call_router(const call_router&) = delete;
+    call_router& operator=(const call_router&) = delete;
+
+    /// @brief Sends a call to the leader, again after a change of leader or a silence.
+    /// @param patience after it the answer is `unknown`, or `unavailable` if it was never sent
+    void call(service_call body, milliseconds patience, call_handler handler);
+    /// @brief Sends a call to one peer, once.
+    void call_peer(const std::string& peer, service_call body, milliseconds patience, call_handler handler);
+    /// @brief Takes a reply that came in.
+    void take_reply(reply_note note);
+    /// @brief Tells who leads now; empty for unknown. Waiting calls go there at once.
+    void set_leader(const std::string& leader);
+
+    [[nodiscard]] const std::string& leader() const
+    {
+        return m_leader;
+    }
+    [[nodiscard]] std::size_t waiting() const
+    {
+        return m_calls.size();
+    }
+
+  private:
+    struct waiting_call
+    {
+        service_call body;
+        std::string encoded; ///< made when it first travels
+        call_handler handler;
+        monotonic_time give_up{};
+        monotonic_time sent{};
+        bool ever_sent{};
+        bool to_leader{};
+    };
+
+    void send(std::uint64_t number, waiting_call& item, const std::string& to);
+    void finish(std::uint64_t number, service_reply reply);
+    void arm();
+    void look_at_all();
+
+    mesh& m_mesh;
+    std::function<bool(const service_call&, const call_handler&)> m_local;
+    boost::asio::steady_timer m_timer;
+    bool m_armed = false;
+    std::string m_leader;
+    std::uint64_t m_next = 1;
+    std::map<std::uint64_t, waiting_call> m_calls;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace walkthread
--- /dev/null
+++ b/include/walkthread/fabric/core_node.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+/// @file
+/// @brief A process that keeps a replica of the workload group, and leads it at times.
+/// @since 0.2
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <walkthread/dispatch/dispatcher.hpp>
+#include <walkthread/fabric/advice_desk.hpp>
+#include <walkthread/fabric/fabric_node.hpp>
+#include <walkthread/fabric/replica_host.hpp>
+
+namespace walkthread
+{
+
+/// @brief Times of a core node.
+struct core_node_settings
+{
+    replica_settings replication{};
+    milliseconds tick{40};            ///< of the replica: under half a heartbeat
+    milliseconds join_every{300};     ///< a replica outside the membership asks that often
+    milliseconds voter_silent{2500};  ///< a newcomer takes a voter's place after that: above an election
+    milliseconds pass_gap{2};         ///< passes are that far apart: several answers share one
+    dispatch_settings dispatch{};
+};
+
+/// @brief A process with a replica. Belongs to the loop's thread.
+/// @since 0.2
+class core_node final : public fabric_node
+{
+  public:
+    core_node(boost::asio::io_context& loop, fabric_settings settings, core_node_settings times,
+              outside_hooks outside, decision_log& log, std::function<void(const storage_error&)> stop);
+    ~core_node() override;
+
+    /// @brief Opens the data folder and starts. @return what failed, or empty
+    std::string start() override;
+    void prepare_stop() override;
+    /// @brief Whether this process leads no longer, so that it may end.
+    [[nodiscard]] bool may_end() const;
+    [[nodiscard]] std::string figures() const override;
+
+  protected:
+    void take(const std::string& from, mesh_message message) override;
+    bool handle_locally(const service_call& body, const call_handler& handler) override;
+    void ask_around(monotonic_time now) override;
+
+  private:
+    // core_node.cpp: the replica, membership, leadership
+    void open_group(std::unique_ptr<data_folder> folder);
+    void changed();
+    void begin_leading(monotonic_time now);
+    void end_leading(std::string_view reason);
+    void take_join(const join_request& request, monotonic_time now);
+    void ask_to_join(monotonic_time now);
+    [[nodiscard]] leader_note present_leader(monotonic_time now) const;
+    [[nodiscard]] bool leads(monotonic_time now) const;
+    [[nodiscard]] std::size_t wanted_voters() const
+    {
+        return 2 * m_settings.losses_borne + 1;
+    }
+    [[nodiscard]] bool enough_copies() const;
+    [[nodiscard]] dispatch_hooks make_hooks();
+    void wake_dispatcher();
+    void run_pass();
+
+    // core_calls.cpp: calls at the leader
+    void propose(const workload_command& command, std::function<void(std::optional<workload_result>)> handler);
+    void propose_and_reply(const workload_command& command, const call_handler& handler);
+    void handle(const submit_call& call, const call_handler& handler);
+    void handle(const state_call& call, const call_handler& handler);
+    void handle(const cancel_call& call, const call_handler& handler);
+    void handle(const pending_call& call, const call_handler& handler);
+    void handle(const put_catalogue_call& call, const call_handler& handler);
+    void handle(const get_catalogue_call& call, const call_handler& handler);
+    void handle(const report_call& call, const call_handler& handler);
+    void handle(const leave_call& call, const call_handler& handler);
+    void handle(const begin_wave_call& call, const call_handler& handler);
+    void handle(const wave_state_call& call, const call_handler& handler);
+    void handle(const advise_call& call, const call_handler& handler);
+    void handle(const explain_call& call, const call_handler& handler);
+    [[nodiscard]] const queue_spec* queue_at(const std::string& host, const std::string& path) const;
+
+    core_node_settings m_times;
+    std::function<void(const storage_error&)> m_stop;
+    workload_state m_state;
+    std::unique_ptr<replica_host> m_replica;
+    std::unique_ptr<dispatcher> m_dispatcher;
+    advice_desk m_desk;
+    std::uint64_t m_led_term = 0;
+    monotonic_time m_join_asked{};
+    monotonic_time m_last_pass{};
+    boost::asio::steady_timer m_pass_timer;
+    bool m_pass_due = false;
+    bool m_stopping = false;
+};
+
+/// @brief The address for peers of a replica, which its identity carries.
+[[nodiscard]] std::string peer_address_of(const replica_id& replica, std::uint16_t port);
+
+} // namespace walkthread
--- /dev/null
+++ b/include/walkthread/fabric/fabric_node.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+/// @file
+/// @brief What every process has: the loop, the mesh, calls to the leader, and its logs.
+/// @since 0.2
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <walkthread/fabric/call_router.hpp>
+#include <walkthread/fabric/leader_watch.hpp>
+#include <walkthread/observe/decision_log.hpp>
+
+namespace walkthread
+{
+
+/// @brief What a process has to know of itself.
+/// @since 0.2
+struct fabric_settings
+{
+    std::string name;
+    std::string hall;
+    std::string peer_address;   ///< where this process hears the others, `IP:PORT`
+    std::vector<std::string> seeds; ///< peer addresses of some that keep replicas; may be stale
+    std::string data_folder;    ///< empty for a process without replica
+    bool founding{};            ///< the very first start of the whole system
+    std::uint32_t losses_borne{2}; ///< disks that may be lost at once
+    std::string report_address; ///< where workers report to this process; empty if they do not
+    milliseconds lease_cap{6000};
+};
+
+/// @brief How the outside is reached; the adapter of a platform gives these.
+struct outside_hooks
+{
+    std::function<void(const look_order&, std::function<void(const look_answer&)>)> look;
+    std::function<void(const start_task_order&, std::function<void(const order_answer&)>)> start;
+    std::function<void(const stop_task_order&, std::function<void(const order_answer&)>)> stop;
+    std::function<void(const pace_task_order&, std::function<void(const order_answer&)>)> pace;
+    std::function<void(const std::string& host, std::uint64_t wave, std::uint64_t fence,
+                       std::function<void(const order_answer&)>)>
+        order_upkeep;
+    std::function<void(const advice_question&, std::function<void(const advice_answer&)>)> ask_advisor;
+    std::function<void()> worker_gone; ///< connections that nobody uses may be closed
+};
+
+/// @brief A process of the system; those that keep replicas are `core_node`s.
+/// @since 0.2
+class fabric_node
+{
+  public:
+    fabric_node(boost::asio::io_context& loop, fabric_settings settings, outside_hooks outside, decision_log& log);
+    virtual ~fabric_node();
+    fabric_node(const fabric_node&) = delete;
+    fabric_node& operator=(const fabric_node&) = delete;
+
+    /// @brief Opens the mesh and starts. @return what failed, or empty
+    virtual std::string start();
+    /// @brief Sends a call to the leader; see `call_router::call`.
+    void call(service_call body, milliseconds patience, call_handler handler);
+    /// @brief Whether a leader is known and answers.
+    [[nodiscard]] bool connected() const;
+    /// @brief Takes seeds from changed settings.
+    void add_seeds(const std::vector<std::string>& seeds);
+    /// @brief Hands over what others rely on, before a planned stop.
+    virtual void prepare_stop()
+    {
+    }
+    /// @brief Figures for the metrics page, as name and value pairs in the text format.
+    [[nodiscard]] virtual std::string figures() const;
+
+  protected:
+    virtual void take(const std::string& from, mesh_message message);
+    virtual bool handle_locally(const service_call& body, const call_handler& handler);
+    virtual void ask_around(monotonic_time now);
+    void note(std::string_view event, std::string_view subject, std::initializer_list<log_field> fields);
+    void answer_call(const std::string& from, call_note note);
+
+    boost::asio::io_context& m_loop;
+    fabric_settings m_settings;
+    outside_hooks m_outside;
+    decision_log& m_log;
+    mesh m_mesh;
+    call_router m_router;
+    leader_watch m_watch;
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+
+  private:
+    void tick();
+    bool m_was_connected = false;
+};
+
+} // namespace walkthread
--- a/include/walkthread/node/core.hpp
+++ b/include/walkthread/node/core.hpp
@@ -17,7 +17,7 @@
 #include <walkthread/node/errors.hpp>
 #include <walkthread/node/messages.hpp>
 #include <walkthread/node/peer_network.hpp>
-#include <walkthread/node/replicated_group.hpp>
+#include <walkthread/replication/replicated_group.hpp>
 #include <walkthread/observe/log.hpp>
 #include <walkthread/observe/metrics.hpp>
 #include <walkthread/settings/settings.hpp>
--- /dev/null
+++ b/include/walkthread/observe/decision_log.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+/// @file
+/// @brief One JSON line on standard output for each decision, bounded in volume, never blocking.
+/// @since 0.2
+
+#include <cstdint>
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include <spdlog/spdlog.h>
+
+#include <walkthread/units/time.hpp>
+
+namespace walkthread
+{
+
+/// @brief One named input or outcome of a decision.
+struct log_field
+{
+    std::string_view name;
+    std::variant<std::int64_t, double, bool, std::string_view> value;
+
+    log_field(std::string_view key, std::string_view text) : name(key), value(text)
+    {
+    }
+    log_field(std::string_view key, const char* text) : name(key), value(std::string_view(text))
+    {
+    }
+    log_field(std::string_view key, const std::string& text) : name(key), value(std::string_view(text))
+    {
+    }
+    log_field(std::string_view key, bool flag) : name(key), value(flag)
+    {
+    }
+    log_field(std::string_view key, double number) : name(key), value(number)
+    {
+    }
+    template <std::integral T>
+    log_field(std::string_view key, T number) : name(key), value(static_cast<std::int64_t>(number))
+    {
+    }
+    log_field(std::string_view key, duration span)
+        : name(key), value(std::chrono::duration_cast<milliseconds>(span).count())
+    {
+    }
+};
+
+/// @brief Bounds of the log.
+struct decision_log_settings
+{
+    std::int64_t lines_per_second = 600; ///< about twice the task starts of a busy second at today's size
+    std::size_t queue_lines = 512;       ///< lines that may wait for the writer; older ones are dropped
+};
+
+/// @brief Writes decisions. Used by one thread; a second thread, the library's, does the writing.
+/// @since 0.2
+class decision_log
+{
+  public:
+    /// @brief Writes nothing.
+    decision_log() = default;
+    /// @brief Writes to `sink` through a bounded queue.
+    /// @param process the name of this process, on each line
+    decision_log(std::string process, spdlog::sink_ptr sink, decision_log_settings bounds);
+    ~decision_log();
+    decision_log(const decision_log&) = delete;
+    decision_log& operator=(const decision_log&) = delete;
+
+    /// @brief Writes one line, or counts it as dropped if this second's lines are used up.
+    /// @param now the present time, for the bound
+    /// @param at the present wall time, on the line
+    /// @param event what was decided; docs/OPERATIONS.md lists all
+    /// @param subject the submission, run, worker or node that it is about; empty for the process itself
+    void write(monotonic_time now, wall_ms at, std::string_view event, std::string_view subject,
+               std::initializer_list<log_field> fields);
+
+    /// @brief Lines dropped since the start, for the rate or because the writer was slow.
+    [[nodiscard]] std::uint64_t dropped() const;
+    /// @brief Lines written or queued since the start.
+    [[nodiscard]] std::uint64_t written() const
+    {
+        return m_written;
+    }
+
+  private:
+    void emit(wall_ms at, std::string_view event, std::string_view subject,
+              std::initializer_list<log_field> fields);
+
+    std::string m_process;
+    decision_log_settings m_bounds;
+    std::shared_ptr<spdlog::details::thread_pool> m_writer;
+    std::shared_ptr<spdlog::logger> m_logger;
+    monotonic_time m_second{};
+    std::int64_t m_in_second = 0;
+    std::uint64_t m_written = 0;
+    std::uint64_t m_over_rate = 0;
+    std::uint64_t m_reported = 0;
+};
+
+} // namespace walkthread
--- a/include/walkthread/replication/replica.hpp
+++ b/include/walkthread/replication/replica.hpp
@@ -121,6 +121,9 @@
 
     /// @brief Takes what is to be done. The owner syncs, sends, applies, then calls `synced`.
     [[nodiscard]] replica_output take_output(monotonic_time now);
+    /// @brief Takes what may be done while a sync of earlier output is under way: entries to apply and a
+    /// leader's appends. Records and replies stay for the next `take_output`.
+    [[nodiscard]] replica_output take_unsynced(monotonic_time now);
     /// @brief Tells that everything taken so far is synced; a leader counts its own copy from then on.
     void synced(monotonic_time now);
     /// @brief Gives the state machine's content at `index`, after which the log can be cut.
@@ -170,6 +173,8 @@
     /// @brief Whether this replica surely is the only leader at `now` and has applied all that came before
     /// it. Rests on clocks whose speeds differ by at most `clock_drift`, not on their values.
     [[nodiscard]] bool holds_lease(monotonic_time now) const;
+    /// @brief When a leader last heard a member; no value where unknown.
+    [[nodiscard]] std::optional<monotonic_time> last_heard(const replica_id& member) const;
     /// @brief Entries that a member is behind; no value where unknown.
     [[nodiscard]] std::optional<std::uint64_t> lag_of(const replica_id& member) const;
 
--- /dev/null
+++ b/src/dispatch/advice_book.cpp
@@ -0,0 +1,68 @@
+#include <walkthread/dispatch/advice_book.hpp>
+
+#include <algorithm>
+
+namespace walkthread
+{
+
+namespace
+{
+constexpr double first_share = 0.4;    // before any answer: between the users' kinds, 0.3 to 0.7
+constexpr double least_share = 0.05;   // so that a question never names all workers for one bad answer
+constexpr double learning_rate = 0.15; // weight of one answer
+} // namespace
+
+step_advice& advice_book::of(const step_ref& step)
+{
+    return m_steps[step];
+}
+
+void advice_book::forget(const step_ref& step)
+{
+    m_steps.erase(step);
+}
+
+void advice_book::prune(const std::function<bool(const step_ref&)>& keep)
+{
+    std::erase_if(m_steps,
+                  [&keep](const auto& item)
+                  {
+                      return !keep(item.first) && !item.second.in_flight;
+                  });
+}
+
+void advice_book::take(const step_ref& step, const std::string& queue, const std::vector<worker_life_id>& asked,
+                       const std::map<worker_life_id, std::string>& tickets, monotonic_time sent,
+                       milliseconds validity)
+{
+    step_advice& known = m_steps[step];
+    std::size_t fresh = 0;
+    std::size_t good = 0;
+    for (const worker_life_id worker : asked)
+    {
+        const bool first = !known.entries.contains(worker);
+        advice_entry& entry = known.entries[worker];
+        const auto ticket = tickets.find(worker);
+        entry.good = ticket != tickets.end();
+        entry.ticket = entry.good ? ticket->second : std::string{};
+        entry.valid_until = sent + validity;
+        fresh += first ? 1 : 0;
+        good += first && entry.good ? 1 : 0;
+    }
+    if (fresh == 0)
+    {
+        return;
+    }
+    const double seen = static_cast<double>(good) / static_cast<double>(fresh);
+    const auto [share, added] = m_shares.emplace(queue, first_share);
+    const double weight = learning_rate * std::min(1.0, static_cast<double>(fresh) / 8.0);
+    share->second += weight * (seen - share->second);
+}
+
+double advice_book::good_share(const std::string& queue) const
+{
+    const auto found = m_shares.find(queue);
+    return std::max(least_share, found == m_shares.end() ? first_share : found->second);
+}
+
+} // namespace walkthread
--- /dev/null
+++ b/src/dispatch/dispatcher.cpp
@@ -0,0 +1,340 @@
+#include <walkthread/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+#include <limits>
+
+#include <walkthread/workload/names.hpp>
+
+namespace walkthread
+{
+
+namespace
+{
+constexpr std::size_t forget_at_once = 200;       // bounds one log entry
+constexpr std::size_t most_failed_placements = 60; // per pass: behind so many that do not fit, little does
+constexpr duration idle_pass = milliseconds(100); // leases, retries and due times are looked at that often
+} // namespace
+
+dispatcher::dispatcher(const workload_state& state, dispatch_settings settings, dispatch_hooks hooks,
+                       decision_log& log, std::uint64_t fence, monotonic_time now)
+    : m_state(state), m_settings(settings), m_hooks(std::move(hooks)), m_log(log), m_fence(fence), m_began(now)
+{
+    sync_views(now);
+}
+
+void dispatcher::note(monotonic_time now, std::string_view event, std::string_view subject,
+                      std::initializer_list<log_field> fields)
+{
+    m_log.write(now, m_wall, event, subject, fields);
+}
+
+worker_view* dispatcher::view_of(worker_life_id worker)
+{
+    const auto found = m_views.find(worker);
+    return found == m_views.end() ? nullptr : &found->second;
+}
+
+worker_address dispatcher::address_of(worker_life_id worker) const
+{
+    const worker_life* life = m_state.find(worker);
+    return life == nullptr ? worker_address{} : worker_address{worker, life->facts.life, life->facts.address, m_fence};
+}
+
+// Views follow the replicated state: new lives get one, dropped lives lose theirs.
+void dispatcher::sync_views(monotonic_time now)
+{
+    std::erase_if(m_views,
+                  [this](const auto& item)
+                  {
+                      return m_state.find(item.first) == nullptr;
+                  });
+    for (const auto& [id, worker] : m_state.workers())
+    {
+        const auto [at, added] = m_views.try_emplace(id);
+        if (!added)
+        {
+            continue;
+        }
+        worker_view& view = at->second;
+        view.id = id;
+        view.heard = now;
+        view.next_quarantine = m_settings.quarantine;
+        const double longest = static_cast<double>(m_settings.lease_cap.count()) * (1.0 + 2 * m_settings.clock_drift);
+        const bool inherited = now == m_began || !worker.occupied.empty();
+        view.foreign_lease_end = inherited ? m_began + milliseconds(static_cast<std::int64_t>(longest)) : now;
+        for (const auto& [run, room] : worker.occupied)
+        {
+            run_view& known = view.runs[run];
+            known.sent = now;
+            known.progressed = now;
+            known.inherited = true;
+        }
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// Reports of workers
+// ---------------------------------------------------------------------------------------------------------
+
+void dispatcher::take_report(const worker_report& report, monotonic_time now, std::function<void(bool)> done)
+{
+    const worker_life* known = m_state.find_life(report.facts.life);
+    if (known == nullptr || known->facts != report.facts)
+    {
+        if (known == nullptr && !m_joining.insert(report.facts.life).second)
+        {
+            done(false);
+            return;
+        }
+        m_hooks.propose(admit_worker{report.facts},
+                        [this, alive = m_alive, report, done](bool committed)
+                        {
+                            if (!*alive)
+                            {
+                                done(false);
+                                return;
+                            }
+                            m_joining.erase(report.facts.life);
+                            const worker_life* admitted = m_state.find_life(report.facts.life);
+                            if (!committed || admitted == nullptr || admitted->facts != report.facts)
+                            {
+                                done(false);
+                                return;
+                            }
+                            const monotonic_time then = m_hooks.now();
+                            note(then, "worker_admitted", report.facts.life,
+                                 {{"host", report.facts.host}, {"hall", report.facts.hall}});
+                            sync_views(then);
+                            take_report(report, then, done);
+                        });
+        return;
+    }
+    sync_views(now);
+    worker_view& view = m_views[known->id];
+    if (report.sequence >= view.sequence)
+    {
+        view.sequence = report.sequence;
+        if (report.draining != view.draining)
+        {
+            note(now, report.draining ? "worker_draining" : "worker_ready", report.facts.life,
+                 {{"remaining_ms", report.remaining_ms}, {"runs", known->occupied.size()}});
+        }
+        view.draining = report.draining;
+        view.leaves_at = now + milliseconds(report.remaining_ms);
+    }
+    if (!view.answered)
+    {
+        view.note_clock(report.clock_ms, now);
+    }
+    m_hooks.wake();
+    done(true);
+}
+
+void dispatcher::take_leave(const std::string& life, std::function<void(bool)> done)
+{
+    const worker_life* known = m_state.find_life(life);
+    if (known == nullptr)
+    {
+        done(true);
+        return;
+    }
+    m_hooks.propose(drop_worker{known->id},
+                    [this, alive = m_alive, life, done](bool committed)
+                    {
+                        if (*alive && committed)
+                        {
+                            note(m_hooks.now(), "worker_left", life, {});
+                            m_hooks.wake();
+                        }
+                        done(committed);
+                    });
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// The pass
+// ---------------------------------------------------------------------------------------------------------
+
+monotonic_time dispatcher::next_pass(monotonic_time now) const
+{
+    return now + idle_pass;
+}
+
+void dispatcher::pass(monotonic_time now, wall_ms wall)
+{
+    m_wall = wall;
+    sync_views(now);
+    drop_lost(now);
+    look_at_all(now);
+    retry_orders(now);
+    watch_runs(now);
+    stop_unwanted(now);
+    advance_waves(now, wall);
+    m_reserved.clear();
+    std::size_t failed = 0;
+    for (const candidate& item : order_candidates(now, wall))
+    {
+        const std::uint32_t before = waiting_tasks(item);
+        place(item, now);
+        failed += waiting_tasks(item) == before ? 1 : 0;
+        if (failed > most_failed_placements)
+        {
+            break;
+        }
+    }
+    forget_old(wall);
+}
+
+std::vector<dispatcher::candidate> dispatcher::order_candidates(monotonic_time now, wall_ms wall)
+{
+    std::vector<candidate> out;
+    for (const step_ref& ref : m_state.ready())
+    {
+        candidate item;
+        item.ref = ref;
+        item.owner = m_state.find(ref.submission);
+        const wall_ms due = item.owner->spec.due_at(ref.round);
+        if (due > wall)
+        {
+            continue;
+        }
+        item.step = &item.owner->spec.steps[ref.step];
+        item.queue = m_state.held_catalogue() ? find_queue_by_name(*m_state.held_catalogue(), item.owner->queue) : nullptr;
+        if (waiting_tasks(item) == 0)
+        {
+            continue;
+        }
+        const wall_ms since = std::max(due, item.owner->accepted);
+        const auto age = static_cast<double>(std::max<wall_ms>(wall - since, 0));
+        const double objective = item.queue != nullptr ? m_objectives.objective_ms(*item.owner, *item.queue) : 0.0;
+        item.slack_ms = objective - age - m_objectives.remaining_ms(*item.owner, ref.step);
+        item.missed = item.slack_ms < -0.25 * objective; // estimates are rough: a little below may still make it
+        if (item.step->lasting)
+        {
+            item.missed = false;
+            item.slack_ms = -age;
+        }
+        out.push_back(item);
+    }
+    std::sort(out.begin(), out.end(),
+              [](const candidate& a, const candidate& b)
+              {
+                  const auto key = [](const candidate& c)
+                  {
+                      const int group = c.step->lasting ? 0 : c.missed ? 3 : c.urgent() ? 1 : 2;
+                      return std::make_tuple(group, c.slack_ms, c.ref);
+                  };
+                  return key(a) < key(b);
+              });
+    static_cast<void>(now);
+    return out;
+}
+
+void dispatcher::forget_old(wall_ms wall)
+{
+    if (m_forgetting)
+    {
+        return;
+    }
+    forget_submissions command;
+    for (const auto& [ended, id] : m_state.ended())
+    {
+        if (ended + m_settings.keep_final.count() > wall || command.ids.size() >= forget_at_once)
+        {
+            break;
+        }
+        if (m_state.find(id)->active == 0)
+        {
+            command.ids.push_back(id);
+        }
+    }
+    m_advice.prune(
+        [this](const step_ref& ref)
+        {
+            return m_state.ready().contains(ref);
+        });
+    if (command.ids.empty())
+    {
+        return;
+    }
+    m_forgetting = true;
+    m_hooks.propose(std::move(command),
+                    [this, alive = m_alive](bool /*committed*/)
+                    {
+                        if (*alive)
+                        {
+                            m_forgetting = false;
+                        }
+                    });
+}
+
+// Runs of submissions that are over are stopped.
+void dispatcher::stop_unwanted(monotonic_time now)
+{
+    for (const submission_id id : m_state.closing())
+    {
+        const submission& owner = *m_state.find(id);
+        for (std::uint32_t r = 0; r < owner.rounds.size(); ++r)
+        {
+            for (std::uint32_t s = 0; s < owner.rounds[r].steps.size(); ++s)
+            {
+                const auto& tasks = owner.rounds[r].steps[s].tasks;
+                for (std::uint32_t i = 0; i < tasks.size(); ++i)
+                {
+                    worker_view* view = view_of(tasks[i].worker);
+                    if (tasks[i].state() != work_phase::active || view == nullptr)
+                    {
+                        continue;
+                    }
+                    send_stop(*view, run_ref{{{id, round_id{r}, s}, i}, tasks[i].run}, now);
+                }
+            }
+        }
+    }
+}
+
+void dispatcher::propose_starts(const candidate& item, const std::vector<planned_start>& starts,
+                                const std::vector<std::string>& tickets, monotonic_time now)
+{
+    const resources room = room_of(*item.step);
+    for (const planned_start& planned : starts)
+    {
+        m_views[planned.worker].planned += room;
+        m_planned[planned.task] = planned.worker;
+    }
+    note(now, "starts_planned", name_of(item.ref),
+         {{"queue", item.owner->queue}, {"tasks", starts.size()}, {"slack_ms", static_cast<std::int64_t>(item.slack_ms)},
+          {"missed", item.missed}, {"gang", item.step->gang}});
+    m_hooks.propose(record_starts{starts},
+                    [this, alive = m_alive, starts, tickets, room](bool committed)
+                    {
+                        if (!*alive)
+                        {
+                            return;
+                        }
+                        const monotonic_time then = m_hooks.now();
+                        for (std::size_t i = 0; i < starts.size(); ++i)
+                        {
+                            const planned_start& planned = starts[i];
+                            m_planned.erase(planned.task);
+                            worker_view* view = view_of(planned.worker);
+                            if (view == nullptr)
+                            {
+                                continue;
+                            }
+                            view->planned -= room;
+                            const run_ref run{planned.task, planned.run};
+                            const worker_life* worker = m_state.find(planned.worker);
+                            if (!committed || worker == nullptr || !worker->occupied.contains(run))
+                            {
+                                continue;
+                            }
+                            run_view& known = view->runs[run];
+                            known.ticket = tickets[i];
+                            known.progressed = then;
+                            send_start(planned.worker, run, then);
+                        }
+                        m_hooks.wake();
+                    });
+}
+
+} // namespace walkthread
--- /dev/null
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -0,0 +1,494 @@
+// The half of dispatcher that talks to workers: leases and looks, starts, stops and ends.
+
+#include <walkthread/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+
+#include <walkthread/workload/names.hpp>
+
+namespace walkthread
+{
+
+namespace
+{
+constexpr std::size_t listed_at_once = 500;      // a worker lists at most that many ends in one answer
+constexpr duration stop_retry = milliseconds(250); // an unanswered stop is sent again after that
+constexpr double stuck_factor = 3.0;             // times the expected run time without progress
+} // namespace
+
+// ---------------------------------------------------------------------------------------------------------
+// Looks and leases
+// ---------------------------------------------------------------------------------------------------------
+
+void dispatcher::look_at_all(monotonic_time now)
+{
+    for (auto& [id, view] : m_views)
+    {
+        const bool overdue = view.look_in_flight && now - view.look_sent > m_settings.look_wait + 2 * m_settings.look_patience;
+        if (overdue)
+        {
+            view.look_in_flight = false; // its answer, if it comes, still counts
+        }
+        if (!view.look_in_flight && !view.recording && !view.gone && now >= view.look_due)
+        {
+            look_at(view, now);
+        }
+    }
+}
+
+void dispatcher::look_at(worker_view& view, monotonic_time now)
+{
+    const worker_life* worker = m_state.find(view.id);
+    if (worker == nullptr)
+    {
+        return;
+    }
+    look_order order;
+    order.to = address_of(view.id);
+    order.last_seen = worker->listed_up_to;
+    if (view.clock_known)
+    {
+        order.until_ms = view.grant(now, std::min(m_settings.lease, m_settings.lease_cap));
+    }
+    order.wait_ms = view.answered ? m_settings.look_wait.count() : 0;
+    view.look_in_flight = true;
+    view.look_sent = now;
+    m_hooks.look(order,
+                 [this, alive = m_alive, worker_id = view.id, now](const look_answer& answer)
+                 {
+                     if (*alive)
+                     {
+                         take_look(worker_id, answer, now, m_hooks.now());
+                     }
+                 });
+}
+
+void dispatcher::take_look(worker_life_id worker, const look_answer& answer, monotonic_time sent, monotonic_time now)
+{
+    worker_view* view = view_of(worker);
+    if (view == nullptr)
+    {
+        return;
+    }
+    if (view->look_sent == sent)
+    {
+        view->look_in_flight = false;
+    }
+    if (answer.outcome == order_outcome::other_life)
+    {
+        drop_worker_life(*view, "another life answers at its address", now);
+        return;
+    }
+    if (answer.outcome != order_outcome::accepted)
+    {
+        view->look_due = now + m_settings.look_retry;
+        return;
+    }
+    view->look_due = now;
+    view->heard = now;
+    view->note_clock(answer.clock_ms, now);
+    take_runs(*view, answer, now);
+    take_ends(*view, answer, sent, now);
+    view->answered = true;
+    m_hooks.wake();
+}
+
+void dispatcher::take_runs(worker_view& view, const look_answer& answer, monotonic_time now)
+{
+    for (auto& [run, known] : view.runs)
+    {
+        known.listed = false;
+    }
+    for (const listed_run& listed : answer.running)
+    {
+        const auto found = view.runs.find(listed.run);
+        if (found == view.runs.end())
+        {
+            send_stop(view, listed.run, now); // carried out late; nobody waits for it
+            continue;
+        }
+        run_view& known = found->second;
+        known.listed = true;
+        if (!known.settled)
+        {
+            known.settled = now;
+        }
+        if (!listed.checkpoint.empty())
+        {
+            known.checkpoint = listed.checkpoint;
+        }
+        if (listed.percent > known.percent)
+        {
+            known.percent = listed.percent;
+            known.progressed = now;
+        }
+        if (!m_state.wants(listed.run) && !m_state.closing().contains(listed.run.task.step.submission))
+        {
+            const work_task* task = m_state.find(listed.run.task);
+            const bool gang_done = task != nullptr && task->state() == work_phase::completed;
+            if (!gang_done)
+            {
+                send_stop(view, listed.run, now);
+            }
+        }
+    }
+}
+
+void dispatcher::take_ends(worker_view& view, const look_answer& answer, monotonic_time sent, monotonic_time now)
+{
+    const worker_life& worker = *m_state.find(view.id);
+    record_ends command;
+    command.worker = view.id;
+    std::set<run_ref> ended;
+    for (const listed_end& end : answer.ended)
+    {
+        command.listed_up_to = std::max(command.listed_up_to, end.number);
+        if (end.number > worker.listed_up_to)
+        {
+            judge_end(view, end, now);
+            command.ends.push_back({end.run, static_cast<std::uint8_t>(end.how), end.checkpoint});
+            ended.insert(end.run);
+        }
+    }
+    for (const auto& [run, room] : worker.occupied)
+    {
+        const auto found = view.runs.find(run);
+        if (found == view.runs.end() || found->second.listed || ended.contains(run) || answer.ended.size() >= listed_at_once)
+        {
+            continue;
+        }
+        const run_view& known = found->second;
+        const bool settled_before = known.settled && *known.settled < sent;
+        const bool stopped_before = known.stop_settled && *known.stop_settled < sent;
+        if (known.inherited || settled_before || stopped_before)
+        {
+            note(now, "run_absent", name_of(run), {{"worker", worker.facts.life}, {"inherited", known.inherited}});
+            command.ends.push_back({run, static_cast<std::uint8_t>(run_end::never_began), known.checkpoint});
+        }
+    }
+    if (command.ends.empty())
+    {
+        return;
+    }
+    view.recording = true;
+    m_counters.ends += command.ends.size();
+    m_hooks.propose(command,
+                    [this, alive = m_alive, command](bool committed)
+                    {
+                        worker_view* later = *alive ? view_of(command.worker) : nullptr;
+                        if (later == nullptr)
+                        {
+                            return;
+                        }
+                        later->recording = false;
+                        later->look_due = m_hooks.now();
+                        for (const observed_end& end : command.ends)
+                        {
+                            if (committed)
+                            {
+                                later->runs.erase(end.run);
+                            }
+                        }
+                        m_hooks.wake();
+                    });
+}
+
+// Learns from an end: run times, and whether the worker fails what it gets.
+void dispatcher::judge_end(worker_view& view, const listed_end& end, monotonic_time now)
+{
+    const submission* owner = m_state.find(end.run.task.step.submission);
+    const auto known = view.runs.find(end.run);
+    const duration took = known == view.runs.end() ? duration{0} : now - known->second.sent;
+    note(now, "run_ended", name_of(end.run),
+         {{"worker", m_state.find(view.id)->facts.life}, {"how", name_of(end.how)}, {"took_ms", took}, {"number", end.number}});
+    if (owner == nullptr || known == view.runs.end())
+    {
+        return;
+    }
+    const step_spec& step = owner->spec.steps[end.run.task.step.step];
+    if (end.how == run_end::completed)
+    {
+        view.failures_in_row = 0;
+        view.next_quarantine = m_settings.quarantine;
+        if (!step.lasting && !known->second.inherited && m_state.find(end.run.task)->checkpoint.empty())
+        {
+            m_objectives.note_run(owner->queue, step.estimate_ms, std::chrono::duration_cast<milliseconds>(took).count());
+        }
+    }
+    else if (end.how == run_end::failed && !step.lasting && view.last_failed != owner->id)
+    {
+        view.last_failed = owner->id;
+        if (++view.failures_in_row >= m_settings.quarantine_failures)
+        {
+            view.avoid_until = now + view.next_quarantine;
+            note(now, "worker_avoided", m_state.find(view.id)->facts.life,
+                 {{"reason", "failures in a row"}, {"failures", view.failures_in_row}, {"for_ms", duration(view.next_quarantine)}});
+            view.next_quarantine = std::min(2 * view.next_quarantine, m_settings.quarantine_cap);
+            view.failures_in_row = m_settings.quarantine_failures - 1;
+        }
+    }
+}
+
+void dispatcher::drop_lost(monotonic_time now)
+{
+    for (auto& [id, view] : m_views)
+    {
+        const bool silent = now - view.heard > m_settings.suspect_after + m_settings.look_wait;
+        if (!view.gone && silent && view.lease_surely_over(now, m_settings.clock_drift))
+        {
+            drop_worker_life(view, "its lease is over", now);
+        }
+    }
+}
+
+void dispatcher::drop_worker_life(worker_view& view, std::string_view reason, monotonic_time now)
+{
+    if (view.gone)
+    {
+        return;
+    }
+    view.gone = true;
+    ++m_counters.lost_workers;
+    const worker_life& worker = *m_state.find(view.id);
+    note(now, "worker_dropped", worker.facts.life,
+         {{"reason", reason}, {"unheard_ms", now - view.heard}, {"runs", worker.occupied.size()}});
+    record_ends checkpoints;
+    checkpoints.worker = view.id;
+    for (const auto& [run, known] : view.runs)
+    {
+        checkpoints.ends.push_back({run, static_cast<std::uint8_t>(run_end::lapsed), known.checkpoint});
+    }
+    const auto again = [this, alive = m_alive, id = view.id](bool committed)
+    {
+        worker_view* later = *alive ? view_of(id) : nullptr;
+        if (later != nullptr && !committed)
+        {
+            later->gone = false;
+        }
+        if (*alive)
+        {
+            m_hooks.wake();
+        }
+    };
+    if (!checkpoints.ends.empty())
+    {
+        m_hooks.propose(checkpoints, [](bool /*committed*/) {}); // the drop behind it says whether it held
+    }
+    m_hooks.propose(drop_worker{view.id}, again);
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// Starts
+// ---------------------------------------------------------------------------------------------------------
+
+void dispatcher::send_start(worker_life_id worker, const run_ref& run, monotonic_time now)
+{
+    worker_view& view = m_views[worker];
+    run_view& known = view.runs[run];
+    const submission* owner = m_state.find(run.task.step.submission);
+    const work_task* task = m_state.find(run.task);
+    if (owner == nullptr || task == nullptr || known.order_in_flight)
+    {
+        return;
+    }
+    start_task_order order;
+    order.to = address_of(worker);
+    order.run = run;
+    order.payload = owner->spec.payload;
+    order.checkpoint = task->checkpoint;
+    order.ticket = known.ticket == "-" ? std::string{} : known.ticket;
+    order.until_ms = view.grant(now, std::min(m_settings.start_window, m_settings.lease_cap));
+    known.sent = now;
+    known.order_in_flight = true;
+    ++known.tries;
+    ++m_counters.starts;
+    m_hooks.start(order,
+                  [this, alive = m_alive, worker, run](const order_answer& answer)
+                  {
+                      if (*alive)
+                      {
+                          take_start(worker, run, answer, m_hooks.now());
+                      }
+                  });
+}
+
+void dispatcher::take_start(worker_life_id worker, const run_ref& run, const order_answer& answer, monotonic_time now)
+{
+    worker_view* view = view_of(worker);
+    const auto found = view == nullptr ? std::map<run_ref, run_view>::iterator{} : view->runs.find(run);
+    if (view == nullptr || found == view->runs.end())
+    {
+        return;
+    }
+    run_view& known = found->second;
+    known.order_in_flight = false;
+    if (answer.clock_ms)
+    {
+        view->note_clock(*answer.clock_ms, now);
+    }
+    if (answer.outcome == order_outcome::accepted)
+    {
+        known.settled = now;
+        known.progressed = now;
+        return;
+    }
+    note(now, "start_not_taken", name_of(run),
+         {{"worker", m_state.find(worker)->facts.life}, {"outcome", static_cast<int>(answer.outcome)}, {"tries", known.tries}, {"after_ms", now - known.sent}});
+    if (answer.outcome == order_outcome::unanswered)
+    {
+        ++m_counters.unanswered_orders;
+        return; // retry_orders decides
+    }
+    if (answer.outcome == order_outcome::other_life)
+    {
+        drop_worker_life(*view, "another life answers at its address", now);
+        return;
+    }
+    ++m_counters.refused_starts;
+    if (answer.outcome == order_outcome::unhealthy)
+    {
+        view->avoid_until = std::max(view->avoid_until, now + m_settings.unhealthy_pause);
+    }
+    if (known.tries == 1 && answer.outcome != order_outcome::fenced)
+    {
+        end_run(worker, run, run_end::never_began, now); // the only order was refused
+        return;
+    }
+    known.settled = now; // an earlier order may have been taken: the next look tells
+}
+
+void dispatcher::end_run(worker_life_id worker, const run_ref& run, run_end how, monotonic_time now)
+{
+    note(now, "run_ended", name_of(run), {{"worker", m_state.find(worker)->facts.life}, {"how", name_of(how)}});
+    record_ends command;
+    command.worker = worker;
+    command.ends.push_back({run, static_cast<std::uint8_t>(how), {}});
+    m_hooks.propose(command,
+                    [this, alive = m_alive, worker, run](bool committed)
+                    {
+                        worker_view* later = *alive ? view_of(worker) : nullptr;
+                        if (later != nullptr && committed)
+                        {
+                            later->runs.erase(run);
+                            m_hooks.wake();
+                        }
+                    });
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// Stops and retries
+// ---------------------------------------------------------------------------------------------------------
+
+void dispatcher::send_stop(worker_view& view, const run_ref& run, monotonic_time now)
+{
+    run_view& known = view.runs[run];
+    if (known.stop_in_flight || known.stop_settled || now < known.stop_retry)
+    {
+        return;
+    }
+    if (!known.stopping)
+    {
+        note(now, "run_stopping", name_of(run), {{"worker", m_state.find(view.id)->facts.life}, {"wanted", m_state.wants(run)}});
+    }
+    known.stopping = true;
+    known.stop_in_flight = true;
+    m_hooks.stop(stop_task_order{address_of(view.id), run},
+                 [this, alive = m_alive, worker = view.id, run](const order_answer& answer)
+                 {
+                     if (*alive)
+                     {
+                         take_stop(worker, run, answer, m_hooks.now());
+                     }
+                 });
+}
+
+void dispatcher::take_stop(worker_life_id worker, const run_ref& run, const order_answer& answer, monotonic_time now)
+{
+    worker_view* view = view_of(worker);
+    const auto found = view == nullptr ? std::map<run_ref, run_view>::iterator{} : view->runs.find(run);
+    if (view == nullptr || found == view->runs.end())
+    {
+        return;
+    }
+    run_view& known = found->second;
+    known.stop_in_flight = false;
+    if (answer.outcome == order_outcome::accepted)
+    {
+        known.stop_settled = now;
+        if (!m_state.find(worker)->occupied.contains(run))
+        {
+            view->runs.erase(found); // a late start of a run that is over
+        }
+        return;
+    }
+    if (answer.outcome == order_outcome::other_life)
+    {
+        drop_worker_life(*view, "another life answers at its address", now);
+        return;
+    }
+    known.stop_retry = now + stop_retry;
+}
+
+void dispatcher::retry_orders(monotonic_time now)
+{
+    for (auto& [id, view] : m_views)
+    {
+        std::vector<run_ref> again;
+        for (auto& [run, known] : view.runs)
+        {
+            if (known.stopping && !known.stop_settled)
+            {
+                send_stop(view, run, now);
+            }
+            const bool open = !known.settled && !known.inherited && !known.order_in_flight && !known.stopping;
+            if (open && known.tries > 0 && now - known.sent >= m_settings.order_retry)
+            {
+                again.push_back(run);
+            }
+        }
+        for (const run_ref& run : again)
+        {
+            if (view.runs[run].tries < m_settings.start_tries && m_state.wants(run))
+            {
+                send_start(id, run, now);
+            }
+            else
+            {
+                send_stop(view, run, now);
+            }
+        }
+    }
+}
+
+// Runs that stand still are stopped and started elsewhere; their worker is avoided for a while.
+void dispatcher::watch_runs(monotonic_time now)
+{
+    for (auto& [id, view] : m_views)
+    {
+        for (auto& [run, known] : view.runs)
+        {
+            const submission* owner = m_state.find(run.task.step.submission);
+            if (owner == nullptr || !known.listed || known.stopping)
+            {
+                continue;
+            }
+            const step_spec& step = owner->spec.steps[run.task.step.step];
+            const bool leaving = view.draining && step.checkpoints && view.leaves_at - now < m_settings.drain_stop;
+            const double expected = m_objectives.expected_ms(owner->queue, step) * stuck_factor;
+            const duration patience = std::max<duration>(m_settings.stuck_after, milliseconds(static_cast<std::int64_t>(expected)));
+            const bool stuck = !step.lasting && now - known.progressed > patience;
+            if (stuck)
+            {
+                view.avoid_until = std::max(view.avoid_until, now + view.next_quarantine);
+                note(now, "worker_avoided", m_state.find(id)->facts.life,
+                     {{"reason", "a run stands still"}, {"run", name_of(run)}, {"unchanged_ms", now - known.progressed}});
+            }
+            if (leaving || stuck)
+            {
+                send_stop(view, run, now);
+            }
+        }
+    }
+}
+
+} // namespace walkthread
--- /dev/null
+++ b/src/dispatch/objective.cpp
@@ -0,0 +1,60 @@
+#include <walkthread/dispatch/objective.hpp>
+
+#include <algorithm>
+
+namespace walkthread
+{
+
+namespace
+{
+constexpr double learning_rate = 0.02;  // one run of hundreds a second; settles within seconds
+constexpr double least_ratio = 0.25;    // callers' guesses are at most about four times off
+constexpr double most_ratio = 4.0;
+constexpr double unknown_run_ms = 1000; // for a step without an estimate: the middle of the users' kinds
+} // namespace
+
+void objective_book::note_run(const std::string& queue, std::int64_t estimate_ms, std::int64_t took_ms)
+{
+    if (estimate_ms <= 0)
+    {
+        return;
+    }
+    const double seen = static_cast<double>(took_ms) / static_cast<double>(estimate_ms);
+    const auto [ratio, added] = m_ratios.emplace(queue, 1.0);
+    ratio->second += learning_rate * (std::clamp(seen, least_ratio, most_ratio) - ratio->second);
+}
+
+double objective_book::expected_ms(const std::string& queue, const step_spec& step) const
+{
+    const auto found = m_ratios.find(queue);
+    const double ratio = found == m_ratios.end() ? 1.0 : found->second;
+    return (step.estimate_ms > 0 ? static_cast<double>(step.estimate_ms) : unknown_run_ms) * ratio;
+}
+
+double objective_book::remaining_ms(const submission& owner, std::uint32_t step) const
+{
+    // Longest chain from each step to the end: later steps first, since a step depends on earlier ones only.
+    const auto& steps = owner.spec.steps;
+    std::vector<double> behind(steps.size(), 0.0);
+    for (std::size_t i = steps.size(); i-- > 0;)
+    {
+        behind[i] += expected_ms(owner.queue, steps[i]);
+        for (const std::uint32_t earlier : steps[i].after)
+        {
+            behind[earlier] = std::max(behind[earlier], behind[i]);
+        }
+    }
+    return behind[step];
+}
+
+double objective_book::objective_ms(const submission& owner, const queue_spec& queue) const
+{
+    double longest = 0;
+    for (std::uint32_t step = 0; step < owner.spec.steps.size(); ++step)
+    {
+        longest = std::max(longest, remaining_ms(owner, step));
+    }
+    return queue.stretch * longest + static_cast<double>(queue.target_latency_ms);
+}
+
+} // namespace walkthread
--- /dev/null
+++ b/src/fabric/advice_desk.cpp
@@ -0,0 +1,115 @@
+#include <walkthread/fabric/advice_desk.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace walkthread
+{
+
+namespace
+{
+constexpr duration asker_lasts = seconds(2);           // processes report every 0.4 s
+constexpr duration pause_after_failure = seconds(1);   // a process that got no answer is passed over for a while
+constexpr std::size_t kept_for_urgent = 2;             // of the processes, where there are at least twice as many
+} // namespace
+
+advice_desk::advice_desk(std::function<void(const std::string&, const advice_question&, answer_handler)> ask)
+    : m_ask(std::move(ask))
+{
+}
+
+void advice_desk::note_asker(const std::string& asker, monotonic_time now)
+{
+    m_askers[asker].seen = now;
+    send_next(now);
+}
+
+void advice_desk::put(const advice_question& question, bool urgent, answer_handler handler, monotonic_time now)
+{
+    (urgent ? m_urgent : m_normal).push_back({question, std::move(handler)});
+    send_next(now);
+}
+
+void advice_desk::clear()
+{
+    ++m_generation;
+    m_urgent.clear();
+    m_normal.clear();
+    for (auto& [name, state] : m_askers)
+    {
+        state.busy = false;
+    }
+    m_busy = 0;
+    m_busy_normal = 0;
+}
+
+std::size_t advice_desk::live_askers(monotonic_time now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_askers.begin(), m_askers.end(),
+                                                  [now](const auto& item)
+                                                  {
+                                                      return now - item.second.seen < asker_lasts;
+                                                  }));
+}
+
+std::string advice_desk::free_asker(monotonic_time now)
+{
+    for (const auto& [name, state] : m_askers)
+    {
+        if (!state.busy && now - state.seen < asker_lasts && now >= state.avoid_until)
+        {
+            return name;
+        }
+    }
+    return {};
+}
+
+void advice_desk::send_next(monotonic_time now)
+{
+    for (;;)
+    {
+        const std::size_t live = live_askers(now);
+        const std::size_t for_normal = live >= 2 * kept_for_urgent ? live - kept_for_urgent : live;
+        const bool urgent = !m_urgent.empty();
+        const bool normal = !m_normal.empty() && m_busy_normal < for_normal;
+        const std::string asker = urgent || normal ? free_asker(now) : std::string{};
+        if (asker.empty())
+        {
+            return;
+        }
+        auto& queue = urgent ? m_urgent : m_normal;
+        open_question item = std::move(queue.front());
+        queue.pop_front();
+        send(asker, std::move(item), urgent, now);
+    }
+}
+
+void advice_desk::send(const std::string& asker, open_question item, bool urgent, monotonic_time now)
+{
+    m_askers[asker].busy = true;
+    ++m_busy;
+    m_busy_normal += urgent ? 0 : 1;
+    m_ask(asker, item.question,
+          [this, asker, urgent, now, generation = m_generation, handler = item.handler](const advice_answer& answer)
+          {
+              if (generation != m_generation)
+              {
+                  return;
+              }
+              const monotonic_time then = m_clock();
+              asker_state& state = m_askers[asker];
+              state.busy = false;
+              --m_busy;
+              m_busy_normal -= urgent ? 0 : 1;
+              if (!answer.answered)
+              {
+                  state.avoid_until = then + pause_after_failure;
+              }
+              advice_answer timed = answer;
+              timed.took = then - now;
+              handler(timed);
+              send_next(then);
+          });
+}
+
+} // namespace walkthread
--- /dev/null
+++ b/src/fabric/core_calls.cpp
@@ -0,0 +1,291 @@
+// The half of core_node that answers calls at the leader.
+
+#include <walkthread/fabric/core_node.hpp>
+
+#include <walkthread/node/clock.hpp>
+#include <walkthread/wire/codec.hpp>
+#include <walkthread/workload/names.hpp>
+
+namespace walkthread
+{
+
+namespace
+{
+service_reply refuse(workload_code code, std::string text)
+{
+    service_reply reply = make_reply(reply_kind::refused, std::move(text));
+    reply.code = static_cast<std::int32_t>(code);
+    return reply;
+}
+} // namespace
+
+bool core_node::handle_locally(const service_call& body, const call_handler& handler)
+{
+    if (std::holds_alternative<advise_call>(body))
+    {
+        return fabric_node::handle_locally(body, handler);
+    }
+    const monotonic_time now = monotonic_now();
+    if (!leads(now) || !m_dispatcher || m_stopping)
+    {
+        service_reply reply = make_reply(reply_kind::not_leading);
+        reply.leader = present_leader(now).leader;
+        handler(std::move(reply));
+        return false;
+    }
+    std::visit(
+        [this, &handler](const auto& call)
+        {
+            handle(call, handler);
+        },
+        body);
+    return true;
+}
+
+const queue_spec* core_node::queue_at(const std::string& host, const std::string& path) const
+{
+    return m_state.held_catalogue() ? find_queue(*m_state.held_catalogue(), host, path) : nullptr;
+}
+
+void core_node::propose(const workload_command& command, std::function<void(std::optional<workload_result>)> handler)
+{
+    m_replica->propose(wall_now(), encode(command),
+                       [handler = std::move(handler)](const std::optional<std::string>& answer)
+                       {
+                           if (!answer)
+                           {
+                               handler(std::nullopt);
+                               return;
+                           }
+                           auto decoded = decode<workload_result>(*answer);
+                           handler(ok(decoded) ? std::optional(value_of(decoded)) : std::nullopt);
+                       });
+}
+
+void core_node::propose_and_reply(const workload_command& command, const call_handler& handler)
+{
+    if (!enough_copies())
+    {
+        handler(make_reply(reply_kind::unavailable, "Too few replicas would hold it yet."));
+        return;
+    }
+    propose(command,
+            [this, alive = m_alive, handler](const std::optional<workload_result>& outcome)
+            {
+                if (!outcome)
+                {
+                    handler(make_reply(reply_kind::unknown, "The commit was not seen."));
+                    return;
+                }
+                handler(outcome->code == 0 ? make_reply(reply_kind::done) : refuse(static_cast<workload_code>(outcome->code), outcome->detail));
+                if (*alive)
+                {
+                    wake_dispatcher();
+                }
+            });
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// Callers
+// ---------------------------------------------------------------------------------------------------------
+
+void core_node::handle(const submit_call& call, const call_handler& handler)
+{
+    const queue_spec* queue = queue_at(call.host, call.path);
+    if (!m_state.held_catalogue())
+    {
+        handler(make_reply(reply_kind::unavailable, "There is no configuration yet."));
+        return;
+    }
+    if (queue == nullptr)
+    {
+        handler(refuse(workload_code::unknown_queue, "There is no such queue."));
+        return;
+    }
+    const submission* known = m_state.find(call.id);
+    if (known != nullptr && known->queue == queue->name)
+    {
+        handler(make_reply(reply_kind::done));
+        return;
+    }
+    if (std::string fault = find_fault(call.spec); !fault.empty())
+    {
+        handler(refuse(workload_code::bad_submission, std::move(fault)));
+        return;
+    }
+    const std::string name = name_of(call.id);
+    note("submission_taken", name,
+         {{"queue", queue->name}, {"steps", call.spec.steps.size()}, {"tasks", call.spec.steps.front().count},
+          {"gang", call.spec.steps.front().gang}, {"lasting", call.spec.steps.front().lasting}, {"rounds", call.spec.rounds}});
+    propose_and_reply(keep_submission{call.id, queue->name, call.spec},
+                      [this, alive = m_alive, name, handler](service_reply reply)
+                      {
+                          if (*alive && reply.what() != reply_kind::done)
+                          {
+                              note("submission_not_kept", name, {{"kind", reply.kind}, {"code", reply.code}, {"detail", reply.text}});
+                          }
+                          handler(std::move(reply));
+                      });
+}
+
+void core_node::handle(const state_call& call, const call_handler& handler)
+{
+    const queue_spec* queue = queue_at(call.host, call.path);
+    const submission* known = m_state.find(call.id);
+    if (!m_state.held_catalogue())
+    {
+        handler(make_reply(reply_kind::unavailable, "There is no configuration yet."));
+        return;
+    }
+    if (queue == nullptr)
+    {
+        handler(refuse(workload_code::unknown_queue, "There is no such queue."));
+        return;
+    }
+    if (known == nullptr || known->queue != queue->name)
+    {
+        handler(refuse(workload_code::unknown_submission, "There is no such submission."));
+        return;
+    }
+    service_reply reply = make_reply(reply_kind::done, std::string(name_of(known->state())));
+    reply.number = known->phase;
+    handler(std::move(reply));
+}
+
+void core_node::handle(const cancel_call& call, const call_handler& handler)
+{
+    const queue_spec* queue = queue_at(call.host, call.path);
+    const submission* known = m_state.find(call.id);
+    if (queue == nullptr || known == nullptr || known->queue != queue->name)
+    {
+        const workload_code code = queue == nullptr ? workload_code::unknown_queue : workload_code::unknown_submission;
+        handler(m_state.held_catalogue() ? refuse(code, "There is no such submission.")
+                                         : make_reply(reply_kind::unavailable, "There is no configuration yet."));
+        return;
+    }
+    note("submission_cancelling", name_of(call.id), {{"queue", queue->name}, {"state", name_of(known->state())}, {"active", known->active}});
+    propose_and_reply(cancel_submission{call.id, queue->name}, handler);
+}
+
+void core_node::handle(const pending_call& call, const call_handler& handler)
+{
+    const queue_spec* queue = queue_at(call.host, call.path);
+    if (!m_state.held_catalogue())
+    {
+        handler(make_reply(reply_kind::unavailable, "There is no configuration yet."));
+        return;
+    }
+    if (queue == nullptr)
+    {
+        handler(refuse(workload_code::unknown_queue, "There is no such queue."));
+        return;
+    }
+    service_reply reply = make_reply(reply_kind::done);
+    reply.number = m_state.queued(queue->name);
+    handler(std::move(reply));
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// Operators
+// ---------------------------------------------------------------------------------------------------------
+
+void core_node::handle(const put_catalogue_call& call, const call_handler& handler)
+{
+    if (auto fault = find_fault(call.next))
+    {
+        note("configuration_refused", {}, {{"version", call.next.version}, {"reason", *fault}});
+        handler(refuse(workload_code::bad_catalogue, *fault));
+        return;
+    }
+    const std::uint64_t held = m_state.held_catalogue() ? m_state.held_catalogue()->version : 0;
+    note("configuration_taken", {}, {{"version", call.next.version}, {"held", held}, {"queues", call.next.queues.size()}});
+    if (m_state.held_catalogue() && call.next.version <= held)
+    {
+        handler(make_reply(reply_kind::done));
+        return;
+    }
+    propose_and_reply(replace_catalogue{call.next}, handler);
+}
+
+void core_node::handle(const get_catalogue_call& /*call*/, const call_handler& handler)
+{
+    if (!m_state.held_catalogue())
+    {
+        handler(make_reply(reply_kind::unavailable, "There is no configuration yet."));
+        return;
+    }
+    service_reply reply = make_reply(reply_kind::done, m_state.held_catalogue()->source);
+    reply.number = m_state.held_catalogue()->version;
+    handler(std::move(reply));
+}
+
+void core_node::handle(const begin_wave_call& call, const call_handler& handler)
+{
+    note("wave_taken", {}, {{"wave", call.wave.wave}, {"hosts", call.wave.hosts.size()}, {"at_once", call.wave.at_once}, {"within_s", call.wave.within_s}});
+    propose_and_reply(call.wave, handler);
+}
+
+void core_node::handle(const wave_state_call& call, const call_handler& handler)
+{
+    const auto found = m_state.waves().find(call.wave);
+    if (found == m_state.waves().end())
+    {
+        handler(refuse(workload_code::bad_wave, "There is no such wave."));
+        return;
+    }
+    handler(make_reply(reply_kind::done, found->second.complete() ? "completed" : "running"));
+}
+
+void core_node::handle(const explain_call& call, const call_handler& handler)
+{
+    const submission* known = m_state.find(call.id);
+    if (known == nullptr)
+    {
+        handler(refuse(workload_code::unknown_submission, "There is no such submission."));
+        return;
+    }
+    std::string text = name_of(call.id) + " in queue " + known->queue + ": " + std::string(name_of(known->state())) + ", " +
+                       std::to_string(known->active) + " runs active.";
+    for (std::uint32_t r = 0; r < known->rounds.size(); ++r)
+    {
+        for (std::uint32_t s = 0; s < known->rounds[r].steps.size(); ++s)
+        {
+            const step_progress& step = known->rounds[r].steps[s];
+            const bool ready = m_state.ready().contains(step_ref{call.id, round_id{r}, s});
+            text += " Round " + std::to_string(r) + " step " + std::to_string(s) + ": " + std::to_string(step.completed) + " of " +
+                    std::to_string(step.tasks.size()) + " tasks completed" + (ready ? ", waits for room or advice." : ".");
+        }
+    }
+    handler(make_reply(reply_kind::done, std::move(text)));
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// Workers and peers
+// ---------------------------------------------------------------------------------------------------------
+
+void core_node::handle(const report_call& call, const call_handler& handler)
+{
+    m_dispatcher->take_report(call.report, monotonic_now(),
+                              [handler, redirect = m_settings.report_address](bool counted)
+                              {
+                                  service_reply reply = make_reply(counted ? reply_kind::done : reply_kind::unknown);
+                                  reply.redirect = redirect;
+                                  handler(std::move(reply));
+                              });
+}
+
+void core_node::handle(const leave_call& call, const call_handler& handler)
+{
+    m_dispatcher->take_leave(call.life,
+                             [handler](bool committed)
+                             {
+                                 handler(make_reply(committed ? reply_kind::done : reply_kind::unknown));
+                             });
+}
+
+void core_node::handle(const advise_call& call, const call_handler& handler)
+{
+    fabric_node::handle_locally(call, handler);
+}
+
+} // namespace walkthread
--- /dev/null
+++ b/src/fabric/fabric_node.cpp
@@ -0,0 +1,156 @@
+#include <walkthread/fabric/fabric_node.hpp>
+
+#include <walkthread/node/clock.hpp>
+#include <walkthread/wire/codec.hpp>
+
+namespace walkthread
+{
+
+namespace
+{
+constexpr milliseconds watch_tick{150}; // the shortest pause of `leader_watch_settings`
+}
+
+fabric_node::fabric_node(boost::asio::io_context& loop, fabric_settings settings, outside_hooks outside,
+                         decision_log& log)
+    : m_loop(loop), m_settings(std::move(settings)), m_outside(std::move(outside)), m_log(log),
+      m_mesh(loop, peer_greeting{m_settings.peer_address, m_settings.name, !m_settings.data_folder.empty()},
+             [this](const std::string& from, mesh_message message)
+             {
+                 take(from, std::move(message));
+             }),
+      m_router(loop, m_mesh,
+               [this](const service_call& body, const call_handler& handler)
+               {
+                   return handle_locally(body, handler);
+               }),
+      m_watch(m_settings.seeds, leader_watch_settings{}), m_timer(loop)
+{
+}
+
+fabric_node::~fabric_node()
+{
+    *m_alive = false;
+}
+
+std::string fabric_node::start()
+{
+    std::string failed = m_mesh.open();
+    if (failed.empty())
+    {
+        tick();
+    }
+    return failed;
+}
+
+void fabric_node::note(std::string_view event, std::string_view subject, std::initializer_list<log_field> fields)
+{
+    m_log.write(monotonic_now(), wall_now(), event, subject, fields);
+}
+
+void fabric_node::call(service_call body, milliseconds patience, call_handler handler)
+{
+    m_router.call(std::move(body), patience, std::move(handler));
+}
+
+bool fabric_node::connected() const
+{
+    return !m_router.leader().empty();
+}
+
+void fabric_node::add_seeds(const std::vector<std::string>& seeds)
+{
+    m_watch.add_seeds(seeds);
+}
+
+std::string fabric_node::figures() const
+{
+    return "walkthread_calls_waiting " + std::to_string(m_router.waiting()) + "\nwalkthread_peer_sent_bytes_total " +
+           std::to_string(m_mesh.bytes_sent()) + "\nwalkthread_peer_messages_dropped_total " +
+           std::to_string(m_mesh.messages_dropped()) + "\nwalkthread_log_lines_dropped_total " +
+           std::to_string(m_log.dropped()) + "\nwalkthread_leader_known " + (connected() ? "1" : "0") + "\n";
+}
+
+void fabric_node::tick()
+{
+    ask_around(monotonic_now());
+    const bool now_connected = connected();
+    if (now_connected != m_was_connected)
+    {
+        note(now_connected ? "leader_found" : "leader_lost", {}, {{"leader", m_router.leader()}});
+        m_was_connected = now_connected;
+    }
+    m_timer.expires_after(watch_tick);
+    m_timer.async_wait(
+        [this, alive = m_alive](boost::system::error_code cancelled)
+        {
+            if (*alive && !cancelled)
+            {
+                tick();
+            }
+        });
+}
+
+void fabric_node::ask_around(monotonic_time now)
+{
+    for (const std::string& peer : m_watch.whom_to_ask(now))
+    {
+        m_mesh.send(peer, leader_question{static_cast<bool>(m_outside.ask_advisor)});
+    }
+    m_router.set_leader(m_watch.leader());
+}
+
+void fabric_node::take(const std::string& from, mesh_message message)
+{
+    if (auto* note = std::get_if<leader_note>(&message))
+    {
+        m_watch.take(from, *note, monotonic_now());
+        m_router.set_leader(m_watch.leader());
+    }
+    else if (auto* reply = std::get_if<reply_note>(&message))
+    {
+        m_router.take_reply(std::move(*reply));
+    }
+    else if (auto* call = std::get_if<call_note>(&message))
+    {
+        answer_call(from, std::move(*call));
+    }
+}
+
+void fabric_node::answer_call(const std::string& from, call_note note)
+{
+    auto body = decode<service_call>(note.body);
+    const auto answer = [this, alive = m_alive, from, number = note.number](service_reply reply)
+    {
+        if (*alive)
+        {
+            m_mesh.send(from, reply_note{number, std::move(reply)});
+        }
+    };
+    if (!ok(body))
+    {
+        answer(make_reply(reply_kind::refused, error_of(body).detail));
+        return;
+    }
+    handle_locally(value_of(body), answer);
+}
+
+bool fabric_node::handle_locally(const service_call& body, const call_handler& handler)
+{
+    const auto* question = std::get_if<advise_call>(&body);
+    if (question == nullptr || !m_outside.ask_advisor)
+    {
+        handler(make_reply(reply_kind::not_leading));
+        return false;
+    }
+    m_outside.ask_advisor(question->question,
+                          [handler](const advice_answer& answer)
+                          {
+                              service_reply reply = make_reply(reply_kind::done);
+                              reply.advice = answer;
+                              handler(std::move(reply));
+                          });
+    return true;
+}
+
+} // namespace walkthread
--- /dev/null
+++ b/src/fabric/leader_watch.cpp
@@ -0,0 +1,60 @@
+#include <walkthread/fabric/leader_watch.hpp>
+
+namespace walkthread
+{
+
+leader_watch::leader_watch(std::vector<std::string> seeds, leader_watch_settings settings)
+    : m_settings(settings), m_known(seeds.begin(), seeds.end())
+{
+}
+
+void leader_watch::add_seeds(const std::vector<std::string>& seeds)
+{
+    m_known.insert(seeds.begin(), seeds.end());
+}
+
+void leader_watch::take(const std::string& from, const leader_note& note, monotonic_time now)
+{
+    m_known.insert(note.replicas.begin(), note.replicas.end());
+    if (note.leads && note.term >= m_term)
+    {
+        m_leader = from;
+        m_term = note.term;
+        m_heard = now;
+        return;
+    }
+    if (!note.leader.empty() && note.leader != m_leader && note.term > m_term)
+    {
+        // Somebody has seen a newer leader. Calls go there at once; its own answer confirms it.
+        m_leader = note.leader;
+        m_term = note.term;
+        m_heard = now;
+        m_known.insert(note.leader);
+        return;
+    }
+    if (from == m_leader && !note.leads && note.term >= m_term)
+    {
+        m_leader.clear();
+    }
+}
+
+std::vector<std::string> leader_watch::whom_to_ask(monotonic_time now)
+{
+    if (!m_leader.empty() && now - m_heard > m_settings.leader_silent)
+    {
+        m_leader.clear();
+    }
+    const milliseconds pause = m_leader.empty() ? m_settings.ask_unknown : m_settings.ask_every;
+    if (now - m_asked < pause)
+    {
+        return {};
+    }
+    m_asked = now;
+    if (m_leader.empty())
+    {
+        return {m_known.begin(), m_known.end()};
+    }
+    return {m_leader};
+}
+
+} // namespace walkthread
--- /dev/null
+++ b/src/fabric/mesh.cpp
@@ -0,0 +1,391 @@
+#include <walkthread/fabric/mesh.hpp>
+
+#include <array>
+#include <deque>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <netinet/tcp.h>
+
+#include <walkthread/fabric/addresses.hpp>
+#include <walkthread/units/time.hpp>
+#include <walkthread/wire/codec.hpp>
+#include <walkthread/wire/frame.hpp>
+
+namespace walkthread
+{
+
+namespace
+{
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr milliseconds connect_patience{600}; // above one lost packet inside a region, below an election
+constexpr milliseconds connect_pause{200};    // after a failed attempt
+constexpr int user_timeout_ms = 1200;         // bytes unacknowledged for that long: the link is cut
+constexpr std::size_t most_queued_bytes = 8U << 20U; // a snapshot fits; beyond that the peer does not read
+constexpr std::size_t read_size = 16U << 10U;
+
+void prepare(tcp::socket& socket)
+{
+    error_code ignored; // an option that cannot be set costs speed only
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(user_timeout_ms), ignored);
+}
+} // namespace
+
+struct mesh::core : std::enable_shared_from_this<mesh::core>
+{
+    struct outgoing;
+    struct incoming;
+
+    core(asio::io_context& io, peer_greeting greeting, handler to)
+        : loop(io), acceptor(io), self(std::move(greeting)), taker(std::move(to))
+    {
+    }
+
+    void accept();
+
+    asio::io_context& loop;
+    tcp::acceptor acceptor;
+    peer_greeting self;
+    handler taker;
+    std::map<std::string, std::shared_ptr<outgoing>> links;
+    std::uint64_t sent = 0;
+    std::uint64_t dropped = 0;
+    bool closed = false;
+};
+
+struct mesh::core::outgoing : std::enable_shared_from_this<outgoing>
+{
+    outgoing(std::shared_ptr<core> parent, std::string address)
+        : owner(std::move(parent)), to(std::move(address)), socket(owner->loop), timer(owner->loop)
+    {
+    }
+
+    void send(std::string frame)
+    {
+        if (queued + frame.size() > most_queued_bytes)
+        {
+            ++owner->dropped;
+            return;
+        }
+        queued += frame.size();
+        queue.push_back(std::move(frame));
+        if (!connected && !connecting)
+        {
+            connect();
+        }
+        else if (connected && !writing)
+        {
+            write();
+        }
+    }
+
+    void connect()
+    {
+        const std::optional<tcp::endpoint> endpoint = detail::parse_endpoint(to);
+        if (!endpoint)
+        {
+            return;
+        }
+        connecting = true;
+        socket = tcp::socket(owner->loop);
+        timer.expires_after(connect_patience);
+        timer.async_wait(
+            [self = shared_from_this()](error_code cancelled)
+            {
+                if (!cancelled && self->connecting)
+                {
+                    error_code ignored; // the attempt ends with an error of its own
+                    self->socket.close(ignored);
+                }
+            });
+        socket.async_connect(*endpoint,
+                             [self = shared_from_this()](error_code failed)
+                             {
+                                 self->timer.cancel();
+                                 self->connecting = false;
+                                 if (failed || self->closed)
+                                 {
+                                     self->lose();
+                                     return;
+                                 }
+                                 self->start();
+                             });
+    }
+
+    void start()
+    {
+        connected = true;
+        prepare(socket);
+        std::string hello = make_frame(encode(mesh_message{owner->self}));
+        queued += hello.size();
+        queue.push_front(std::move(hello));
+        watch();
+        write();
+    }
+
+    // The peer never writes here; a read ends when the connection does.
+    void watch()
+    {
+        socket.async_read_some(asio::buffer(scrap),
+                               [self = shared_from_this(), life = life](error_code failed, std::size_t /*bytes*/)
+                               {
+                                   if (failed && life == self->life)
+                                   {
+                                       self->lose();
+                                   }
+                               });
+    }
+
+    void write()
+    {
+        writing = true;
+        batch.clear();
+        while (!queue.empty())
+        {
+            batch += queue.front();
+            queue.pop_front();
+        }
+        queued = 0;
+        asio::async_write(socket, asio::buffer(batch),
+                          [self = shared_from_this(), life = life](error_code failed, std::size_t bytes)
+                          {
+                              self->owner->sent += bytes;
+                              if (life != self->life)
+                              {
+                                  return;
+                              }
+                              self->writing = false;
+                              if (failed)
+                              {
+                                  self->lose();
+                              }
+                              else if (!self->queue.empty())
+                              {
+                                  self->write();
+                              }
+                          });
+    }
+
+    // What was queued is old by the time of a new connection: who needs it sends it again.
+    void lose()
+    {
+        ++life;
+        connected = false;
+        writing = false;
+        owner->dropped += queue.size();
+        queue.clear();
+        queued = 0;
+        error_code ignored; // it may be closed already
+        socket.close(ignored);
+        if (closed)
+        {
+            return;
+        }
+        connecting = true; // until the pause is over
+        timer.expires_after(connect_pause);
+        timer.async_wait(
+            [self = shared_from_this()](error_code cancelled)
+            {
+                self->connecting = false;
+                if (!cancelled && !self->queue.empty() && !self->closed)
+                {
+                    self->connect();
+                }
+            });
+    }
+
+    void close()
+    {
+        closed = true;
+        timer.cancel();
+        error_code ignored; // it may be closed already
+        socket.close(ignored);
+    }
+
+    std::shared_ptr<core> owner;
+    std::string to;
+    tcp::socket socket;
+    asio::steady_timer timer;
+    std::deque<std::string> queue;
+    std::size_t queued = 0;
+    std::string batch;
+    std::array<char, 16> scrap{};
+    std::uint64_t life = 0;
+    bool connected = false;
+    bool connecting = false;
+    bool writing = false;
+    bool closed = false;
+};
+
+struct mesh::core::incoming : std::enable_shared_from_this<incoming>
+{
+    incoming(std::shared_ptr<core> parent, tcp::socket accepted) : owner(std::move(parent)), socket(std::move(accepted))
+    {
+    }
+
+    void read()
+    {
+        buffer.resize(read_size);
+        socket.async_read_some(asio::buffer(buffer),
+                               [self = shared_from_this()](error_code failed, std::size_t bytes)
+                               {
+                                   if (!failed && self->take({self->buffer.data(), bytes}))
+                                   {
+                                       self->read();
+                                   }
+                               });
+    }
+
+    bool take(std::string_view bytes)
+    {
+        reader.feed(bytes);
+        for (;;)
+        {
+            auto body = reader.next();
+            if (!ok(body))
+            {
+                return false;
+            }
+            if (!value_of(body))
+            {
+                return !owner->closed;
+            }
+            auto message = decode<mesh_message>(*value_of(body));
+            if (!ok(message))
+            {
+                return false; // another version or a foreign speaker: the connection ends
+            }
+            if (auto* greeting = std::get_if<peer_greeting>(&value_of(message)))
+            {
+                from = greeting->address;
+            }
+            if (from.empty() || owner->closed)
+            {
+                return false;
+            }
+            owner->taker(from, std::move(value_of(message)));
+        }
+    }
+
+    std::shared_ptr<core> owner;
+    tcp::socket socket;
+    std::string buffer;
+    frame_reader reader;
+    std::string from;
+};
+
+void mesh::core::accept()
+{
+    acceptor.async_accept(
+        [self = shared_from_this()](error_code failed, tcp::socket socket)
+        {
+            if (self->closed)
+            {
+                return;
+            }
+            if (!failed)
+            {
+                prepare(socket);
+                std::make_shared<incoming>(self, std::move(socket))->read();
+            }
+            self->accept();
+        });
+}
+
+mesh::mesh(asio::io_context& loop, peer_greeting self, handler taker)
+    : m_core(std::make_shared<core>(loop, std::move(self), std::move(taker)))
+{
+}
+
+mesh::~mesh()
+{
+    m_core->closed = true;
+    error_code ignored; // it may never have been opened
+    m_core->acceptor.close(ignored);
+    for (auto& [to, link] : m_core->links)
+    {
+        link->close();
+    }
+}
+
+std::string mesh::open()
+{
+    const std::optional<tcp::endpoint> endpoint = detail::parse_endpoint(m_core->self.address);
+    if (!endpoint)
+    {
+        return m_core->self.address + " is no IP number and port";
+    }
+    error_code failed;
+    m_core->acceptor.open(endpoint->protocol(), failed);
+    if (!failed)
+    {
+        m_core->acceptor.set_option(asio::socket_base::reuse_address(true), failed);
+    }
+    if (!failed)
+    {
+        m_core->acceptor.bind(*endpoint, failed);
+    }
+    if (!failed)
+    {
+        m_core->acceptor.listen(asio::socket_base::max_listen_connections, failed);
+    }
+    if (failed)
+    {
+        return m_core->self.address + ": " + failed.message();
+    }
+    m_core->accept();
+    return {};
+}
+
+void mesh::send(const std::string& to, const mesh_message& message)
+{
+    send_encoded(to, encode(message));
+}
+
+void mesh::send_encoded(const std::string& to, const std::string& body)
+{
+    if (to.empty() || to == m_core->self.address)
+    {
+        return;
+    }
+    auto& link = m_core->links[to];
+    if (!link)
+    {
+        link = std::make_shared<core::outgoing>(m_core, to);
+    }
+    link->send(make_frame(body));
+}
+
+void mesh::forget(const std::string& to)
+{
+    const auto found = m_core->links.find(to);
+    if (found != m_core->links.end())
+    {
+        found->second->close();
+        m_core->links.erase(found);
+    }
+}
+
+const std::string& mesh::self() const
+{
+    return m_core->self.address;
+}
+
+std::uint64_t mesh::bytes_sent() const
+{
+    return m_core->sent;
+}
+
+std::uint64_t mesh::messages_dropped() const
+{
+    return m_core->dropped;
+}
+
+} // namespace walkthread
--- /dev/null
+++ b/src/fabric/web_client.cpp
@@ -0,0 +1,225 @@
+#include <walkthread/fabric/web_client.hpp>
+
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <netinet/tcp.h>
+
+#include <walkthread/fabric/addresses.hpp>
+
+namespace walkthread
+{
+
+namespace
+{
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+constexpr milliseconds connect_patience{700}; // a new connection takes a few ms; a lost first packet is not waited for
+constexpr int user_timeout_ms = 1500;         // unacknowledged bytes: the peer or the link is gone
+constexpr std::size_t most_answer_bytes = 4U << 20U; // a worker's list of 500 ends is about 60 KB
+
+class channel final : public web_channel
+{
+  public:
+    channel(asio::io_context& loop, std::string address) : m_loop(loop), m_address(std::move(address)), m_stream(std::in_place, loop)
+    {
+    }
+
+    void send(web_request request, milliseconds patience, web_answer_handler handler) override
+    {
+        m_queue.push_back({std::move(request), patience, std::move(handler)});
+        if (!m_busy)
+        {
+            next();
+        }
+    }
+
+    void close() override
+    {
+        m_closed = true;
+        drop_connection();
+        for (waiting_request& item : std::exchange(m_queue, {}))
+        {
+            item.handler(std::nullopt);
+        }
+    }
+
+    [[nodiscard]] std::size_t waiting() const override
+    {
+        return m_queue.size() + (m_busy ? 1 : 0);
+    }
+
+  private:
+    struct waiting_request
+    {
+        web_request request;
+        milliseconds patience;
+        web_answer_handler handler;
+    };
+
+    std::shared_ptr<channel> self()
+    {
+        return std::static_pointer_cast<channel>(shared_from_this());
+    }
+
+    void next()
+    {
+        if (m_queue.empty() || m_closed)
+        {
+            m_busy = false;
+            return;
+        }
+        m_busy = true;
+        m_current = std::move(m_queue.front());
+        m_queue.pop_front();
+        m_repeated = false;
+        attempt();
+    }
+
+    void attempt()
+    {
+        m_deadline = std::chrono::steady_clock::now() + m_current.patience;
+        m_reused = m_open;
+        if (m_open)
+        {
+            write();
+            return;
+        }
+        const std::optional<tcp::endpoint> endpoint = detail::parse_endpoint(m_address);
+        if (!endpoint)
+        {
+            finish(std::nullopt);
+            return;
+        }
+        m_stream->expires_after(std::min(connect_patience, m_current.patience));
+        m_stream->async_connect(*endpoint,
+                               [keep = self()](beast::error_code failed)
+                               {
+                                   if (failed)
+                                   {
+                                       keep->fail();
+                                       return;
+                                   }
+                                   keep->prepare_socket();
+                                   keep->m_open = true;
+                                   keep->write();
+                               });
+    }
+
+    void prepare_socket()
+    {
+        beast::error_code ignored; // an option that cannot be set costs speed only
+        m_stream->socket().set_option(tcp::no_delay(true), ignored);
+        const asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT> timeout(user_timeout_ms);
+        m_stream->socket().set_option(timeout, ignored);
+    }
+
+    void write()
+    {
+        m_request = {};
+        m_request.version(11);
+        m_request.method_string(m_current.request.method);
+        m_request.target(m_current.request.target);
+        m_request.set(http::field::host, m_current.request.host.empty() ? m_address : m_current.request.host);
+        for (const web_header& header : m_current.request.headers)
+        {
+            m_request.set(header.name, header.value);
+        }
+        if (!m_current.request.body.empty())
+        {
+            m_request.set(http::field::content_type, "application/json");
+            m_request.body() = m_current.request.body;
+        }
+        m_request.prepare_payload();
+        m_stream->expires_at(m_deadline);
+        http::async_write(*m_stream, m_request,
+                          [keep = self()](beast::error_code failed, std::size_t /*bytes*/)
+                          {
+                              failed ? keep->fail() : keep->read();
+                          });
+    }
+
+    void read()
+    {
+        m_parser.emplace();
+        m_parser->body_limit(most_answer_bytes);
+        http::async_read(*m_stream, m_buffer, *m_parser,
+                         [keep = self()](beast::error_code failed, std::size_t /*bytes*/)
+                         {
+                             if (failed)
+                             {
+                                 keep->fail(failed == beast::error::timeout);
+                                 return;
+                             }
+                             http::response<http::string_body> response = keep->m_parser->release();
+                             if (!response.keep_alive())
+                             {
+                                 keep->drop_connection();
+                             }
+                             web_answer answer;
+                             answer.status = response.result_int();
+                             answer.body = std::move(response.body());
+                             keep->finish(std::move(answer));
+                         });
+    }
+
+    void fail(bool timed_out = false)
+    {
+        drop_connection();
+        if (m_reused && !m_repeated && !timed_out && !m_closed)
+        {
+            m_repeated = true;
+            attempt();
+            return;
+        }
+        finish(std::nullopt);
+    }
+
+    void drop_connection()
+    {
+        beast::error_code ignored; // it may be closed already
+        m_stream->socket().close(ignored);
+        m_stream.emplace(m_loop);
+        m_buffer.clear();
+        m_open = false;
+    }
+
+    void finish(std::optional<web_answer> answer)
+    {
+        const web_answer_handler handler = std::exchange(m_current.handler, nullptr);
+        const auto keep = self();
+        if (handler)
+        {
+            handler(std::move(answer));
+        }
+        next();
+    }
+
+    asio::io_context& m_loop;
+    std::string m_address;
+    std::optional<beast::tcp_stream> m_stream;
+    beast::flat_buffer m_buffer;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    http::request<http::string_body> m_request;
+    std::deque<waiting_request> m_queue;
+    waiting_request m_current;
+    std::chrono::steady_clock::time_point m_deadline;
+    bool m_busy = false;
+    bool m_open = false;
+    bool m_reused = false;
+    bool m_repeated = false;
+    bool m_closed = false;
+};
+} // namespace
+
+std::shared_ptr<web_channel> web_channel::make(asio::io_context& loop, const std::string& address)
+{
+    return std::make_shared<channel>(loop, address);
+}
+
+} // namespace walkthread
--- /dev/null
+++ b/src/fabric/web_listener.cpp
@@ -0,0 +1,291 @@
+#include <walkthread/fabric/web_listener.hpp>
+
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <walkthread/fabric/addresses.hpp>
+
+namespace walkthread
+{
+
+namespace
+{
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+web_request to_plain(http::request<http::string_body>& in)
+{
+    web_request out;
+    out.method = std::string(in.method_string());
+    out.target = std::string(in.target());
+    for (const auto& field : in)
+    {
+        const std::string_view name(field.name_string().data(), field.name_string().size());
+        if (name.size() > 2 && (name[0] == 'X' || name[0] == 'x') && name[1] == '-')
+        {
+            out.headers.push_back({std::string(name), std::string(field.value())});
+        }
+    }
+    out.host = std::string(in[http::field::host]);
+    out.body = std::move(in.body());
+    return out;
+}
+} // namespace
+
+std::string_view web_request::header(std::string_view name) const
+{
+    for (const web_header& item : headers)
+    {
+        if (beast::iequals({item.name.data(), item.name.size()}, {name.data(), name.size()}))
+        {
+            return item.value;
+        }
+    }
+    return {};
+}
+
+struct web_listener::core : std::enable_shared_from_this<web_listener::core>
+{
+    struct session;
+
+    core(asio::io_context& io, web_bounds limits, web_handler taker)
+        : loop(io), acceptor(io), bounds(limits), handler(std::move(taker))
+    {
+    }
+
+    void accept();
+
+    asio::io_context& loop;
+    tcp::acceptor acceptor;
+    web_bounds bounds;
+    web_handler handler;
+    bool winding_down = false;
+    std::size_t sessions = 0;
+    std::size_t busy = 0;
+};
+
+struct web_listener::core::session : std::enable_shared_from_this<session>
+{
+    session(std::shared_ptr<core> parent, tcp::socket socket) : owner(std::move(parent)), stream(std::move(socket))
+    {
+        ++owner->sessions;
+    }
+    ~session()
+    {
+        --owner->sessions;
+        set_busy(false);
+    }
+    session(const session&) = delete;
+    session& operator=(const session&) = delete;
+
+    void set_busy(bool now_busy)
+    {
+        if (is_busy != now_busy)
+        {
+            owner->busy += now_busy ? 1 : -1;
+            is_busy = now_busy;
+        }
+    }
+
+    // A short wait at a time, so that idle connections notice that the listener winds down.
+    void wait_for_request()
+    {
+        set_busy(false);
+        stream.expires_after(owner->bounds.idle_patience);
+        parser.emplace();
+        parser->header_limit(static_cast<std::uint32_t>(owner->bounds.header_bytes));
+        parser->body_limit(owner->bounds.body_bytes);
+        if (buffer.size() > 0)
+        {
+            read();
+            return;
+        }
+        buffer.reserve(512);
+        stream.async_read_some(buffer.prepare(512),
+                               [self = shared_from_this()](beast::error_code failed, std::size_t bytes)
+                               {
+                                   if (failed)
+                                   {
+                                       return;
+                                   }
+                                   self->buffer.commit(bytes);
+                                   self->read();
+                               });
+    }
+
+    void read()
+    {
+        set_busy(true);
+        stream.expires_after(owner->bounds.header_patience);
+        http::async_read(stream, buffer, *parser,
+                         [self = shared_from_this()](beast::error_code failed, std::size_t /*bytes*/)
+                         {
+                             self->take(failed);
+                         });
+    }
+
+    void take(beast::error_code failed)
+    {
+        if (failed == http::error::body_limit)
+        {
+            answer_and_close(413);
+            return;
+        }
+        if (failed == http::error::header_limit)
+        {
+            answer_and_close(431);
+            return;
+        }
+        if (failed && failed != http::error::end_of_stream && failed.category() == http::make_error_code(http::error::bad_method).category())
+        {
+            answer_and_close(400);
+            return;
+        }
+        if (failed)
+        {
+            return;
+        }
+        http::request<http::string_body> request = parser->release();
+        keep_alive = request.keep_alive();
+        stream.expires_never();
+        owner->handler(to_plain(request),
+                       [self = shared_from_this()](web_answer answer)
+                       {
+                           self->write(std::move(answer));
+                       });
+    }
+
+    void answer_and_close(unsigned status)
+    {
+        keep_alive = false;
+        write(web_answer{status, R"({"error":{"detail":"The request cannot be read or is too large."}})", {}, {}});
+    }
+
+    void write(web_answer answer)
+    {
+        response = {};
+        response.version(11);
+        response.result(answer.status);
+        if (!answer.body.empty())
+        {
+            response.set(http::field::content_type, "application/json");
+        }
+        if (answer.retry_after_s)
+        {
+            response.set(http::field::retry_after, std::to_string(*answer.retry_after_s));
+        }
+        for (const web_header& header : answer.headers)
+        {
+            response.set(header.name, header.value);
+        }
+        response.body() = std::move(answer.body);
+        response.keep_alive(keep_alive && !owner->winding_down);
+        response.prepare_payload();
+        stream.expires_after(owner->bounds.idle_patience);
+        http::async_write(stream, response,
+                          [self = shared_from_this()](beast::error_code failed, std::size_t /*bytes*/)
+                          {
+                              if (failed || !self->response.keep_alive())
+                              {
+                                  beast::error_code ignored; // the peer may have closed first
+                                  self->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+                                  return;
+                              }
+                              self->wait_for_request();
+                          });
+    }
+
+    std::shared_ptr<core> owner;
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::optional<http::request_parser<http::string_body>> parser;
+    http::response<http::string_body> response;
+    bool keep_alive = true;
+    bool is_busy = false;
+};
+
+void web_listener::core::accept()
+{
+    acceptor.async_accept(
+        [self = shared_from_this()](beast::error_code failed, tcp::socket socket)
+        {
+            if (!self->acceptor.is_open())
+            {
+                return;
+            }
+            if (!failed && self->sessions < self->bounds.connections)
+            {
+                beast::error_code ignored; // an option that cannot be set costs speed only
+                socket.set_option(tcp::no_delay(true), ignored);
+                std::make_shared<session>(self, std::move(socket))->wait_for_request();
+            }
+            self->accept();
+        });
+}
+
+web_listener::web_listener(asio::io_context& loop, web_bounds bounds, web_handler handler)
+    : m_core(std::make_shared<core>(loop, bounds, std::move(handler)))
+{
+}
+
+web_listener::~web_listener()
+{
+    stop_accepting();
+}
+
+std::string web_listener::open(const std::string& address)
+{
+    const std::optional<tcp::endpoint> endpoint = detail::parse_endpoint(address);
+    if (!endpoint)
+    {
+        return address + " is no IP number and port";
+    }
+    beast::error_code failed;
+    m_core->acceptor.open(endpoint->protocol(), failed);
+    if (!failed)
+    {
+        m_core->acceptor.set_option(asio::socket_base::reuse_address(true), failed);
+    }
+    if (!failed)
+    {
+        m_core->acceptor.bind(*endpoint, failed);
+    }
+    if (!failed)
+    {
+        m_core->acceptor.listen(asio::socket_base::max_listen_connections, failed);
+    }
+    if (failed)
+    {
+        return address + ": " + failed.message();
+    }
+    m_core->accept();
+    return {};
+}
+
+void web_listener::wind_down()
+{
+    m_core->winding_down = true;
+}
+
+void web_listener::stop_accepting()
+{
+    beast::error_code ignored; // closing twice is harmless
+    m_core->acceptor.close(ignored);
+}
+
+std::size_t web_listener::in_progress() const
+{
+    return m_core->busy;
+}
+
+std::size_t web_listener::connections() const
+{
+    return m_core->sessions;
+}
+
+} // namespace walkthread
--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -1,6 +1,7 @@
 #include <walkthread/replication/replica.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 #include <walkthread/wire/codec.hpp>
 
@@ -174,6 +175,28 @@
     return std::exchange(m_output, replica_output{});
 }
 
+replica_output replica::take_unsynced(monotonic_time now)
+{
+    replica_output out;
+    if (m_output.install)
+    {
+        return out; // what follows a snapshot waits for it
+    }
+    out.apply = std::exchange(m_output.apply, {});
+    if (m_role != replica_role::leader || m_output.state)
+    {
+        return out;
+    }
+    send_to_all(false, now);
+    const auto may_go = [](const replica_envelope& envelope)
+    {
+        return std::holds_alternative<append_request>(envelope.message);
+    };
+    std::copy_if(m_output.messages.begin(), m_output.messages.end(), std::back_inserter(out.messages), may_go);
+    std::erase_if(m_output.messages, may_go);
+    return out;
+}
+
 void replica::synced(monotonic_time now)
 {
     m_synced = std::min(m_taken, m_log.last_index());
@@ -226,6 +249,16 @@
     return quorum_contact(now) + span > now;
 }
 
+std::optional<monotonic_time> replica::last_heard(const replica_id& member) const
+{
+    const auto found = m_progress.find(member);
+    if (m_role != replica_role::leader || found == m_progress.end())
+    {
+        return std::nullopt;
+    }
+    return found->second.last_reply;
+}
+
 std::optional<std::uint64_t> replica::lag_of(const replica_id& member) const
 {
     const auto found = m_progress.find(member);
--- a/src/replication/replica_log.cpp
+++ b/src/replication/replica_log.cpp
@@ -70,6 +70,7 @@
         {
             m_log.truncate_from(entry.index);
             m_synced = std::min(m_synced, m_log.last_index());
+            m_taken = std::min(m_taken, m_log.last_index()); // what replaces them is not taken yet
             std::erase_if(m_output.append,
                           [&entry](const log_entry& e)
                           {
--- a/src/node/replicated_group.cpp
+++ b/src/replication/replicated_group.cpp
@@ -1,4 +1,4 @@
-#include <walkthread/node/replicated_group.hpp>
+#include <walkthread/replication/replicated_group.hpp>
 
 #include <walkthread/wire/codec.hpp>
 
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -276,8 +276,16 @@
         }
     }
     m_snapshots.clear();
-    const std::string batch = std::exchange(m_batch, {});
-    return batch.empty() ? result<done, storage_error>{done{}} : flush(batch);
+    if (m_batch.empty())
+    {
+        return done{};
+    }
+    const auto flushed = flush(m_batch);
+    if (ok(flushed))
+    {
+        m_batch.clear();
+    }
+    return flushed;
 }
 
 result<done, storage_error> data_folder::flush(std::string_view bytes)
@@ -285,7 +293,9 @@
     const auto written = detail::write_all(m_log, bytes);
     if (!ok(written))
     {
-        return written;
+        // A part may be there. Cut it off, so that the batch can be written again once the disk takes bytes.
+        const bool cut = ::ftruncate(m_log, static_cast<off_t>(m_log_bytes)) == 0;
+        return cut ? written : detail::last_error(storage_code::cannot_sync, log_name(m_log_number));
     }
     if (::fdatasync(m_log) != 0)
     {
--- /dev/null
+++ b/src/workload/catalogue.cpp
@@ -0,0 +1,91 @@
+#include <walkthread/workload/catalogue.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace walkthread
+{
+
+namespace
+{
+std::optional<std::string> find_queue_fault(const queue_spec& queue, const std::set<std::string>& pools)
+{
+    if (queue.name.empty() || queue.host.empty() || !queue.path_prefix.starts_with('/'))
+    {
+        return "Queue \"" + queue.name + "\" lacks a name, a host or a path prefix.";
+    }
+    if (queue.timeout_ms <= 0)
+    {
+        return "Queue " + queue.name + " has no timeout.";
+    }
+    if (!pools.contains(queue.pool))
+    {
+        return "Queue " + queue.name + " names the unknown pool \"" + queue.pool + "\".";
+    }
+    if (queue.max_attempts == 0 || queue.stretch < 0 || queue.target_latency_ms < 0)
+    {
+        return "Queue " + queue.name + " has an attempt limit, stretch or latency out of range.";
+    }
+    if (queue.advised && queue.advice.validity_ms <= 0)
+    {
+        return "Queue " + queue.name + " has advice that is never valid.";
+    }
+    return std::nullopt;
+}
+} // namespace
+
+std::optional<std::string> find_fault(const catalogue& candidate)
+{
+    std::set<std::string> pools;
+    for (const pool_spec& pool : candidate.pools)
+    {
+        if (pool.name.empty() || !pools.insert(pool.name).second)
+        {
+            return "Pool \"" + pool.name + "\" has no name or stands twice.";
+        }
+    }
+    std::set<std::string> names;
+    std::set<std::pair<std::string, std::string>> places;
+    for (const queue_spec& queue : candidate.queues)
+    {
+        if (auto fault = find_queue_fault(queue, pools))
+        {
+            return fault;
+        }
+        if (!names.insert(queue.name).second)
+        {
+            return "Queue " + queue.name + " stands twice.";
+        }
+        if (!places.insert({queue.host, queue.path_prefix}).second)
+        {
+            return "Queue " + queue.name + " has the host and prefix of another queue.";
+        }
+    }
+    return std::nullopt;
+}
+
+const queue_spec* find_queue(const catalogue& held, std::string_view host, std::string_view path)
+{
+    const queue_spec* best = nullptr;
+    for (const queue_spec& queue : held.queues)
+    {
+        const bool matches = queue.host == host && path.starts_with(queue.path_prefix);
+        if (matches && (best == nullptr || queue.path_prefix.size() > best->path_prefix.size()))
+        {
+            best = &queue;
+        }
+    }
+    return best;
+}
+
+const queue_spec* find_queue_by_name(const catalogue& held, std::string_view name)
+{
+    const auto found = std::find_if(held.queues.begin(), held.queues.end(),
+                                    [name](const queue_spec& queue)
+                                    {
+                                        return queue.name == name;
+                                    });
+    return found == held.queues.end() ? nullptr : &*found;
+}
+
+} // namespace walkthread
