Gangs and lesser work take hosts from opposite ends; hosts kept free and runs preempted

Change: one list of offers for placing and asking; workers that failed a step are left out while others may take it; small tasks first go where they leave gangs as much room as before; near their end gangs reserve hosts and stop lesser runs with checkpoints.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -79,10 +79,22 @@
             return queue != nullptr && queue->priority == 0;
         }
     };
-    struct choice
+    /// A worker that a step's tasks may go to.
+    struct offer
     {
-        worker_life_id worker{};
-        std::string ticket;
+        const worker_life* worker{};
+        resources room{};       ///< free now
+        std::uint32_t slots{};  ///< tasks of the step that fit now
+        std::uint32_t whole{};  ///< tasks that would fit if nothing ran there
+        bool near{};            ///< in the rack with the data
+        bool keeps_large{};     ///< a task there takes no room from gangs
+        double speed{};         ///< learned, 1 is usual
+        std::string ticket;     ///< "-" where none is needed, empty where none counts
+        /// The last label names the rack.
+        [[nodiscard]] std::string rack() const
+        {
+            return worker->facts.labels.empty() ? std::string{} : worker->facts.labels.back();
+        }
     };
 
     // dispatcher.cpp: the pass, order
@@ -106,9 +118,21 @@
     [[nodiscard]] std::uint32_t slots(const candidate& item, const resources& room) const;
     [[nodiscard]] std::uint32_t waiting_tasks(const candidate& item) const;
     [[nodiscard]] std::map<worker_life_id, std::uint32_t> spread(const candidate& item) const;
+    [[nodiscard]] std::set<worker_life_id> failed_before(const candidate& item, monotonic_time now);
+    [[nodiscard]] std::vector<offer> find_offers(const candidate& item, monotonic_time now);
+    [[nodiscard]] bool keeps_large_slots(const resources& room, const resources& need) const;
+    void learn_large_task(const candidate& item);
+
+    // dispatcher_advice.cpp
     void ask_advice(const candidate& item, std::uint32_t need, monotonic_time now);
+
+    // dispatcher_preempt.cpp
     void reserve(const candidate& item, monotonic_time now);
-    void preempt_for(const candidate& item, monotonic_time now);
+    void preempt_for(const candidate& item, std::uint32_t need, monotonic_time now);
+    std::uint32_t preempt_on(const candidate& item, const offer& o, const resources& room, std::uint32_t need,
+                             monotonic_time now);
+    [[nodiscard]] bool may_preempt(const candidate& item, const run_ref& run, const run_view& known) const;
+    [[nodiscard]] bool surely_good(const candidate& item, worker_life_id worker);
     [[nodiscard]] bool reserved_from(const candidate& item, worker_life_id worker) const;
 
     // dispatcher_workers.cpp: looks, orders, ends
@@ -149,6 +173,8 @@
     advice_book m_advice;
     objective_book m_objectives;
     std::map<worker_life_id, step_ref> m_reserved; ///< hosts kept free for a gang, for one pass
+    std::map<step_ref, monotonic_time> m_preempted; ///< when runs were last stopped for a step
+    resources m_large_task{};                       ///< about what a task of a gang takes
     std::set<std::string> m_joining; ///< lives whose admission is proposed
     std::set<std::string> m_upkeep_in_flight;
     std::map<std::string, monotonic_time> m_upkeep_retry;
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -39,7 +39,8 @@
     milliseconds stuck_after{2500};    ///< no progress for that long, and three times the usual: the run stands still
     milliseconds drain_stop{1000};     ///< before a draining worker goes: checkpointing runs are stopped
     milliseconds keep_final{150000};   ///< final submissions are known for that long; above the platform's bound
-    milliseconds gang_reserve{3500};   ///< a gang whose slack falls below that has hosts kept free for it
+    milliseconds gang_reserve{4500};   ///< a gang whose slack falls below that has hosts kept free for it
+    milliseconds gang_preempt{2500};   ///< below that, lesser runs with checkpoints are stopped for it
 };
 
 /// @brief A run as the leader sees it; the replicated state says that it may exist.
@@ -84,6 +85,7 @@
     submission_id last_failed{};
     monotonic_time avoid_until{};
     milliseconds next_quarantine{};
+    double speed = 1.0;       ///< learned from run times against what was expected
     resources planned{};      ///< room of starts that wait for their commit
     std::uint64_t sequence{}; ///< of the newest report
     std::map<run_ref, run_view> runs;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -252,6 +252,11 @@
         {
             return m_state.ready().contains(ref);
         });
+    std::erase_if(m_preempted,
+                  [this](const auto& item)
+                  {
+                      return !m_state.ready().contains(item.first);
+                  });
     if (command.ids.empty())
     {
         return;
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -11,11 +11,7 @@
 
 namespace
 {
-constexpr std::size_t most_asked = 100;     // workers in one question: the advisor's bound
-constexpr std::size_t least_asked = 3;      // a question costs most for being asked at all
-constexpr double spare_factor = 1.4;        // ask for so much more than is needed: shares are averages
-constexpr double full_worker_weight = 0.35; // a worker without room now may have some soon
-constexpr std::size_t most_reserving = 2;   // gangs that hosts are kept free for at a time
+constexpr std::int64_t large_task_memory = 8; // the learned size of a gang's task follows about that many
 
 std::uint32_t count_slots(const resources& need, const resources& room)
 {
@@ -124,51 +120,118 @@
     }
 }
 
-// ---------------------------------------------------------------------------------------------------------
-// Tasks one by one
-// ---------------------------------------------------------------------------------------------------------
-
-void dispatcher::place_each(const candidate& item, monotonic_time now)
+// Workers that failed this step before are left out, as long as others may take it.
+std::set<worker_life_id> dispatcher::failed_before(const candidate& item, monotonic_time now)
 {
     const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
-    std::map<worker_life_id, std::uint32_t> used = spread(item);
-    struct offer
+    std::set<worker_life_id> failed;
+    for (const work_task& task : tasks)
     {
-        const worker_life* worker;
-        resources room;
-        std::uint32_t slots;
-        bool near;
-        std::string ticket;
-    };
+        if (task.failed_on.value() != 0 && task.state() == work_phase::waiting)
+        {
+            failed.insert(task.failed_on);
+        }
+    }
+    if (failed.empty())
+    {
+        return failed;
+    }
+    const bool advised = item.queue != nullptr && item.queue->advised;
+    const step_advice& known = m_advice.of(item.ref);
+    double others = 0;
+    for (const auto& [id, worker] : m_state.workers())
+    {
+        const auto entry = known.entries.find(id);
+        const bool bad = advised && entry != known.entries.end() && !entry->second.good;
+        if (!bad && !failed.contains(id) && allowed(item, worker, m_views[id], now))
+        {
+            const bool sure = !advised || entry != known.entries.end();
+            others += (sure ? 1.0 : m_advice.good_share(item.owner->queue)) * slots(item, worker.facts.size);
+        }
+    }
+    const double need = item.step->gang ? item.step->count : 1;
+    return others >= need * 2 ? failed : std::set<worker_life_id>{};
+}
+
+std::vector<dispatcher::offer> dispatcher::find_offers(const candidate& item, monotonic_time now)
+{
+    const std::set<worker_life_id> failed = failed_before(item, now);
     std::vector<offer> offers;
     for (const auto& [id, worker] : m_state.workers())
     {
-        const worker_view& view = m_views[id];
-        if (!allowed(item, worker, view, now))
+        worker_view& view = m_views[id];
+        if (failed.contains(id) || !allowed(item, worker, view, now))
         {
             continue;
         }
-        const resources room = free_room(worker, view);
-        std::uint32_t free = slots(item, room);
+        offer o;
+        o.worker = &worker;
+        o.room = free_room(worker, view);
+        o.slots = slots(item, o.room);
+        o.whole = slots(item, worker.facts.size);
+        const auto& labels = worker.facts.labels;
+        o.near = std::find(labels.begin(), labels.end(), item.step->preferred_rack) != labels.end();
+        o.ticket = ticket_for(item, id, now);
+        o.speed = view.speed;
+        offers.push_back(std::move(o));
+    }
+    return offers;
+}
+
+// Tasks of gangs are large; a lesser task that leaves as many of them room as before does no harm there.
+bool dispatcher::keeps_large_slots(const resources& room, const resources& need) const
+{
+    return count_slots(m_large_task, room) == count_slots(m_large_task, room - need);
+}
+
+void dispatcher::learn_large_task(const candidate& item)
+{
+    if (!item.step->gang || item.urgent())
+    {
+        return;
+    }
+    const auto follow = [](std::int64_t& learned, std::int64_t seen)
+    {
+        learned = learned == 0 ? seen : learned + (seen - learned) / large_task_memory;
+    };
+    follow(m_large_task.cpu, item.step->size.cpu);
+    follow(m_large_task.memory, item.step->size.memory);
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// Tasks one by one
+// ---------------------------------------------------------------------------------------------------------
+
+void dispatcher::place_each(const candidate& item, monotonic_time now)
+{
+    const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
+    std::map<worker_life_id, std::uint32_t> used = spread(item);
+    std::vector<offer> offers = find_offers(item, now);
+    std::erase_if(offers,
+                  [](const offer& o)
+                  {
+                      return o.ticket.empty() || o.slots == 0;
+                  });
+    const resources need = room_of(*item.step);
+    for (offer& o : offers)
+    {
+        o.keeps_large = keeps_large_slots(o.room, need);
         if (item.step->per_host_limit > 0)
         {
-            free -= std::min(free, used[id]);
+            o.slots -= std::min(o.slots, used[o.worker->id]);
         }
-        std::string ticket = free > 0 ? ticket_for(item, id, now) : std::string{};
-        if (ticket.empty())
-        {
-            continue;
-        }
-        const auto& labels = worker.facts.labels;
-        const bool near = std::find(labels.begin(), labels.end(), item.step->preferred_rack) != labels.end();
-        offers.push_back({&worker, room, free, near, std::move(ticket)});
     }
-    // The rack with the data first, then the tightest fit, so that whole hosts stay free for gangs.
+    // The rack with the data first; then what leaves whole hosts free for gangs; urgent work on fast hosts; then
+    // from the low end of the list, as gangs fill it from the high end.
+    const bool urgent = item.urgent();
     std::sort(offers.begin(), offers.end(),
-              [](const offer& a, const offer& b)
+              [urgent](const offer& a, const offer& b)
               {
-                  return std::make_tuple(!a.near, a.room.cpu, a.worker->id) <
-                         std::make_tuple(!b.near, b.room.cpu, b.worker->id);
+                  const auto key = [urgent](const offer& o)
+                  {
+                      return std::make_tuple(!o.near, !o.keeps_large, urgent ? -o.speed : 0.0, o.worker->id);
+                  };
+                  return key(a) < key(b);
               });
     std::vector<planned_start> starts;
     std::vector<std::string> tickets;
@@ -181,9 +244,9 @@
             continue;
         }
         const auto fit = std::find_if(offers.begin(), offers.end(),
-                                      [&tasks, i](const offer& o)
+                                      [](const offer& o)
                                       {
-                                          return o.slots > 0 && o.worker->id != tasks[i].failed_on;
+                                          return o.slots > 0;
                                       });
         if (fit == offers.end())
         {
@@ -201,7 +264,7 @@
     if (left > 0)
     {
         ask_advice(item, left, now);
-        preempt_for(item, now);
+        preempt_for(item, left, now);
     }
 }
 
@@ -216,48 +279,25 @@
     {
         return;
     }
-    const auto failed_here = [&tasks](worker_life_id id)
-    {
-        return std::any_of(tasks.begin(), tasks.end(),
-                           [id](const work_task& task)
-                           {
-                               return task.failed_on == id;
-                           });
-    };
-    struct offer
-    {
-        worker_life_id worker;
-        std::uint32_t slots;
-        std::string ticket;
-        std::string rack;
-    };
-    std::vector<offer> offers;
+    learn_large_task(item);
+    std::vector<offer> offers = find_offers(item, now);
+    std::erase_if(offers,
+                  [](const offer& o)
+                  {
+                      return o.ticket.empty() || o.slots == 0;
+                  });
     std::map<std::string, std::uint32_t> by_rack;
     std::uint32_t sum = 0;
-    std::uint32_t run = 0;
-    for (const work_task& task : tasks)
-    {
-        run = std::max(run, task.run + 1);
-    }
-    for (const auto& [id, worker] : m_state.workers())
+    for (const offer& o : offers)
     {
-        const worker_view& view = m_views[id];
-        const std::uint32_t free = allowed(item, worker, view, now) && !failed_here(id) ? slots(item, free_room(worker, view)) : 0;
-        std::string ticket = free > 0 ? ticket_for(item, id, now) : std::string{};
-        if (ticket.empty())
-        {
-            continue;
-        }
-        const std::string rack = worker.facts.labels.empty() ? std::string{} : worker.facts.labels.back();
-        offers.push_back({id, free, std::move(ticket), rack});
-        by_rack[rack] += free;
-        sum += free;
+        by_rack[o.rack()] += o.slots;
+        sum += o.slots;
     }
     if (sum < item.step->count)
     {
         ask_advice(item, item.step->count, now);
         reserve(item, now);
-        preempt_for(item, now);
+        preempt_for(item, item.step->count, now);
         return;
     }
     std::string only_rack;
@@ -270,204 +310,38 @@
     {
         only_rack = item.step->preferred_rack;
     }
+    // Urgent gangs are small and go where lesser work goes; others fill hosts whole, from the high end.
+    const bool small = item.urgent();
     std::sort(offers.begin(), offers.end(),
-              [](const offer& a, const offer& b)
+              [small](const offer& a, const offer& b)
               {
-                  return std::make_tuple(b.slots, a.worker) < std::make_tuple(a.slots, b.worker);
+                  const auto key = [small](const offer& o)
+                  {
+                      return small ? std::make_tuple(-o.speed, std::int64_t{o.worker->id.value()})
+                                   : std::make_tuple(-static_cast<double>(o.slots), -std::int64_t{o.worker->id.value()});
+                  };
+                  return key(a) < key(b);
               });
+    std::uint32_t run = 0;
+    for (const work_task& task : tasks)
+    {
+        run = std::max(run, task.run + 1);
+    }
     std::vector<planned_start> starts;
     std::vector<std::string> tickets;
     for (const offer& o : offers)
     {
         for (std::uint32_t n = 0; n < o.slots && starts.size() < tasks.size(); ++n)
         {
-            if (!only_rack.empty() && o.rack != only_rack)
+            if (!only_rack.empty() && o.rack() != only_rack)
             {
                 break;
             }
-            starts.push_back({task_ref{item.ref, static_cast<std::uint32_t>(starts.size())}, run, o.worker});
+            starts.push_back({task_ref{item.ref, static_cast<std::uint32_t>(starts.size())}, run, o.worker->id});
             tickets.push_back(o.ticket);
         }
     }
     propose_starts(item, starts, tickets, now);
 }
 
-// Keeps hosts that may run a gang free of lesser work while the gang's time runs out.
-void dispatcher::reserve(const candidate& item, monotonic_time now)
-{
-    std::set<step_ref> gangs;
-    for (const auto& [worker, gang] : m_reserved)
-    {
-        gangs.insert(gang);
-    }
-    if (item.missed || item.slack_ms > static_cast<double>(m_settings.gang_reserve.count()) ||
-        gangs.size() >= most_reserving)
-    {
-        return;
-    }
-    struct offer
-    {
-        worker_life_id worker;
-        std::uint32_t now_free;
-        std::uint32_t whole;
-    };
-    std::vector<offer> offers;
-    const step_advice& known = m_advice.of(item.ref);
-    for (const auto& [id, worker] : m_state.workers())
-    {
-        const worker_view& view = m_views[id];
-        const auto entry = known.entries.find(id);
-        const bool good = item.queue == nullptr || !item.queue->advised || (entry != known.entries.end() && entry->second.good);
-        if (good && !m_reserved.contains(id) && allowed(item, worker, view, now))
-        {
-            offers.push_back({id, slots(item, free_room(worker, view)), slots(item, worker.facts.size)});
-        }
-    }
-    std::sort(offers.begin(), offers.end(),
-              [](const offer& a, const offer& b)
-              {
-                  return std::make_tuple(b.now_free, b.whole, a.worker) < std::make_tuple(a.now_free, a.whole, b.worker);
-              });
-    std::uint32_t sum = 0;
-    for (const offer& o : offers)
-    {
-        if (sum >= item.step->count)
-        {
-            break;
-        }
-        sum += o.whole;
-        m_reserved[o.worker] = item.ref;
-    }
-}
-
-// ---------------------------------------------------------------------------------------------------------
-// Advice
-// ---------------------------------------------------------------------------------------------------------
-
-void dispatcher::ask_advice(const candidate& item, std::uint32_t need, monotonic_time now)
-{
-    if (item.queue == nullptr || !item.queue->advised)
-    {
-        return;
-    }
-    step_advice& known = m_advice.of(item.ref);
-    if (known.in_flight || now < known.ask_after)
-    {
-        return;
-    }
-    struct offer
-    {
-        worker_life_id worker;
-        std::uint32_t slots;
-        bool good;
-        double weight;
-    };
-    const double share = m_advice.good_share(item.owner->queue);
-    std::vector<offer> offers;
-    double enough = 0;
-    for (const auto& [id, worker] : m_state.workers())
-    {
-        const worker_view& view = m_views[id];
-        const auto entry = known.entries.find(id);
-        const bool seen = entry != known.entries.end();
-        const std::uint32_t whole = slots(item, worker.facts.size);
-        if (!allowed(item, worker, view, now) || (seen && !entry->second.good) || whole == 0)
-        {
-            continue;
-        }
-        const std::uint32_t free = slots(item, free_room(worker, view));
-        const bool counts = seen && advice_book::usable(entry->second, now, m_settings.ticket_margin);
-        if (counts || (seen && free == 0))
-        {
-            enough += counts ? free : 0;
-            continue; // nothing to be gained by asking again now
-        }
-        const double certainty = seen ? 1.0 : share;
-        const double weight = free > 0 ? certainty * free : certainty * whole * full_worker_weight;
-        offers.push_back({id, free, seen, weight});
-    }
-    if (enough >= need)
-    {
-        return;
-    }
-    std::sort(offers.begin(), offers.end(),
-              [](const offer& a, const offer& b)
-              {
-                  return std::make_tuple(b.slots > 0, b.good, b.slots, a.worker) <
-                         std::make_tuple(a.slots > 0, a.good, a.slots, b.worker);
-              });
-    const bool first = known.entries.empty();
-    double within_reach = enough;
-    for (const offer& o : offers)
-    {
-        within_reach += o.slots > 0 ? o.weight : 0.0;
-    }
-    if (item.step->gang && !first && within_reach < need)
-    {
-        return; // fresh tickets would run out before there is room for all
-    }
-    advice_question question;
-    question.step = item.ref;
-    std::vector<worker_life_id> asked;
-    double sum = enough;
-    for (const offer& o : offers)
-    {
-        const bool done = sum >= need * spare_factor && asked.size() >= least_asked;
-        if (done || asked.size() >= most_asked || (!first && o.slots == 0))
-        {
-            break;
-        }
-        question.lives.push_back(m_state.find(o.worker)->facts.life);
-        asked.push_back(o.worker);
-        sum += o.weight;
-    }
-    if (asked.empty())
-    {
-        return;
-    }
-    known.in_flight = true;
-    ++m_counters.questions;
-    note(now, "advice_asked", name_of(item.ref),
-         {{"workers", asked.size()}, {"need", need}, {"usable_slots", static_cast<std::int64_t>(enough)}, {"share_good", share}});
-    const milliseconds validity{item.queue->advice.validity_ms};
-    m_hooks.advise(question, item.urgent(),
-                   [this, alive = m_alive, ref = item.ref, queue = item.owner->queue, asked, validity](const advice_answer& answer)
-                   {
-                       if (!*alive)
-                       {
-                           return;
-                       }
-                       const monotonic_time then = m_hooks.now();
-                       step_advice& open = m_advice.of(ref);
-                       open.in_flight = false;
-                       open.ask_after = then + (answer.answered ? m_settings.advice_gap : m_settings.advice_retry);
-                       if (answer.answered)
-                       {
-                           std::map<worker_life_id, std::string> tickets;
-                           for (const advice_grant& grant : answer.good)
-                           {
-                               const worker_life* worker = m_state.find_life(grant.life);
-                               if (worker != nullptr)
-                               {
-                                   tickets[worker->id] = grant.ticket;
-                               }
-                           }
-                           m_advice.take(ref, queue, asked, tickets, then - answer.took, validity);
-                       }
-                       note(then, "advice_taken", name_of(ref),
-                            {{"answered", answer.answered}, {"asked", asked.size()}, {"good", answer.good.size()}, {"took_ms", answer.took}});
-                       m_hooks.wake();
-                   });
-}
-
-// ---------------------------------------------------------------------------------------------------------
-// Preemption
-// ---------------------------------------------------------------------------------------------------------
-
-void dispatcher::preempt_for(const candidate& item, monotonic_time now)
-{
-    static_cast<void>(item);
-    static_cast<void>(now);
-}
-
 } // namespace walkthread
--- /dev/null
+++ b/src/dispatch/dispatcher_preempt.cpp
@@ -0,0 +1,156 @@
+// The part of dispatcher that makes room: hosts kept free for gangs, and lesser runs stopped.
+
+#include <walkthread/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+
+#include <walkthread/workload/names.hpp>
+
+namespace walkthread
+{
+
+namespace
+{
+constexpr std::size_t most_reserving = 3;         // gangs that hosts are kept free for at a time
+constexpr double least_left_ms = 700;             // a run that ends sooner is waited for: a stop takes up to 400 ms
+constexpr duration preempt_gap = milliseconds(600); // for one step: a stop, its end, and the commit of both
+} // namespace
+
+// Keeps hosts that may run a gang free of lesser work while the gang's time runs out.
+void dispatcher::reserve(const candidate& item, monotonic_time now)
+{
+    std::set<step_ref> gangs;
+    for (const auto& [worker, gang] : m_reserved)
+    {
+        gangs.insert(gang);
+    }
+    const bool in_time = item.missed || item.slack_ms > static_cast<double>(m_settings.gang_reserve.count());
+    if (in_time || gangs.size() >= most_reserving)
+    {
+        return;
+    }
+    std::vector<offer> offers = find_offers(item, now);
+    std::erase_if(offers,
+                  [this, &item](const offer& o)
+                  {
+                      return !surely_good(item, o.worker->id) || m_reserved.contains(o.worker->id) || o.whole == 0;
+                  });
+    std::sort(offers.begin(), offers.end(),
+              [](const offer& a, const offer& b)
+              {
+                  return std::make_tuple(b.slots, b.room.cpu, b.worker->id) < std::make_tuple(a.slots, a.room.cpu, a.worker->id);
+              });
+    std::uint32_t sum = 0;
+    for (const offer& o : offers)
+    {
+        if (sum >= item.step->count)
+        {
+            break;
+        }
+        sum += o.whole;
+        m_reserved[o.worker->id] = item.ref;
+    }
+}
+
+bool dispatcher::surely_good(const candidate& item, worker_life_id worker)
+{
+    if (item.queue == nullptr || !item.queue->advised)
+    {
+        return true;
+    }
+    const step_advice& known = m_advice.of(item.ref);
+    const auto entry = known.entries.find(worker);
+    return entry != known.entries.end() && entry->second.good;
+}
+
+// What a run would lose by a stop is small where it has checkpoints; others are left to end.
+bool dispatcher::may_preempt(const candidate& item, const run_ref& run, const run_view& known) const
+{
+    const submission* owner = m_state.find(run.task.step.submission);
+    if (owner == nullptr || known.stopping || !known.listed || !m_state.held_catalogue())
+    {
+        return false;
+    }
+    const step_spec& step = owner->spec.steps[run.task.step.step];
+    const queue_spec* queue = find_queue_by_name(*m_state.held_catalogue(), owner->queue);
+    const bool lesser = queue != nullptr && item.queue != nullptr && queue->priority > item.queue->priority;
+    const double left = m_objectives.expected_ms(owner->queue, step) * (100.0 - known.percent) / 100.0;
+    return lesser && step.checkpoints && !step.gang && !step.lasting && left > least_left_ms;
+}
+
+void dispatcher::preempt_for(const candidate& item, std::uint32_t need, monotonic_time now)
+{
+    const bool pressing = item.urgent() || (item.step->gang && item.slack_ms < static_cast<double>(m_settings.gang_preempt.count()));
+    if (item.missed || !pressing || now < m_preempted[item.ref] + preempt_gap)
+    {
+        return;
+    }
+    const resources room = room_of(*item.step);
+    std::uint32_t found = 0;
+    std::vector<offer> offers = find_offers(item, now);
+    std::sort(offers.begin(), offers.end(),
+              [](const offer& a, const offer& b)
+              {
+                  return std::make_tuple(b.room.cpu, b.worker->id) < std::make_tuple(a.room.cpu, a.worker->id);
+              });
+    for (const offer& o : offers)
+    {
+        const auto reserved = m_reserved.find(o.worker->id);
+        const bool own = !item.step->gang || item.urgent() || (reserved != m_reserved.end() && reserved->second == item.ref);
+        if (found >= need || !surely_good(item, o.worker->id) || !own)
+        {
+            continue;
+        }
+        found += preempt_on(item, o, room, need - found, now);
+    }
+    if (found > 0)
+    {
+        m_preempted[item.ref] = now;
+    }
+}
+
+// Stops lesser runs on one host until `need` tasks of the step fit, if that can be reached.
+// Returns how many tasks it makes room for.
+std::uint32_t dispatcher::preempt_on(const candidate& item, const offer& o, const resources& room, std::uint32_t need,
+                                     monotonic_time now)
+{
+    worker_view& view = m_views[o.worker->id];
+    resources coming = o.room;
+    std::vector<run_ref> victims;
+    std::uint32_t fit = slots(item, coming);
+    for (const auto& [run, known] : view.runs)
+    {
+        const auto held = o.worker->occupied.find(run);
+        if (held == o.worker->occupied.end())
+        {
+            continue;
+        }
+        if (known.stopping)
+        {
+            coming += held->second;
+            fit = slots(item, coming);
+            continue;
+        }
+        const bool useful = room.cpu == 0 || held->second.cpu > 0;
+        if (fit < need && useful && may_preempt(item, run, known))
+        {
+            coming += held->second;
+            victims.push_back(run);
+            fit = slots(item, coming);
+        }
+    }
+    const std::uint32_t before = slots(item, o.room);
+    if (victims.empty() || fit <= before)
+    {
+        return fit;
+    }
+    for (const run_ref& run : victims)
+    {
+        note(now, "run_preempted", name_of(run), {{"for", name_of(item.ref)}, {"slack_ms", static_cast<std::int64_t>(item.slack_ms)}, {"percent", view.runs[run].percent}});
+        send_stop(view, run, now);
+        ++m_counters.preemptions;
+    }
+    return fit;
+}
+
+} // namespace walkthread
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -13,6 +13,9 @@
 {
 constexpr std::size_t listed_at_once = 500;      // a worker lists at most that many ends in one answer
 constexpr duration stop_retry = milliseconds(250); // an unanswered stop is sent again after that
+constexpr double speed_weight = 0.08;            // of one run: estimates are rough, a dozen runs settle it
+constexpr double least_speed = 0.3;              // one run says at most that much
+constexpr double most_speed = 2.5;
 constexpr double stuck_factor = 3.0;             // times the expected run time without progress
 } // namespace
 
@@ -212,7 +215,11 @@
         view.next_quarantine = m_settings.quarantine;
         if (!step.lasting && !known->second.inherited && m_state.find(end.run.task)->checkpoint.empty())
         {
-            m_objectives.note_run(owner->queue, step.estimate_ms, std::chrono::duration_cast<milliseconds>(took).count());
+            const std::int64_t took_ms = std::chrono::duration_cast<milliseconds>(took).count();
+            const double expected = m_objectives.expected_ms(owner->queue, step);
+            m_objectives.note_run(owner->queue, step.estimate_ms, took_ms);
+            const double seen = std::clamp(expected / static_cast<double>(std::max<std::int64_t>(took_ms, 1)), least_speed, most_speed);
+            view.speed += step.gang ? 0.0 : speed_weight * (seen - view.speed); // a gang runs as its slowest member
         }
     }
     else if (end.how == run_end::failed && !step.lasting && view.last_failed != owner->id)
