Reservations hold until the gang starts; gangs ask about all workers once

Change: the hosts that are free first, by estimated ends, stay reserved; tickets are asked for just before.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -79,6 +79,12 @@
             return queue != nullptr && queue->priority == 0;
         }
     };
+    /// Hosts kept free for a gang until it starts.
+    struct reservation
+    {
+        std::vector<worker_life_id> hosts;
+        bool missed{}; ///< the gang was late already
+    };
     /// A worker that a step's tasks may go to.
     struct offer
     {
@@ -127,7 +133,11 @@
     void ask_advice(const candidate& item, std::uint32_t need, monotonic_time now);
 
     // dispatcher_preempt.cpp
+    [[nodiscard]] duration free_in(const candidate& item, const offer& o) const;
     void reserve(const candidate& item, monotonic_time now);
+    void drop_reservation(const step_ref& ref);
+    void review_reservations(monotonic_time now);
+    [[nodiscard]] bool reserved_hosts_ready_soon(const candidate& item, monotonic_time now);
     void preempt_for(const candidate& item, std::uint32_t need, monotonic_time now);
     std::uint32_t preempt_on(const candidate& item, const offer& o, const resources& room, std::uint32_t need,
                              monotonic_time now);
@@ -172,7 +182,8 @@
     std::map<task_ref, worker_life_id> m_planned; ///< starts that wait for their commit
     advice_book m_advice;
     objective_book m_objectives;
-    std::map<worker_life_id, step_ref> m_reserved; ///< hosts kept free for a gang, for one pass
+    std::map<worker_life_id, step_ref> m_reserved; ///< hosts kept free for a gang
+    std::map<step_ref, reservation> m_reservations; ///< the same by gang
     std::map<step_ref, monotonic_time> m_preempted; ///< when runs were last stopped for a step
     resources m_large_task{};                       ///< about what a task of a gang takes
     std::set<std::string> m_joining; ///< lives whose admission is proposed
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -39,8 +39,9 @@
     milliseconds stuck_after{2500};    ///< no progress for that long, and three times the usual: the run stands still
     milliseconds drain_stop{1000};     ///< before a draining worker goes: checkpointing runs are stopped
     milliseconds keep_final{150000};   ///< final submissions are known for that long; above the platform's bound
-    milliseconds gang_reserve{4500};   ///< a gang whose slack falls below that has hosts kept free for it
-    milliseconds gang_preempt{2500};   ///< below that, lesser runs with checkpoints are stopped for it
+    std::size_t most_reservations = 4; ///< gangs that hosts are kept free for at a time: a quarter of today's hosts
+    milliseconds ticket_ahead{450};    ///< before reserved hosts are free: a question for a few workers takes that long
+    milliseconds gang_preempt{4500};   ///< below that, lesser runs with checkpoints are stopped for it
 };
 
 /// @brief A run as the leader sees it; the replicated state says that it may exist.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -169,7 +169,7 @@
     watch_runs(now);
     stop_unwanted(now);
     advance_waves(now, wall);
-    m_reserved.clear();
+    review_reservations(now);
     std::size_t failed = 0;
     for (const candidate& item : order_candidates(now, wall))
     {
@@ -301,6 +301,7 @@
                                 const std::vector<std::string>& tickets, monotonic_time now)
 {
     const resources room = room_of(*item.step);
+    drop_reservation(item.ref);
     for (const planned_start& planned : starts)
     {
         m_views[planned.worker].planned += room;
--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -36,11 +36,17 @@
         double weight;
     };
     const double share = m_advice.good_share(item.owner->queue);
+    const bool large_gang = item.step->gang && !item.urgent();
+    const bool awaited = large_gang && reserved_hosts_ready_soon(item, now);
     std::vector<question_item> offers;
     double enough = 0;
     for (const offer& o : find_offers(item, now))
     {
         const worker_life_id id = o.worker->id;
+        if (awaited && (!m_reserved.contains(id) || m_reserved.at(id) != item.ref))
+        {
+            continue;
+        }
         const auto entry = known.entries.find(id);
         const bool seen = entry != known.entries.end();
         if ((seen && !entry->second.good) || o.whole == 0)
@@ -48,7 +54,7 @@
             continue;
         }
         const bool counts = seen && advice_book::usable(entry->second, now, m_settings.ticket_margin);
-        if (counts || (seen && o.slots == 0))
+        if (counts || (seen && o.slots == 0 && !awaited))
         {
             enough += counts ? o.slots : 0;
             continue; // nothing to be gained by asking again now
@@ -73,7 +79,7 @@
     {
         within_reach += o.slots > 0 ? o.weight : 0.0;
     }
-    if (item.step->gang && !first && within_reach < need)
+    if (item.step->gang && !first && !awaited && within_reach < need)
     {
         return; // fresh tickets would run out before there is room for all
     }
@@ -83,8 +89,9 @@
     double sum = enough;
     for (const question_item& o : offers)
     {
-        const bool done = sum >= need * spare_factor && asked.size() >= least_asked;
-        if (done || asked.size() >= most_asked || (!first && o.slots == 0))
+        // A gang learns of all workers at once: it then waits for those that are free first.
+        const bool done = sum >= need * spare_factor && asked.size() >= least_asked && !large_gang;
+        if (done || asked.size() >= most_asked || (!first && !awaited && o.slots == 0))
         {
             break;
         }
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -76,7 +76,12 @@
 bool dispatcher::reserved_from(const candidate& item, worker_life_id worker) const
 {
     const auto found = m_reserved.find(worker);
-    return found != m_reserved.end() && found->second != item.ref && !item.urgent() && !item.step->lasting;
+    if (found == m_reserved.end() || found->second == item.ref || item.urgent() || item.step->lasting)
+    {
+        return false;
+    }
+    const resources room = free_room(*m_state.find(worker), m_views.at(worker));
+    return item.step->gang || !keeps_large_slots(room, room_of(*item.step));
 }
 
 bool dispatcher::allowed(const candidate& item, const worker_life& worker, const worker_view& view,
@@ -215,7 +220,7 @@
     const resources need = room_of(*item.step);
     for (offer& o : offers)
     {
-        o.keeps_large = keeps_large_slots(o.room, need);
+        o.keeps_large = keeps_large_slots(o.room, need) && !m_reserved.contains(o.worker->id);
         if (item.step->per_host_limit > 0)
         {
             o.slots -= std::min(o.slots, used[o.worker->id]);
@@ -295,8 +300,11 @@
     }
     if (sum < item.step->count)
     {
+        if (!item.urgent())
+        {
+            reserve(item, now);
+        }
         ask_advice(item, item.step->count, now);
-        reserve(item, now);
         preempt_for(item, item.step->count, now);
         return;
     }
--- a/src/dispatch/dispatcher_preempt.cpp
+++ b/src/dispatch/dispatcher_preempt.cpp
@@ -11,21 +11,52 @@
 
 namespace
 {
-constexpr std::size_t most_reserving = 3;         // gangs that hosts are kept free for at a time
-constexpr double least_left_ms = 700;             // a run that ends sooner is waited for: a stop takes up to 400 ms
+constexpr double stop_ms = 500; // a stop takes up to 400 ms, and its end has to be seen
+constexpr double least_left_ms = 700; // a run that ends sooner is waited for: a stop takes up to 400 ms
 constexpr duration preempt_gap = milliseconds(600); // for one step: a stop, its end, and the commit of both
 } // namespace
 
-// Keeps hosts that may run a gang free of lesser work while the gang's time runs out.
-void dispatcher::reserve(const candidate& item, monotonic_time now)
+// When nothing that keeps a step from a host will run there any more, as far as estimates say.
+duration dispatcher::free_in(const candidate& item, const offer& o) const
 {
-    std::set<step_ref> gangs;
-    for (const auto& [worker, gang] : m_reserved)
+    if (o.slots >= o.whole)
     {
-        gangs.insert(gang);
+        return duration{0};
     }
-    const bool in_time = item.missed || item.slack_ms > static_cast<double>(m_settings.gang_reserve.count());
-    if (in_time || gangs.size() >= most_reserving)
+    const worker_view& view = m_views.at(o.worker->id);
+    double longest_ms = 0;
+    for (const auto& [run, room] : o.worker->occupied)
+    {
+        const submission* owner = m_state.find(run.task.step.submission);
+        const auto known = view.runs.find(run);
+        if (owner == nullptr || known == view.runs.end())
+        {
+            continue;
+        }
+        const step_spec& step = owner->spec.steps[run.task.step.step];
+        double left = m_objectives.expected_ms(owner->queue, step) * (100.0 - known->second.percent) / 100.0;
+        if (step.lasting)
+        {
+            return seconds(60); // not by itself
+        }
+        if (known->second.stopping || may_preempt(item, run, known->second))
+        {
+            left = std::min(left, stop_ms);
+        }
+        longest_ms = std::max(longest_ms, left);
+    }
+    return milliseconds(static_cast<std::int64_t>(longest_ms));
+}
+
+// Keeps the hosts that will be free first, of those that may run a gang, free of lesser work until it starts.
+void dispatcher::reserve(const candidate& item, monotonic_time now)
+{
+    const bool late_one = item.missed && std::any_of(m_reservations.begin(), m_reservations.end(),
+                                                     [](const auto& other)
+                                                     {
+                                                         return other.second.missed;
+                                                     });
+    if (m_reservations.contains(item.ref) || m_reservations.size() >= m_settings.most_reservations || late_one)
     {
         return;
     }
@@ -36,10 +67,12 @@
                       return !surely_good(item, o.worker->id) || m_reserved.contains(o.worker->id) || o.whole == 0;
                   });
     std::sort(offers.begin(), offers.end(),
-              [](const offer& a, const offer& b)
+              [this, &item](const offer& a, const offer& b)
               {
-                  return std::make_tuple(b.slots, b.room.cpu, b.worker->id) < std::make_tuple(a.slots, a.room.cpu, a.worker->id);
+                  return std::make_tuple(free_in(item, a), b.worker->id) < std::make_tuple(free_in(item, b), a.worker->id);
               });
+    reservation kept;
+    kept.missed = item.missed;
     std::uint32_t sum = 0;
     for (const offer& o : offers)
     {
@@ -48,8 +81,73 @@
             break;
         }
         sum += o.whole;
-        m_reserved[o.worker->id] = item.ref;
+        kept.hosts.push_back(o.worker->id);
+    }
+    if (sum < item.step->count)
+    {
+        return;
+    }
+    for (const worker_life_id host : kept.hosts)
+    {
+        m_reserved[host] = item.ref;
+    }
+    note(now, "hosts_reserved", name_of(item.ref),
+         {{"hosts", kept.hosts.size()}, {"slack_ms", static_cast<std::int64_t>(item.slack_ms)}, {"missed", item.missed}, {"reservations", m_reservations.size() + 1}});
+    m_reservations[item.ref] = std::move(kept);
+}
+
+void dispatcher::drop_reservation(const step_ref& ref)
+{
+    const auto found = m_reservations.find(ref);
+    if (found == m_reservations.end())
+    {
+        return;
+    }
+    for (const worker_life_id host : found->second.hosts)
+    {
+        m_reserved.erase(host);
+    }
+    m_reservations.erase(found);
+}
+
+// Reservations end with their step, and when a host of theirs can no longer be used.
+void dispatcher::review_reservations(monotonic_time now)
+{
+    std::vector<step_ref> over;
+    for (const auto& [ref, kept] : m_reservations)
+    {
+        const bool usable = std::all_of(kept.hosts.begin(), kept.hosts.end(),
+                                        [this, now](worker_life_id host)
+                                        {
+                                            const auto view = m_views.find(host);
+                                            return view != m_views.end() && view->second.usable(now, m_settings);
+                                        });
+        if (!usable || !m_state.ready().contains(ref))
+        {
+            over.push_back(ref);
+        }
+    }
+    for (const step_ref& ref : over)
+    {
+        drop_reservation(ref);
+    }
+}
+
+// Tickets last about as long as two questions take: they are asked for when the reserved hosts are about free.
+bool dispatcher::reserved_hosts_ready_soon(const candidate& item, monotonic_time now)
+{
+    const auto kept = m_reservations.find(item.ref);
+    if (kept == m_reservations.end())
+    {
+        return false;
+    }
+    std::uint32_t soon = 0;
+    for (const offer& o : find_offers(item, now))
+    {
+        const bool own = std::find(kept->second.hosts.begin(), kept->second.hosts.end(), o.worker->id) != kept->second.hosts.end();
+        soon += own && free_in(item, o) <= m_settings.ticket_ahead ? o.whole : 0;
     }
+    return soon >= item.step->count;
 }
 
 bool dispatcher::surely_good(const candidate& item, worker_life_id worker)
@@ -96,7 +194,7 @@
     for (const offer& o : offers)
     {
         const auto reserved = m_reserved.find(o.worker->id);
-        const bool own = !item.step->gang || item.urgent() || (reserved != m_reserved.end() && reserved->second == item.ref);
+        const bool own = item.urgent() || (reserved != m_reserved.end() && reserved->second == item.ref);
         if (found >= need || !surely_good(item, o.worker->id) || !own)
         {
             continue;
