Links between processes prove that they live; standbys replace silent voters

A newcomer that joined before a voter counted as silent stayed a standby for good. Change: a receiver answers with one byte at most every 100 ms; 900 ms without one ends the connection. The leader promotes a standby in place of a voter that is silent for 2.5 s. A new leader tells who asked lately.

--- a/include/walkthread/fabric/core_node.hpp
+++ b/include/walkthread/fabric/core_node.hpp
@@ -24,6 +24,10 @@
     milliseconds join_every{300};     ///< a replica outside the membership asks that often
     milliseconds voter_silent{2500};  ///< a newcomer takes a voter's place after that: above an election
     milliseconds pass_gap{2};         ///< passes are that far apart: several answers share one
+    milliseconds review_every{500};   ///< the leader looks for members that are silent or behind
+    milliseconds member_behind{1200}; ///< silent for longer than an election: reported
+    std::uint64_t lag_reported = 500; ///< entries; about two busy seconds
+    milliseconds asker_known{5000};   ///< who asked within that time is told of a new leader
     dispatch_settings dispatch{};
 };
 
@@ -56,6 +60,10 @@
     void end_leading(std::string_view reason);
     void take_join(const join_request& request, monotonic_time now);
     void ask_to_join(monotonic_time now);
+    void review_members(monotonic_time now);
+    void promote_standby(monotonic_time now);
+    void tell_leadership(monotonic_time now);
+    [[nodiscard]] replica_id silent_voter(monotonic_time now) const;
     [[nodiscard]] leader_note present_leader(monotonic_time now) const;
     [[nodiscard]] bool leads(monotonic_time now) const;
     [[nodiscard]] std::size_t wanted_voters() const
@@ -93,6 +101,9 @@
     std::uint64_t m_led_term = 0;
     monotonic_time m_join_asked{};
     monotonic_time m_last_pass{};
+    monotonic_time m_members_reviewed{};
+    std::map<std::string, monotonic_time> m_askers; ///< processes that asked who leads, to tell them of a change
+    std::set<replica_id> m_behind; ///< members that were reported as behind
     boost::asio::steady_timer m_pass_timer;
     bool m_pass_due = false;
     bool m_stopping = false;
--- a/include/walkthread/fabric/leader_watch.hpp
+++ b/include/walkthread/fabric/leader_watch.hpp
@@ -52,6 +52,7 @@
     leader_watch_settings m_settings;
     std::set<std::string> m_known;
     std::string m_leader;
+    std::string m_last_other; ///< the last one asked besides the leader
     std::uint64_t m_term = 0;
     monotonic_time m_heard{};
     monotonic_time m_asked{};
--- a/include/walkthread/fabric/mesh.hpp
+++ b/include/walkthread/fabric/mesh.hpp
@@ -26,9 +26,11 @@
 {
   public:
     using handler = std::function<void(const std::string& from, mesh_message message)>;
+    /// Told when the connection to a peer comes up or goes down, with the reason.
+    using link_handler = std::function<void(const std::string& to, bool up, const std::string& reason)>;
 
     /// @param self what this process says of itself
-    mesh(boost::asio::io_context& loop, peer_greeting self, handler taker);
+    mesh(boost::asio::io_context& loop, peer_greeting self, handler taker, link_handler on_link);
     ~mesh();
     mesh(const mesh&) = delete;
     mesh& operator=(const mesh&) = delete;
--- a/include/walkthread/replication/replica.hpp
+++ b/include/walkthread/replication/replica.hpp
@@ -104,7 +104,7 @@
     /// @brief Adds a command to the log.
     /// @return the entry's index, or replication_code::not_leader or overloaded
     [[nodiscard]] result<log_index, replication_error> propose(std::string data, monotonic_time now);
-    /// @brief Adds a replica that does not vote until it is caught up.
+    /// @brief Adds a replica that does not vote until it is caught up; for a learner, changes what becomes of it.
     /// @param newcomer the learner; with `replaces` set, that voter is removed after the promotion
     /// @return or replication_code::not_leader, change_pending
     [[nodiscard]] result<done, replication_error> add_learner(learner newcomer, monotonic_time now);
@@ -173,6 +173,11 @@
     /// @brief Whether this replica surely is the only leader at `now` and has applied all that came before
     /// it. Rests on clocks whose speeds differ by at most `clock_drift`, not on their values.
     [[nodiscard]] bool holds_lease(monotonic_time now) const;
+    /// @brief When a follower last heard its leader.
+    [[nodiscard]] monotonic_time last_leader_contact() const
+    {
+        return m_last_leader_contact;
+    }
     /// @brief When a leader last heard a member; no value where unknown.
     [[nodiscard]] std::optional<monotonic_time> last_heard(const replica_id& member) const;
     /// @brief Entries that a member is behind; no value where unknown.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -285,12 +285,12 @@
                 const auto& tasks = owner.rounds[r].steps[s].tasks;
                 for (std::uint32_t i = 0; i < tasks.size(); ++i)
                 {
-                    worker_view* view = view_of(tasks[i].worker);
-                    if (tasks[i].state() != work_phase::active || view == nullptr)
+                    const run_ref run{{{id, round_id{r}, s}, i}, tasks[i].run};
+                    const worker_life* worker = m_state.find(tasks[i].worker);
+                    if (tasks[i].state() == work_phase::active && worker != nullptr && worker->occupied.contains(run))
                     {
-                        continue;
+                        send_stop(m_views[worker->id], run, now);
                     }
-                    send_stop(*view, run_ref{{{id, round_id{r}, s}, i}, tasks[i].run}, now);
                 }
             }
         }
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -220,6 +220,20 @@
     m_led_term = m_replica->group().core().term().value();
     note("leading", {}, {{"term", m_led_term}, {"workers", m_state.workers().size()}, {"submissions", m_state.submissions().size()}});
     m_dispatcher = std::make_unique<dispatcher>(m_state, m_times.dispatch, make_hooks(), m_log, m_led_term, now);
+    tell_leadership(now);
+}
+
+// Those that asked lately need not find out by themselves.
+void core_node::tell_leadership(monotonic_time now)
+{
+    const leader_note news = present_leader(now);
+    for (const auto& [asker, asked] : m_askers)
+    {
+        if (now - asked < m_times.asker_known)
+        {
+            m_mesh.send(asker, news);
+        }
+    }
 }
 
 void core_node::end_leading(std::string_view reason)
@@ -346,6 +360,7 @@
     }
     else if (auto* question = std::get_if<leader_question>(&message))
     {
+        m_askers[from] = now;
         m_mesh.send(from, present_leader(now));
         if (question->can_advise && m_dispatcher)
         {
@@ -383,13 +398,91 @@
         m_router.set_leader(m_watch.leader());
     }
     ask_to_join(now);
+    if (leads(now) && now - m_members_reviewed >= m_times.review_every)
+    {
+        m_members_reviewed = now;
+        review_members(now);
+        promote_standby(now);
+    }
+}
+
+void core_node::review_members(monotonic_time now)
+{
+    const replica& core = m_replica->group().core();
+    std::vector<replica_id> all = core.members().voters;
+    for (const learner& item : core.members().learners)
+    {
+        all.push_back(item.id);
+    }
+    for (const replica_id& member : all)
+    {
+        const auto heard = core.last_heard(member);
+        const auto lag = core.lag_of(member);
+        if (member == core.self() || !heard || !lag)
+        {
+            continue;
+        }
+        const bool behind = now - *heard > m_times.member_behind || *lag > m_times.lag_reported;
+        if (behind && m_behind.insert(member).second)
+        {
+            note("replica_behind", {}, {{"address", peer_address_of(member, port_of(m_settings.peer_address))}, {"silent_ms", now - *heard}, {"entries", *lag}});
+        }
+        else if (!behind && m_behind.erase(member) > 0)
+        {
+            note("replica_caught_up", {}, {{"address", peer_address_of(member, port_of(m_settings.peer_address))}});
+        }
+    }
+}
+
+replica_id core_node::silent_voter(monotonic_time now) const
+{
+    const replica& core = m_replica->group().core();
+    for (const replica_id& voter : core.members().voters)
+    {
+        const auto heard = core.last_heard(voter);
+        if (voter != core.self() && heard && now - *heard > m_times.voter_silent)
+        {
+            return voter;
+        }
+    }
+    return {};
+}
+
+// A standby that is caught up takes the place of a voter that is silent for long.
+void core_node::promote_standby(monotonic_time now)
+{
+    replica& core = m_replica->group().core();
+    const replica_id silent = silent_voter(now);
+    const auto& learners = core.members().learners;
+    const bool under_way = std::any_of(learners.begin(), learners.end(),
+                                       [](const learner& item)
+                                       {
+                                           return item.promote;
+                                       });
+    if (silent.node.value() == 0 || under_way)
+    {
+        return;
+    }
+    for (const learner& item : learners)
+    {
+        const auto heard = core.last_heard(item.id);
+        if (!heard || now - *heard > m_times.member_behind)
+        {
+            continue;
+        }
+        const bool begun = ok(core.add_learner(learner{item.id, true, silent}, now));
+        note("standby_promoted", {}, {{"address", peer_address_of(item.id, port_of(m_settings.peer_address))}, {"replaces", peer_address_of(silent, port_of(m_settings.peer_address))}, {"begun", begun}});
+        m_replica->pump();
+        return;
+    }
 }
 
 // A replica that is in no membership it knows of asks everybody; only the leader acts on it.
 void core_node::ask_to_join(monotonic_time now)
 {
     const replica& core = m_replica->group().core();
-    const bool served = core.members().is_member(core.self()) && core.leader().node.value() != 0;
+    const bool heard = core.role() == replica_role::leader || now - core.last_leader_contact() < m_times.member_behind;
+    const bool served = core.members().is_member(core.self()) && heard;
     if (served || m_stopping || now - m_join_asked < m_times.join_every)
     {
         return;
@@ -421,25 +514,13 @@
             return;
         }
     }
-    std::size_t replaced = 0;
-    for (const learner& item : members.learners)
-    {
-        replaced += item.promote ? 1 : 0;
-    }
     for (const replica_id& voter : members.voters)
     {
-        const auto heard = core.last_heard(voter);
-        const bool same_host = ip_part(voter) == ip_part(request.self); // its disk is gone for good
-        const bool silent = voter != core.self() && heard && now - *heard > m_times.voter_silent;
-        if (same_host || (silent && newcomer.replaces.node.value() == 0 && !newcomer.promote && replaced == 0))
+        if (ip_part(voter) == ip_part(request.self))
         {
-            newcomer.promote = true;
+            newcomer.promote = true; // the disk of that voter is gone for good
             newcomer.replaces = voter;
         }
-        if (same_host)
-        {
-            break;
-        }
     }
     const auto added = core.add_learner(newcomer, now);
     if (ok(added))
--- a/src/fabric/leader_watch.cpp
+++ b/src/fabric/leader_watch.cpp
@@ -54,7 +54,11 @@
     {
         return {m_known.begin(), m_known.end()};
     }
-    return {m_leader};
+    // One other, in turn, so that each of them knows whom to tell when it comes to lead.
+    auto other = m_known.upper_bound(m_last_other);
+    other = other == m_known.end() ? m_known.begin() : other;
+    m_last_other = *other;
+    return *other == m_leader ? std::vector<std::string>{m_leader} : std::vector<std::string>{m_leader, *other};
 }
 
 } // namespace walkthread
--- a/src/fabric/mesh.cpp
+++ b/src/fabric/mesh.cpp
@@ -29,6 +29,9 @@
 constexpr int user_timeout_ms = 1200;         // bytes unacknowledged for that long: the link is cut
 constexpr std::size_t most_queued_bytes = 8U << 20U; // a snapshot fits; beyond that the peer does not read
 constexpr std::size_t read_size = 16U << 10U;
+constexpr milliseconds answer_after{100};     // a receiver answers what came with one byte, at most that often
+constexpr milliseconds answer_patience{900};  // a link without an answer for that long is dead, whatever TCP says
+constexpr char answer_byte = '.';
 
 void prepare(tcp::socket& socket)
 {
@@ -43,8 +46,8 @@
     struct outgoing;
     struct incoming;
 
-    core(asio::io_context& io, peer_greeting greeting, handler to)
-        : loop(io), acceptor(io), self(std::move(greeting)), taker(std::move(to))
+    core(asio::io_context& io, peer_greeting greeting, handler to, link_handler link)
+        : loop(io), acceptor(io), self(std::move(greeting)), taker(std::move(to)), on_link(std::move(link))
     {
     }
 
@@ -54,6 +57,7 @@
     tcp::acceptor acceptor;
     peer_greeting self;
     handler taker;
+    link_handler on_link;
     std::map<std::string, std::shared_ptr<outgoing>> links;
     std::uint64_t sent = 0;
     std::uint64_t dropped = 0;
@@ -69,6 +73,11 @@
 
     void send(std::string frame)
     {
+        const auto now = std::chrono::steady_clock::now();
+        if (connected && unanswered && now - *unanswered > answer_patience)
+        {
+            lose(asio::error::make_error_code(asio::error::timed_out));
+        }
         if (queued + frame.size() > most_queued_bytes)
         {
             ++owner->dropped;
@@ -112,7 +121,7 @@
                                  self->connecting = false;
                                  if (failed || self->closed)
                                  {
-                                     self->lose();
+                                     self->lose(failed);
                                      return;
                                  }
                                  self->start();
@@ -122,6 +131,7 @@
     void start()
     {
         connected = true;
+        owner->on_link(to, true, {});
         prepare(socket);
         std::string hello = make_frame(encode(mesh_message{owner->self}));
         queued += hello.size();
@@ -130,22 +140,33 @@
         write();
     }
 
-    // The peer never writes here; a read ends when the connection does.
+    // The peer writes nothing but its answers here.
     void watch()
     {
         socket.async_read_some(asio::buffer(scrap),
                                [self = shared_from_this(), life = life](error_code failed, std::size_t /*bytes*/)
                                {
-                                   if (failed && life == self->life)
+                                   if (life != self->life)
+                                   {
+                                       return;
+                                   }
+                                   if (failed)
                                    {
-                                       self->lose();
+                                       self->lose(failed);
+                                       return;
                                    }
+                                   self->unanswered.reset();
+                                   self->watch();
                                });
     }
 
     void write()
     {
         writing = true;
+        if (!unanswered)
+        {
+            unanswered = std::chrono::steady_clock::now();
+        }
         batch.clear();
         while (!queue.empty())
         {
@@ -164,7 +185,7 @@
                               self->writing = false;
                               if (failed)
                               {
-                                  self->lose();
+                                  self->lose(failed);
                               }
                               else if (!self->queue.empty())
                               {
@@ -174,11 +195,16 @@
     }
 
     // What was queued is old by the time of a new connection: who needs it sends it again.
-    void lose()
+    void lose(error_code why)
     {
         ++life;
+        if (connected && !owner->closed)
+        {
+            owner->on_link(to, false, why.message());
+        }
         connected = false;
         writing = false;
+        unanswered.reset();
         owner->dropped += queue.size();
         queue.clear();
         queued = 0;
@@ -217,6 +243,7 @@
     std::size_t queued = 0;
     std::string batch;
     std::array<char, 16> scrap{};
+    std::optional<std::chrono::steady_clock::time_point> unanswered; ///< the first write since the last answer
     std::uint64_t life = 0;
     bool connected = false;
     bool connecting = false;
@@ -226,10 +253,32 @@
 
 struct mesh::core::incoming : std::enable_shared_from_this<incoming>
 {
-    incoming(std::shared_ptr<core> parent, tcp::socket accepted) : owner(std::move(parent)), socket(std::move(accepted))
+    incoming(std::shared_ptr<core> parent, tcp::socket accepted)
+        : owner(std::move(parent)), socket(std::move(accepted)), timer(owner->loop)
     {
     }
 
+    // Tells the sender that the link lives; it cannot trust TCP alone where a cut is one way.
+    void answer_soon()
+    {
+        if (answering)
+        {
+            return;
+        }
+        answering = true;
+        timer.expires_after(answer_after);
+        timer.async_wait(
+            [self = shared_from_this()](error_code cancelled)
+            {
+                self->answering = false;
+                if (!cancelled && !self->owner->closed && self->socket.is_open())
+                {
+                    asio::async_write(self->socket, asio::buffer(&answer_byte, 1),
+                                      [self](error_code /*failed*/, std::size_t /*bytes*/) {}); // the read ends too
+                }
+            });
+    }
+
     void read()
     {
         buffer.resize(read_size);
@@ -239,12 +288,16 @@
                                    if (!failed && self->take({self->buffer.data(), bytes}))
                                    {
                                        self->read();
+                                       return;
                                    }
+                                   error_code ignored; // it may be closed already
+                                   self->socket.close(ignored);
                                });
     }
 
     bool take(std::string_view bytes)
     {
+        answer_soon();
         reader.feed(bytes);
         for (;;)
         {
@@ -277,8 +330,10 @@
     std::shared_ptr<core> owner;
     tcp::socket socket;
     std::string buffer;
+    asio::steady_timer timer;
     frame_reader reader;
     std::string from;
+    bool answering = false;
 };
 
 void mesh::core::accept()
@@ -299,8 +354,8 @@
         });
 }
 
-mesh::mesh(asio::io_context& loop, peer_greeting self, handler taker)
-    : m_core(std::make_shared<core>(loop, std::move(self), std::move(taker)))
+mesh::mesh(asio::io_context& loop, peer_greeting self, handler taker, link_handler on_link)
+    : m_core(std::make_shared<core>(loop, std::move(self), std::move(taker), std::move(on_link)))
 {
 }
 
--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -92,7 +92,13 @@
     {
         return replication_error{replication_code::not_leader, "This replica does not lead the group."};
     }
-    if (m_members.is_member(newcomer.id))
+    const auto known = std::find_if(m_members.learners.begin(), m_members.learners.end(),
+                                    [&newcomer](const learner& item)
+                                    {
+                                        return item.id == newcomer.id;
+                                    });
+    const bool learns = known != m_members.learners.end();
+    if (learns ? *known == newcomer : m_members.is_voter(newcomer.id))
     {
         return done{};
     }
@@ -101,6 +107,11 @@
         return replication_error{replication_code::change_pending, "Another membership change is pending."};
     }
     membership next = m_members;
+    std::erase_if(next.learners,
+                  [&newcomer](const learner& item)
+                  {
+                      return item.id == newcomer.id;
+                  });
     next.learners.push_back(newcomer);
     change_members(next, now);
     return done{};
