Cheaper passes at 350 workers

Change: one row a worker and pass; steps look only at workers whose tickets count; leases, retries and stuck runs are looked at every 50 ms; fruitless questions and reservations wait before the next try.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <walkthread/dispatch/advice_book.hpp>
@@ -85,6 +86,14 @@
         std::vector<worker_life_id> hosts;
         bool missed{}; ///< the gang was late already
     };
+    /// A worker during one pass.
+    struct host_row
+    {
+        const worker_life* worker{};
+        const worker_view* view{};
+        resources free{};
+        bool usable{};
+    };
     /// A worker that a step's tasks may go to.
     struct offer
     {
@@ -105,6 +114,7 @@
 
     // dispatcher.cpp: the pass, order
     void sync_views(monotonic_time now);
+    void tidy(monotonic_time now, wall_ms wall);
     [[nodiscard]] std::vector<candidate> order_candidates(monotonic_time now, wall_ms wall);
     void forget_old(wall_ms wall);
     void stop_unwanted(monotonic_time now);
@@ -117,15 +127,17 @@
     void place(const candidate& item, monotonic_time now);
     void place_each(const candidate& item, monotonic_time now);
     void place_gang(const candidate& item, monotonic_time now);
-    [[nodiscard]] bool allowed(const candidate& item, const worker_life& worker, const worker_view& view,
-                               monotonic_time now) const;
+    void prepare_rows(monotonic_time now);
+    [[nodiscard]] bool allowed(const candidate& item, const host_row& row) const;
     [[nodiscard]] std::string ticket_for(const candidate& item, worker_life_id worker, monotonic_time now);
     [[nodiscard]] resources free_room(const worker_life& worker, const worker_view& view) const;
     [[nodiscard]] std::uint32_t slots(const candidate& item, const resources& room) const;
     [[nodiscard]] std::uint32_t waiting_tasks(const candidate& item) const;
     [[nodiscard]] std::map<worker_life_id, std::uint32_t> spread(const candidate& item) const;
-    [[nodiscard]] std::set<worker_life_id> failed_before(const candidate& item, monotonic_time now);
+    [[nodiscard]] std::set<worker_life_id> failed_before(const candidate& item);
+    [[nodiscard]] offer make_offer(const candidate& item, const host_row& row, monotonic_time now);
     [[nodiscard]] std::vector<offer> find_offers(const candidate& item, monotonic_time now);
+    [[nodiscard]] std::vector<offer> find_open_offers(const candidate& item, monotonic_time now);
     [[nodiscard]] bool keeps_large_slots(const resources& room, const resources& need) const;
     void learn_large_task(const candidate& item);
 
@@ -143,7 +155,7 @@
                              monotonic_time now);
     [[nodiscard]] bool may_preempt(const candidate& item, const run_ref& run, const run_view& known) const;
     [[nodiscard]] bool surely_good(const candidate& item, worker_life_id worker);
-    [[nodiscard]] bool reserved_from(const candidate& item, worker_life_id worker) const;
+    [[nodiscard]] bool reserved_from(const candidate& item, const host_row& row) const;
 
     // dispatcher_workers.cpp: looks, orders, ends
     void look_at_all(monotonic_time now);
@@ -179,11 +191,16 @@
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< answers after the end of the term find it gone
 
     std::map<worker_life_id, worker_view> m_views;
+    std::uint64_t m_synced_version = 0;
+    monotonic_time m_tidy_due{};
     std::map<task_ref, worker_life_id> m_planned; ///< starts that wait for their commit
     advice_book m_advice;
     objective_book m_objectives;
     std::map<worker_life_id, step_ref> m_reserved; ///< hosts kept free for a gang
     std::map<step_ref, reservation> m_reservations; ///< the same by gang
+    std::vector<host_row> m_rows; ///< of this pass
+    std::unordered_map<worker_life_id, std::size_t> m_row_of;
+    std::map<step_ref, monotonic_time> m_reserve_after;
     std::map<step_ref, monotonic_time> m_preempted; ///< when runs were last stopped for a step
     resources m_large_task{};                       ///< about what a task of a gang takes
     std::set<std::string> m_joining; ///< lives whose admission is proposed
--- a/include/walkthread/workload/workload_state.hpp
+++ b/include/walkthread/workload/workload_state.hpp
@@ -75,6 +75,11 @@
     {
         return m_workers;
     }
+    /// @brief Rises whenever a worker's life is admitted or dropped.
+    [[nodiscard]] std::uint64_t workers_version() const
+    {
+        return m_workers_version;
+    }
     /// @brief Steps with waiting tasks whose dependencies are done, in no order of urgency.
     [[nodiscard]] const std::set<step_ref>& ready() const
     {
@@ -145,6 +150,7 @@
     std::uint32_t m_next_worker = 1;
 
     // Indexes over the above; not saved.
+    std::uint64_t m_workers_version = 1;
     std::map<std::string, worker_life_id> m_by_life;
     std::map<std::string, worker_life_id> m_by_host;
     std::set<step_ref> m_ready;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -12,6 +12,7 @@
 {
 constexpr std::size_t forget_at_once = 200;       // bounds one log entry
 constexpr std::size_t most_failed_placements = 60; // per pass: behind so many that do not fit, little does
+constexpr duration tidy_every = milliseconds(50); // a fifth of the shortest retry
 constexpr duration idle_pass = milliseconds(100); // leases, retries and due times are looked at that often
 } // namespace
 
@@ -43,6 +44,11 @@
 // Views follow the replicated state: new lives get one, dropped lives lose theirs.
 void dispatcher::sync_views(monotonic_time now)
 {
+    if (m_synced_version == m_state.workers_version())
+    {
+        return;
+    }
+    m_synced_version = m_state.workers_version();
     std::erase_if(m_views,
                   [this](const auto& item)
                   {
@@ -163,13 +169,13 @@
 {
     m_wall = wall;
     sync_views(now);
-    drop_lost(now);
-    look_at_all(now);
-    retry_orders(now);
-    watch_runs(now);
+    if (now >= m_tidy_due)
+    {
+        m_tidy_due = now + tidy_every;
+        tidy(now, wall);
+    }
     stop_unwanted(now);
-    advance_waves(now, wall);
-    review_reservations(now);
+    prepare_rows(now);
     std::size_t failed = 0;
     for (const candidate& item : order_candidates(now, wall))
     {
@@ -181,6 +187,17 @@
             break;
         }
     }
+}
+
+// What need not be looked at after every answer.
+void dispatcher::tidy(monotonic_time now, wall_ms wall)
+{
+    drop_lost(now);
+    look_at_all(now);
+    retry_orders(now);
+    watch_runs(now);
+    advance_waves(now, wall);
+    review_reservations(now);
     forget_old(wall);
 }
 
@@ -252,11 +269,12 @@
         {
             return m_state.ready().contains(ref);
         });
-    std::erase_if(m_preempted,
-                  [this](const auto& item)
-                  {
-                      return !m_state.ready().contains(item.first);
-                  });
+    const auto over = [this](const auto& item)
+    {
+        return !m_state.ready().contains(item.first);
+    };
+    std::erase_if(m_preempted, over);
+    std::erase_if(m_reserve_after, over);
     if (command.ids.empty())
     {
         return;
@@ -305,6 +323,7 @@
     for (const planned_start& planned : starts)
     {
         m_views[planned.worker].planned += room;
+        m_rows[m_row_of.at(planned.worker)].free -= room;
         m_planned[planned.task] = planned.worker;
     }
     note(now, "starts_planned", name_of(item.ref),
--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -63,6 +63,7 @@
         const double weight = o.slots > 0 ? certainty * o.slots : certainty * o.whole * full_worker_weight;
         offers.push_back({id, o.slots, seen, weight});
     }
+    known.ask_after = now + m_settings.advice_gap; // also where there is nothing to ask: little changes until then
     if (enough >= need)
     {
         return;
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -73,29 +73,41 @@
     return out;
 }
 
-bool dispatcher::reserved_from(const candidate& item, worker_life_id worker) const
+bool dispatcher::reserved_from(const candidate& item, const host_row& row) const
 {
-    const auto found = m_reserved.find(worker);
+    const auto found = m_reserved.find(row.worker->id);
     if (found == m_reserved.end() || found->second == item.ref || item.urgent() || item.step->lasting)
     {
         return false;
     }
-    const resources room = free_room(*m_state.find(worker), m_views.at(worker));
-    return item.step->gang || !keeps_large_slots(room, room_of(*item.step));
+    return item.step->gang || !keeps_large_slots(row.free, room_of(*item.step));
 }
 
-bool dispatcher::allowed(const candidate& item, const worker_life& worker, const worker_view& view,
-                         monotonic_time now) const
+// One row a worker for this pass, so that steps do not look everything up again.
+void dispatcher::prepare_rows(monotonic_time now)
 {
-    if (worker.facts.pool != item.owner->pool || !view.usable(now, m_settings) || reserved_from(item, worker.id))
+    m_rows.clear();
+    m_row_of.clear();
+    m_rows.reserve(m_state.workers().size());
+    for (const auto& [id, worker] : m_state.workers())
     {
-        return false;
+        host_row row;
+        row.worker = &worker;
+        row.view = &m_views.at(id);
+        row.free = free_room(worker, *row.view);
+        row.usable = row.view->usable(now, m_settings) && !m_upkeep_hosts.contains(worker.facts.host);
+        m_row_of.emplace(id, m_rows.size());
+        m_rows.push_back(row);
     }
-    if (m_upkeep_hosts.contains(worker.facts.host))
+}
+
+bool dispatcher::allowed(const candidate& item, const host_row& row) const
+{
+    if (!row.usable || row.worker->facts.pool != item.owner->pool || reserved_from(item, row))
     {
         return false;
     }
-    const auto& labels = worker.facts.labels;
+    const auto& labels = row.worker->facts.labels;
     const std::string& required = item.step->required_label;
     return required.empty() || std::find(labels.begin(), labels.end(), required) != labels.end();
 }
@@ -115,6 +127,14 @@
 
 void dispatcher::place(const candidate& item, monotonic_time now)
 {
+    if (item.queue != nullptr && item.queue->advised)
+    {
+        const step_advice& known = m_advice.of(item.ref);
+        if (known.in_flight && known.entries.empty())
+        {
+            return; // nothing is known yet, and the question is on its way
+        }
+    }
     if (item.step->gang)
     {
         place_gang(item, now);
@@ -126,7 +146,7 @@
 }
 
 // Workers that failed this step before are left out, as long as others may take it.
-std::set<worker_life_id> dispatcher::failed_before(const candidate& item, monotonic_time now)
+std::set<worker_life_id> dispatcher::failed_before(const candidate& item)
 {
     const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
     std::set<worker_life_id> failed;
@@ -144,41 +164,81 @@
     const bool advised = item.queue != nullptr && item.queue->advised;
     const step_advice& known = m_advice.of(item.ref);
     double others = 0;
-    for (const auto& [id, worker] : m_state.workers())
+    for (const host_row& row : m_rows)
     {
+        const worker_life_id id = row.worker->id;
         const auto entry = known.entries.find(id);
         const bool bad = advised && entry != known.entries.end() && !entry->second.good;
-        if (!bad && !failed.contains(id) && allowed(item, worker, m_views[id], now))
+        if (!bad && !failed.contains(id) && allowed(item, row))
         {
             const bool sure = !advised || entry != known.entries.end();
-            others += (sure ? 1.0 : m_advice.good_share(item.owner->queue)) * slots(item, worker.facts.size);
+            others += (sure ? 1.0 : m_advice.good_share(item.owner->queue)) * slots(item, row.worker->facts.size);
         }
     }
     const double need = item.step->gang ? item.step->count : 1;
     return others >= need * 2 ? failed : std::set<worker_life_id>{};
 }
 
+dispatcher::offer dispatcher::make_offer(const candidate& item, const host_row& row, monotonic_time now)
+{
+    offer o;
+    o.worker = row.worker;
+    o.room = row.free;
+    o.slots = slots(item, row.free);
+    o.whole = slots(item, row.worker->facts.size);
+    const auto& labels = row.worker->facts.labels;
+    o.near = !item.step->preferred_rack.empty() &&
+             std::find(labels.begin(), labels.end(), item.step->preferred_rack) != labels.end();
+    o.ticket = ticket_for(item, row.worker->id, now);
+    o.speed = row.view->speed;
+    return o;
+}
+
+// All workers that may ever take the step, as far as is known.
 std::vector<dispatcher::offer> dispatcher::find_offers(const candidate& item, monotonic_time now)
 {
-    const std::set<worker_life_id> failed = failed_before(item, now);
+    const std::set<worker_life_id> failed = failed_before(item);
     std::vector<offer> offers;
-    for (const auto& [id, worker] : m_state.workers())
+    offers.reserve(m_rows.size());
+    for (const host_row& row : m_rows)
     {
-        worker_view& view = m_views[id];
-        if (failed.contains(id) || !allowed(item, worker, view, now))
+        if (allowed(item, row) && !failed.contains(row.worker->id))
         {
-            continue;
+            offers.push_back(make_offer(item, row, now));
+        }
+    }
+    return offers;
+}
+
+// Those that can take a task of the step now: room, and a ticket where one is needed.
+std::vector<dispatcher::offer> dispatcher::find_open_offers(const candidate& item, monotonic_time now)
+{
+    std::vector<offer> offers;
+    const std::set<worker_life_id> failed = failed_before(item);
+    const auto take = [&](const host_row& row)
+    {
+        if (!allowed(item, row) || failed.contains(row.worker->id))
+        {
+            return;
+        }
+        offer o = make_offer(item, row, now);
+        if (o.slots > 0 && !o.ticket.empty())
+        {
+            offers.push_back(std::move(o));
+        }
+    };
+    if (item.queue == nullptr || !item.queue->advised)
+    {
+        std::for_each(m_rows.begin(), m_rows.end(), take);
+        return offers;
+    }
+    for (const auto& [id, entry] : m_advice.of(item.ref).entries)
+    {
+        const auto row = m_row_of.find(id);
+        if (row != m_row_of.end() && advice_book::usable(entry, now, m_settings.ticket_margin))
+        {
+            take(m_rows[row->second]);
         }
-        offer o;
-        o.worker = &worker;
-        o.room = free_room(worker, view);
-        o.slots = slots(item, o.room);
-        o.whole = slots(item, worker.facts.size);
-        const auto& labels = worker.facts.labels;
-        o.near = std::find(labels.begin(), labels.end(), item.step->preferred_rack) != labels.end();
-        o.ticket = ticket_for(item, id, now);
-        o.speed = view.speed;
-        offers.push_back(std::move(o));
     }
     return offers;
 }
@@ -211,12 +271,7 @@
 {
     const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
     std::map<worker_life_id, std::uint32_t> used = spread(item);
-    std::vector<offer> offers = find_offers(item, now);
-    std::erase_if(offers,
-                  [](const offer& o)
-                  {
-                      return o.ticket.empty() || o.slots == 0;
-                  });
+    std::vector<offer> offers = find_open_offers(item, now);
     const resources need = room_of(*item.step);
     for (offer& o : offers)
     {
@@ -285,12 +340,7 @@
         return;
     }
     learn_large_task(item);
-    std::vector<offer> offers = find_offers(item, now);
-    std::erase_if(offers,
-                  [](const offer& o)
-                  {
-                      return o.ticket.empty() || o.slots == 0;
-                  });
+    std::vector<offer> offers = find_open_offers(item, now);
     std::map<std::string, std::uint32_t> by_rack;
     std::uint32_t sum = 0;
     for (const offer& o : offers)
--- a/src/dispatch/dispatcher_preempt.cpp
+++ b/src/dispatch/dispatcher_preempt.cpp
@@ -11,6 +11,7 @@
 
 namespace
 {
+constexpr duration reserve_gap = milliseconds(50); // between two attempts for one gang: each looks at all hosts
 constexpr double stop_ms = 500; // a stop takes up to 400 ms, and its end has to be seen
 constexpr double least_left_ms = 700; // a run that ends sooner is waited for: a stop takes up to 400 ms
 constexpr duration preempt_gap = milliseconds(600); // for one step: a stop, its end, and the commit of both
@@ -56,10 +57,12 @@
                                                      {
                                                          return other.second.missed;
                                                      });
-    if (m_reservations.contains(item.ref) || m_reservations.size() >= m_settings.most_reservations || late_one)
+    monotonic_time& again = m_reserve_after[item.ref];
+    if (m_reservations.contains(item.ref) || m_reservations.size() >= m_settings.most_reservations || late_one || now < again)
     {
         return;
     }
+    again = now + reserve_gap;
     std::vector<offer> offers = find_offers(item, now);
     std::erase_if(offers,
                   [this, &item](const offer& o)
@@ -183,6 +186,7 @@
     {
         return;
     }
+    m_preempted[item.ref] = now;
     const resources room = room_of(*item.step);
     std::uint32_t found = 0;
     std::vector<offer> offers = find_offers(item, now);
@@ -201,10 +205,6 @@
         }
         found += preempt_on(item, o, room, need - found, now);
     }
-    if (found > 0)
-    {
-        m_preempted[item.ref] = now;
-    }
 }
 
 // Stops lesser runs on one host until `need` tasks of the step fit, if that can be reached.
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -42,7 +42,7 @@
 void dispatcher::look_at(worker_view& view, monotonic_time now)
 {
     const worker_life* worker = m_state.find(view.id);
-    if (worker == nullptr)
+    if (worker == nullptr || view.gone)
     {
         return;
     }
@@ -93,6 +93,10 @@
     take_runs(*view, answer, now);
     take_ends(*view, answer, sent, now);
     view->answered = true;
+    if (!view->recording)
+    {
+        look_at(*view, now);
+    }
     m_hooks.wake();
 }
 
@@ -184,7 +188,6 @@
                             return;
                         }
                         later->recording = false;
-                        later->look_due = m_hooks.now();
                         for (const observed_end& end : command.ends)
                         {
                             if (committed)
@@ -192,6 +195,10 @@
                                 later->runs.erase(end.run);
                             }
                         }
+                        if (!later->look_in_flight)
+                        {
+                            look_at(*later, m_hooks.now());
+                        }
                         m_hooks.wake();
                     });
 }
--- a/src/workload/workload_state.cpp
+++ b/src/workload/workload_state.cpp
@@ -236,6 +236,7 @@
     {
         drop(at, before->second);
     }
+    ++m_workers_version;
     const worker_life_id id{m_next_worker++};
     worker_life& worker = m_workers[id];
     worker.id = id;
@@ -542,6 +543,7 @@
     {
         return;
     }
+    ++m_workers_version;
     const auto occupied = found->second.occupied;
     for (const auto& [run, room] : occupied)
     {
@@ -618,6 +620,7 @@
 
 void workload_state::rebuild_indexes()
 {
+    ++m_workers_version;
     m_by_life.clear();
     m_by_host.clear();
     m_ready.clear();
--- /dev/null
+++ b/tests/src/pool_stand_in.hpp
@@ -0,0 +1,685 @@
+#pragma once
+
+// A small stand-in of workers, of the placement advisor and of the replicated log, in virtual time, for the real
+// dispatcher and the real replicated state. Invariants are checked at every start.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <walkthread/dispatch/dispatcher.hpp>
+#include <walkthread/workload/names.hpp>
+
+namespace walkthread::test
+{
+
+// What a worker does wrong.
+struct worker_faults
+{
+    bool dark = false;        // answers nothing; what runs goes on until its lease ends
+    double late = 0.0;        // share of starts that get no answer and are carried out 2 to 12 s later
+    double refuse = 0.0;      // share of starts that are refused, nothing done
+    bool fails_all = false;   // every run fails after 100 ms
+    bool stands_still = false; // runs never end
+};
+
+struct pool_settings
+{
+    std::size_t workers = 8;
+    resources size{16000, 65536, 0, 0};
+    duration commit = milliseconds(10);
+    duration way = milliseconds(1);
+    double good_share = 0.5;
+    std::uint64_t seed = 1;
+    bool log_lines = false;
+};
+
+class pool_stand_in
+{
+  public:
+    explicit pool_stand_in(pool_settings settings) : m_settings(settings), m_random(settings.seed)
+    {
+        catalogue held;
+        held.version = 1;
+        held.pools.push_back({"pool", false, false});
+        for (const auto& [name, priority, advised] : {std::tuple{"urgent", 0, true}, {"gangs", 1, true}, {"batch", 2, true}, {"plain", 1, false}})
+        {
+            queue_spec queue;
+            queue.name = name;
+            queue.host = "example";
+            queue.path_prefix = std::string("/") + name + "/";
+            queue.timeout_ms = 3000;
+            queue.target_latency_ms = 1000;
+            queue.stretch = 2.0;
+            queue.priority = priority;
+            queue.pool = "pool";
+            queue.max_attempts = 2;
+            queue.advised = advised;
+            queue.advice = {10.0, 0.2, 1500};
+            held.queues.push_back(queue);
+        }
+        commit(replace_catalogue{held});
+        for (std::size_t i = 0; i < settings.workers; ++i)
+        {
+            add_worker("w" + std::to_string(i), "h" + std::to_string(i));
+        }
+    }
+
+    // -----------------------------------------------------------------------------------------------------
+    // Driving
+    // -----------------------------------------------------------------------------------------------------
+
+    // A leader of a new term takes over; the old one, if any, is gone.
+    void lead()
+    {
+        m_leader.reset();
+        ++m_term;
+        m_leader = std::make_unique<dispatcher>(m_state, dispatch_settings{}, hooks(), m_log, m_term, m_now);
+        for (auto& [life, worker] : m_workers)
+        {
+            report(life, worker.draining);
+        }
+        m_pass_due = false;
+        wake();
+    }
+    void unlead()
+    {
+        m_leader.reset();
+    }
+    void run(duration span)
+    {
+        const monotonic_time end = m_now + span;
+        while (!m_events.empty() && m_events.top().at <= end)
+        {
+            auto work = m_events.top().work;
+            m_now = std::max(m_now, m_events.top().at);
+            m_events.pop();
+            work();
+        }
+        m_now = end;
+    }
+    void report(const std::string& life, bool draining, std::int64_t remaining_ms = 3000)
+    {
+        sim_worker& worker = m_workers[life];
+        worker.draining = draining;
+        worker_report out;
+        out.facts = worker.facts;
+        out.draining = draining;
+        out.remaining_ms = remaining_ms;
+        out.clock_ms = clock_of(worker);
+        out.sequence = ++worker.sequence;
+        m_leader->take_report(out, m_now, [](bool /*counted*/) {});
+    }
+    void add_worker(const std::string& life, const std::string& host)
+    {
+        sim_worker& worker = m_workers[life];
+        worker.facts = {life, host, life + ":1", "pool", "hall", {"kind", "rack" + std::to_string(m_workers.size() / 8)}, m_settings.size};
+        if (m_leader)
+        {
+            report(life, false);
+        }
+    }
+    // The worker's process dies; another life comes on the same host.
+    void crash(const std::string& life, const std::string& next)
+    {
+        const std::string host = m_workers[life].facts.host;
+        m_workers[life].gone = true;
+        m_workers[life].running.clear();
+        add_worker(next, host);
+    }
+    submission_id submit(const std::string& queue, std::vector<step_spec> steps)
+    {
+        keep_submission command;
+        command.id = submission_id{++m_next_id};
+        command.queue = queue;
+        command.spec.payload = "text";
+        command.spec.steps = std::move(steps);
+        const submission_id id = command.id;
+        at(m_settings.commit,
+           [this, command]
+           {
+               m_last_result = commit(command);
+               wake();
+           });
+        return id;
+    }
+    void cancel(submission_id id)
+    {
+        const submission* known = m_state.find(id);
+        commit(cancel_submission{id, known->queue});
+        wake();
+    }
+    [[nodiscard]] submission_phase phase(submission_id id) const
+    {
+        const submission* known = m_state.find(id);
+        return known == nullptr ? submission_phase::queued : known->state();
+    }
+
+    worker_faults& faults(const std::string& life)
+    {
+        return m_workers[life].faults;
+    }
+    workload_state& state()
+    {
+        return m_state;
+    }
+    dispatcher& leader()
+    {
+        return *m_leader;
+    }
+    [[nodiscard]] monotonic_time now() const
+    {
+        return m_now;
+    }
+    [[nodiscard]] const std::vector<std::string>& broken() const
+    {
+        return m_broken;
+    }
+    [[nodiscard]] std::size_t starts_of(const task_ref& task) const
+    {
+        const auto found = m_starts.find(task);
+        return found == m_starts.end() ? 0 : found->second;
+    }
+    [[nodiscard]] std::size_t starts_on(const std::string& life) const
+    {
+        const auto found = m_workers.find(life);
+        return found == m_workers.end() ? 0 : found->second.starts;
+    }
+    [[nodiscard]] std::size_t running_on(const std::string& life) const
+    {
+        return m_workers.at(life).running.size();
+    }
+    [[nodiscard]] std::size_t passes() const
+    {
+        return m_passes;
+    }
+    std::set<submission_id> always_fails; // runs of these fail
+
+  private:
+    struct sim_run
+    {
+        monotonic_time ends{};
+        bool fails{};
+        std::int64_t length_ms{};
+        monotonic_time began{};
+    };
+    struct sim_worker
+    {
+        worker_facts facts;
+        worker_faults faults;
+        bool gone = false;
+        bool draining = false;
+        std::uint64_t fence = 0;
+        std::uint64_t sequence = 0;
+        std::uint64_t next_end = 1;
+        std::int64_t lease_until = 0;
+        std::map<run_ref, sim_run> running;
+        std::map<task_ref, std::uint32_t> highest; // runs stopped or ended there
+        std::vector<listed_end> ended;
+        std::function<void(const look_answer&)> waiting_look;
+        std::uint64_t look_number = 0;
+        std::size_t starts = 0;
+    };
+    struct event
+    {
+        monotonic_time at{};
+        std::uint64_t order{};
+        std::function<void()> work;
+        bool operator<(const event& other) const
+        {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
+    };
+
+    void at(duration in, std::function<void()> work)
+    {
+        m_events.push({m_now + in, ++m_order, std::move(work)});
+    }
+    workload_result commit(const workload_command& command)
+    {
+        return m_state.apply(wall(), command);
+    }
+    [[nodiscard]] wall_ms wall() const
+    {
+        return 1'700'000'000'000 + std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count();
+    }
+    [[nodiscard]] std::int64_t clock_of(const sim_worker& /*worker*/) const
+    {
+        return 5000 + std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count();
+    }
+    void wake()
+    {
+        if (m_pass_due || !m_leader)
+        {
+            return;
+        }
+        m_pass_due = true;
+        at(milliseconds(2),
+           [this, term = m_term]
+           {
+               if (!m_leader || term != m_term)
+               {
+                   return;
+               }
+               m_pass_due = false;
+               ++m_passes;
+               m_leader->pass(m_now, wall());
+               at(milliseconds(100),
+                  [this]
+                  {
+                      wake();
+                  });
+           });
+    }
+
+    dispatch_hooks hooks()
+    {
+        dispatch_hooks out;
+        out.now = [this]
+        {
+            return m_now;
+        };
+        out.wake = [this]
+        {
+            wake();
+        };
+        out.propose = [this](const workload_command& command, const std::function<void(bool)>& handler)
+        {
+            at(m_settings.commit,
+               [this, command, handler, term = m_term]
+               {
+                   const bool leads = m_leader && term == m_term;
+                   if (leads)
+                   {
+                       commit(command);
+                   }
+                   handler(leads);
+               });
+        };
+        out.look = [this](const look_order& order, const std::function<void(const look_answer&)>& handler)
+        {
+            at(m_settings.way,
+               [this, order, handler]
+               {
+                   take_look(order, handler);
+               });
+        };
+        out.start = [this](const start_task_order& order, const std::function<void(const order_answer&)>& handler)
+        {
+            at(m_settings.way,
+               [this, order, handler]
+               {
+                   take_start(order, handler, false);
+               });
+        };
+        out.stop = [this](const stop_task_order& order, const std::function<void(const order_answer&)>& handler)
+        {
+            at(m_settings.way,
+               [this, order, handler]
+               {
+                   take_stop(order, handler);
+               });
+        };
+        out.pace = [](const pace_task_order&, const std::function<void(const order_answer&)>& handler)
+        {
+            handler({order_outcome::accepted, {}});
+        };
+        out.advise = [this](const advice_question& question, bool, const std::function<void(const advice_answer&)>& handler)
+        {
+            const duration took = milliseconds(10) + question.lives.size() * duration(200);
+            at(took,
+               [this, question, handler, took]
+               {
+                   advice_answer answer;
+                   answer.answered = true;
+                   answer.took = took;
+                   for (const std::string& life : question.lives)
+                   {
+                       if (is_good(question.step, life))
+                       {
+                           m_tickets[{question.step, life}] = m_now - took + milliseconds(1500);
+                           answer.good.push_back({life, "t"});
+                       }
+                   }
+                   handler(answer);
+               });
+        };
+        out.order_upkeep = [](const std::string&, std::uint64_t, std::uint64_t, const std::function<void(const order_answer&)>& handler)
+        {
+            handler({order_outcome::accepted, {}});
+        };
+        return out;
+    }
+
+    [[nodiscard]] bool is_good(const step_ref& step, const std::string& life) const
+    {
+        const std::size_t mixed = std::hash<std::string>{}(name_of(step) + m_workers.at(life).facts.host);
+        return static_cast<double>(mixed % 1000U) < m_settings.good_share * 1000.0;
+    }
+    void answer_later(const std::function<void(const order_answer&)>& handler, order_answer answer)
+    {
+        at(m_settings.way,
+           [handler, answer]
+           {
+               handler(answer);
+           });
+    }
+    static constexpr milliseconds order_patience{600};
+
+    void take_start(const start_task_order& order, const std::function<void(const order_answer&)>& handler, bool late)
+    {
+        sim_worker* worker = find(order.to.life);
+        if (worker == nullptr)
+        {
+            at(order_patience, [handler] { handler({order_outcome::unanswered, {}}); });
+            return;
+        }
+        if (!late && unit() < worker->faults.late)
+        {
+            at(order_patience, [handler] { handler({order_outcome::unanswered, {}}); });
+            at(milliseconds(2000 + static_cast<int>(unit() * 10000)),
+               [this, order]
+               {
+                   take_start(order, [](const order_answer&) {}, true);
+               });
+            return;
+        }
+        answer_later(handler, {do_start(*worker, order), clock_of(*worker)});
+    }
+    order_outcome do_start(sim_worker& worker, const start_task_order& order)
+    {
+        if (order.to.fence < worker.fence)
+        {
+            return order_outcome::fenced;
+        }
+        worker.fence = order.to.fence;
+        worker.lease_until = std::max(worker.lease_until, order.until_ms);
+        if (worker.running.contains(order.run))
+        {
+            return order_outcome::accepted;
+        }
+        const auto highest = worker.highest.find(order.run.task);
+        if (highest != worker.highest.end() && order.run.run <= highest->second)
+        {
+            return order_outcome::outdated;
+        }
+        if (order.until_ms < clock_of(worker))
+        {
+            return order_outcome::late;
+        }
+        if (unit() < worker.faults.refuse)
+        {
+            return order_outcome::unhealthy;
+        }
+        const submission* owner = m_state.find(order.run.task.step.submission);
+        const queue_spec* queue = find_queue_by_name(*m_state.held_catalogue(), owner->queue);
+        const auto ticket = m_tickets.find({order.run.task.step, order.to.life});
+        if (queue->advised && (ticket == m_tickets.end() || ticket->second < m_now))
+        {
+            return order_outcome::bad_ticket;
+        }
+        begin(worker, order, *owner);
+        return order_outcome::accepted;
+    }
+    void begin(sim_worker& worker, const start_task_order& order, const submission& owner)
+    {
+        const run_ref run = order.run;
+        const step_spec& step = owner.spec.steps[run.task.step.step];
+        check_start(worker, run, step, owner);
+        ++m_starts[run.task];
+        ++worker.starts;
+        sim_run& made = worker.running[run];
+        made.began = m_now;
+        made.fails = worker.faults.fails_all || always_fails.contains(owner.id);
+        made.length_ms = made.fails ? 100 : step.estimate_ms;
+        const bool ends = !worker.faults.stands_still && !step.lasting;
+        if (ends && !step.gang)
+        {
+            finish_at(worker.facts.life, run, milliseconds(made.length_ms));
+        }
+        if (step.gang)
+        {
+            begin_gang(run, step, made.length_ms);
+        }
+    }
+    // A gang works from when all of one run are present; then all end together.
+    void begin_gang(const run_ref& run, const step_spec& step, std::int64_t length_ms)
+    {
+        std::vector<std::pair<std::string, run_ref>> members;
+        for (auto& [life, worker] : m_workers)
+        {
+            for (const auto& [other, state] : worker.running)
+            {
+                if (other.task.step == run.task.step && other.run == run.run)
+                {
+                    members.emplace_back(life, other);
+                }
+            }
+        }
+        if (members.size() == step.count)
+        {
+            for (const auto& [life, member] : members)
+            {
+                finish_at(life, member, milliseconds(length_ms));
+            }
+        }
+    }
+    void finish_at(const std::string& life, const run_ref& run, duration in)
+    {
+        at(in,
+           [this, life, run]
+           {
+               sim_worker& worker = m_workers[life];
+               const auto found = worker.running.find(run);
+               if (found != worker.running.end() && !worker.gone)
+               {
+                   end(worker, run, found->second.fails ? run_end::failed : run_end::completed);
+               }
+           });
+    }
+    void check_start(const sim_worker& worker, const run_ref& run, const step_spec& step, const submission& owner)
+    {
+        for (const auto& [life, other] : m_workers)
+        {
+            for (const auto& [elsewhere, state] : other.running)
+            {
+                if (elsewhere.task == run.task && !other.gone && lease_holds(other))
+                {
+                    m_broken.push_back("two runs at once: " + name_of(run) + " while " + name_of(elsewhere) + " runs on " + life);
+                }
+            }
+        }
+        if (m_completed.contains(run.task))
+        {
+            m_broken.push_back("started after it was done: " + name_of(run));
+        }
+        resources used = room_of(step);
+        for (const auto& [other, state] : worker.running)
+        {
+            used += room_of(m_state.find(other.task.step.submission)->spec.steps[other.task.step.step]);
+        }
+        if (!fits(used, worker.facts.size))
+        {
+            m_broken.push_back("beyond the room: " + name_of(run) + " on " + worker.facts.life);
+        }
+        for (const std::uint32_t earlier : step.after)
+        {
+            for (std::uint32_t i = 0; i < owner.spec.steps[earlier].count; ++i)
+            {
+                if (!m_completed.contains(task_ref{{owner.id, run.task.step.round, earlier}, i}))
+                {
+                    m_broken.push_back("before its dependency: " + name_of(run));
+                }
+            }
+        }
+    }
+    [[nodiscard]] bool lease_holds(const sim_worker& worker) const
+    {
+        return worker.lease_until >= clock_of(worker);
+    }
+    void end(sim_worker& worker, const run_ref& run, run_end how)
+    {
+        worker.running.erase(run);
+        std::uint32_t& highest = worker.highest[run.task];
+        highest = std::max(highest, run.run);
+        worker.ended.push_back({worker.next_end++, run, how, how == run_end::completed ? std::string{} : "saved"});
+        const submission* owner = m_state.find(run.task.step.submission);
+        if (how == run_end::completed && owner != nullptr && !owner->spec.steps[run.task.step.step].lasting)
+        {
+            m_completed.insert(run.task);
+        }
+        answer_look(worker);
+    }
+
+    void take_stop(const stop_task_order& order, const std::function<void(const order_answer&)>& handler)
+    {
+        sim_worker* worker = find(order.to.life);
+        if (worker == nullptr)
+        {
+            at(order_patience, [handler] { handler({order_outcome::unanswered, {}}); });
+            return;
+        }
+        if (order.to.fence < worker->fence)
+        {
+            answer_later(handler, {order_outcome::fenced, clock_of(*worker)});
+            return;
+        }
+        worker->fence = order.to.fence;
+        std::uint32_t& highest = worker->highest[order.run.task];
+        highest = std::max(highest, order.run.run);
+        if (worker->running.contains(order.run))
+        {
+            at(milliseconds(200),
+               [this, life = order.to.life, run = order.run]
+               {
+                   if (m_workers[life].running.contains(run))
+                   {
+                       end(m_workers[life], run, run_end::stopped);
+                   }
+               });
+        }
+        answer_later(handler, {order_outcome::accepted, clock_of(*worker)});
+    }
+
+    void take_look(const look_order& order, const std::function<void(const look_answer&)>& handler)
+    {
+        sim_worker* worker = find(order.to.life);
+        if (worker == nullptr)
+        {
+            at(order_patience + milliseconds(order.wait_ms), [handler] { handler({order_outcome::unanswered, 0, {}, {}}); });
+            return;
+        }
+        if (order.to.fence < worker->fence)
+        {
+            at(m_settings.way, [handler] { handler({order_outcome::fenced, 0, {}, {}}); });
+            return;
+        }
+        worker->fence = order.to.fence;
+        if (!lease_holds(*worker))
+        {
+            lapse(*worker);
+        }
+        worker->lease_until = std::max(worker->lease_until, order.until_ms.value_or(0));
+        std::erase_if(worker->ended,
+                      [&order](const listed_end& item)
+                      {
+                          return item.number <= order.last_seen;
+                      });
+        worker->waiting_look = handler;
+        const std::uint64_t number = ++worker->look_number;
+        if (!worker->ended.empty() || order.wait_ms == 0)
+        {
+            answer_look(*worker);
+            return;
+        }
+        at(milliseconds(order.wait_ms),
+           [this, life = order.to.life, number]
+           {
+               if (m_workers[life].look_number == number)
+               {
+                   answer_look(m_workers[life]);
+               }
+           });
+    }
+    void lapse(sim_worker& worker)
+    {
+        const auto running = worker.running;
+        for (const auto& [run, state] : running)
+        {
+            worker.running.erase(run);
+            worker.ended.push_back({worker.next_end++, run, run_end::lapsed, ""});
+        }
+    }
+    void answer_look(sim_worker& worker)
+    {
+        if (!worker.waiting_look || worker.gone || worker.faults.dark)
+        {
+            return;
+        }
+        look_answer answer;
+        answer.outcome = order_outcome::accepted;
+        answer.clock_ms = clock_of(worker);
+        answer.ended = worker.ended;
+        for (const auto& [run, state] : worker.running)
+        {
+            const double part = state.length_ms > 0 && !worker.faults.stands_still
+                                    ? static_cast<double>((m_now - state.began).count()) / (1000.0 * static_cast<double>(state.length_ms))
+                                    : 0.0;
+            answer.running.push_back({run, "", static_cast<std::int32_t>(std::min(part, 1.0) * 100), 0});
+        }
+        auto handler = std::exchange(worker.waiting_look, nullptr);
+        at(m_settings.way,
+           [handler, answer]
+           {
+               handler(answer);
+           });
+    }
+    // Null for a worker that does not answer.
+    sim_worker* find(const std::string& life)
+    {
+        const auto found = m_workers.find(life);
+        const bool silent = found == m_workers.end() || found->second.gone || found->second.faults.dark;
+        return silent ? nullptr : &found->second;
+    }
+    double unit()
+    {
+        return std::uniform_real_distribution<double>(0.0, 1.0)(m_random);
+    }
+
+    pool_settings m_settings;
+    std::mt19937_64 m_random;
+    monotonic_time m_now{seconds(100)};
+    workload_state m_state;
+    decision_log m_log;
+    std::unique_ptr<dispatcher> m_leader;
+    std::uint64_t m_term = 0;
+    std::uint64_t m_order = 0;
+    std::uint64_t m_next_id = 1000;
+    bool m_pass_due = false;
+    std::size_t m_passes = 0;
+    workload_result m_last_result;
+    std::priority_queue<event> m_events;
+    std::map<std::string, sim_worker> m_workers;
+    std::map<std::pair<step_ref, std::string>, monotonic_time> m_tickets;
+    std::set<task_ref> m_completed;
+    std::map<task_ref, std::size_t> m_starts;
+    std::vector<std::string> m_broken;
+};
+
+// One step of `count` tasks.
+inline step_spec make_step(std::uint32_t count, std::int64_t cpu, std::int64_t run_ms, bool gang = false)
+{
+    step_spec step;
+    step.count = count;
+    step.size = {cpu, 1000, 0, 0};
+    step.estimate_ms = run_ms;
+    step.gang = gang;
+    return step;
+}
+
+} // namespace walkthread::test
