--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -85,6 +85,7 @@
     {
         std::vector<worker_life_id> hosts;
         bool missed{}; ///< the gang was late already
+        monotonic_time since{};
     };
     /// A worker during one pass.
     struct host_row
--- a/include/walkthread/dispatch/orders.hpp
+++ b/include/walkthread/dispatch/orders.hpp
@@ -155,6 +155,9 @@
     std::function<void(const pace_task_order&, std::function<void(const order_answer&)>)> pace;
     /// Asks the advisor through some process of ours; `urgent` goes ahead of what waits.
     std::function<void(const advice_question&, bool urgent, std::function<void(const advice_answer&)>)> advise;
+    /// Whether another question that is not urgent would be asked soon. Those that wait are asked in the order of
+    /// the passes, not of their coming. Null: always.
+    std::function<bool()> advisors_free;
     /// Orders a host's upkeep at the platform.
     std::function<void(const std::string& host, std::uint64_t wave, std::uint64_t fence,
                        std::function<void(const order_answer&)>)>
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -40,6 +40,7 @@
     milliseconds drain_stop{1000};     ///< before a draining worker goes: checkpointing runs are stopped
     milliseconds keep_final{150000};   ///< final submissions are known for that long; above the platform's bound
     std::size_t most_reservations = 4; ///< gangs that hosts are kept free for at a time: a quarter of today's hosts
+    milliseconds reservation_lasts{6000}; ///< one that led to no start by then is given up: hosts stand idle for it
     milliseconds ticket_ahead{450};    ///< before reserved hosts are free: a question for a few workers takes that long
     milliseconds gang_preempt{4500};   ///< below that, lesser runs with checkpoints are stopped for it
 };
--- a/include/walkthread/fabric/advice_desk.hpp
+++ b/include/walkthread/fabric/advice_desk.hpp
@@ -35,6 +35,10 @@
     {
         return m_urgent.size() + m_normal.size();
     }
+    [[nodiscard]] std::size_t normal_waiting() const
+    {
+        return m_normal.size();
+    }
     [[nodiscard]] std::size_t busy() const
     {
         return m_busy;
--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -24,7 +24,7 @@
         return;
     }
     step_advice& known = m_advice.of(item.ref);
-    if (known.in_flight || now < known.ask_after)
+    if (known.in_flight || now < known.ask_after || (!item.urgent() && m_hooks.advisors_free && !m_hooks.advisors_free()))
     {
         return;
     }
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -80,7 +80,7 @@
     {
         return false;
     }
-    return item.step->gang || !keeps_large_slots(row.free, room_of(*item.step));
+    return true;
 }
 
 // One row a worker for this pass, so that steps do not look everything up again.
@@ -340,6 +340,11 @@
         return;
     }
     learn_large_task(item);
+    const auto kept = m_reservations.find(item.ref);
+    if (kept != m_reservations.end() && item.missed && !kept->second.missed)
+    {
+        drop_reservation(item.ref); // others can still make it
+    }
     std::vector<offer> offers = find_open_offers(item, now);
     std::map<std::string, std::uint32_t> by_rack;
     std::uint32_t sum = 0;
--- a/src/dispatch/dispatcher_preempt.cpp
+++ b/src/dispatch/dispatcher_preempt.cpp
@@ -76,6 +76,7 @@
               });
     reservation kept;
     kept.missed = item.missed;
+    kept.since = now;
     std::uint32_t sum = 0;
     for (const offer& o : offers)
     {
@@ -125,7 +126,12 @@
                                             const auto view = m_views.find(host);
                                             return view != m_views.end() && view->second.usable(now, m_settings);
                                         });
-        if (!usable || !m_state.ready().contains(ref))
+        const bool stale = now - kept.since > m_settings.reservation_lasts;
+        if (stale)
+        {
+            m_reserve_after[ref] = now + m_settings.reservation_lasts;
+        }
+        if (!usable || stale || !m_state.ready().contains(ref))
         {
             over.push_back(ref);
         }
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -16,6 +16,7 @@
 {
 constexpr group_id workload_group{0};
 constexpr std::uint64_t founding_life = 1; // the low half of a founder's incarnation; later ones are random
+constexpr std::size_t most_questions_waiting = 2; // so that a process that comes free has one at hand
 constexpr unsigned half = 32;
 
 // A replica's identity carries its IP number: who knows a membership knows where its members are.
@@ -283,6 +284,10 @@
     {
         m_desk.put(question, urgent, handler, monotonic_now());
     };
+    hooks.advisors_free = [this]
+    {
+        return m_desk.normal_waiting() < most_questions_waiting;
+    };
     hooks.wake = [this]
     {
         wake_dispatcher();
