--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -39,7 +39,7 @@
     milliseconds stuck_after{2500};    ///< no progress for that long, and three times the usual: the run stands still
     milliseconds drain_stop{1000};     ///< before a draining worker goes: checkpointing runs are stopped
     milliseconds keep_final{150000};   ///< final submissions are known for that long; above the platform's bound
-    std::size_t most_reservations = 4; ///< gangs that hosts are kept free for at a time: a quarter of today's hosts
+    double most_reserved = 0.4; ///< part of all hosts that may be kept free for gangs at a time: half of the work is gangs
     milliseconds reservation_lasts{6000}; ///< one that led to no start by then is given up: hosts stand idle for it
     milliseconds ticket_ahead{450};    ///< before reserved hosts are free: a question for a few workers takes that long
     milliseconds gang_preempt{4500};   ///< below that, lesser runs with checkpoints are stopped for it
--- a/src/dispatch/dispatcher_preempt.cpp
+++ b/src/dispatch/dispatcher_preempt.cpp
@@ -58,7 +58,7 @@
                                                          return other.second.missed;
                                                      });
     monotonic_time& again = m_reserve_after[item.ref];
-    if (m_reservations.contains(item.ref) || m_reservations.size() >= m_settings.most_reservations || late_one || now < again)
+    if (m_reservations.contains(item.ref) || late_one || now < again)
     {
         return;
     }
@@ -87,7 +87,9 @@
         sum += o.whole;
         kept.hosts.push_back(o.worker->id);
     }
-    if (sum < item.step->count)
+    const double limit = m_settings.most_reserved * static_cast<double>(m_rows.size());
+    const bool too_many = !m_reserved.empty() && static_cast<double>(m_reserved.size() + kept.hosts.size()) > limit;
+    if (sum < item.step->count || too_many)
     {
         return;
     }
