--- a/include/walkthread/fabric/core_node.hpp
+++ b/include/walkthread/fabric/core_node.hpp
@@ -26,6 +26,7 @@
     milliseconds pass_gap{2};         ///< passes are that far apart: several answers share one
     milliseconds review_every{500};   ///< the leader looks for members that are silent or behind
     milliseconds member_behind{1200}; ///< silent for longer than an election: reported
+    milliseconds report_again{1000};  ///< a member that stays behind is reported that often
     std::uint64_t lag_reported = 500; ///< entries; about two busy seconds
     milliseconds asker_known{5000};   ///< who asked within that time is told of a new leader
     dispatch_settings dispatch{};
@@ -103,7 +104,7 @@
     monotonic_time m_last_pass{};
     monotonic_time m_members_reviewed{};
     std::map<std::string, monotonic_time> m_askers; ///< processes that asked who leads, to tell them of a change
-    std::set<replica_id> m_behind; ///< members that were reported as behind
+    std::map<replica_id, monotonic_time> m_behind; ///< when members were last reported as behind
     boost::asio::steady_timer m_pass_timer;
     bool m_pass_due = false;
     bool m_stopping = false;
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -428,9 +428,11 @@
             continue;
         }
         const bool behind = now - *heard > m_times.member_behind || *lag > m_times.lag_reported;
-        if (behind && m_behind.insert(member).second)
+        const auto reported = m_behind.find(member);
+        if (behind && (reported == m_behind.end() || now - reported->second >= m_times.report_again))
         {
-            note("replica_behind", {}, {{"address", peer_address_of(member, port_of(m_settings.peer_address))}, {"silent_ms", now - *heard}, {"entries", *lag}});
+            m_behind[member] = now;
+            note("replica_behind", {}, {{"address", peer_address_of(member, port_of(m_settings.peer_address))}, {"silent_ms", now - *heard}, {"entries", *lag}, {"snapshot", core.log().base_index().value()}, {"link_dropped", m_mesh.messages_dropped()}});
         }
         else if (!behind && m_behind.erase(member) > 0)
         {
--- a/src/fabric/replica_host.cpp
+++ b/src/fabric/replica_host.cpp
@@ -212,6 +212,7 @@
         m_hooks.send(envelope);
     }
     m_group->core().synced(monotonic_now());
+    store_snapshot_if_due(); // before the next write: under load there is always one
     pump();
 }
 
--- a/src/replication/replica_log.cpp
+++ b/src/replication/replica_log.cpp
@@ -11,7 +11,7 @@
 
 namespace
 {
-constexpr std::uint64_t promotion_lag = 16;
+constexpr std::uint64_t promotion_lag = 512; // half a second of the busiest load: under it a follower is never level
 
 log_index after(log_index index)
 {
@@ -140,7 +140,12 @@
     }
     become_follower(m.term, from, now);
     m_last_leader_contact = now;
-    if (m.content.index > m_commit)
+    if (m_log.term_at(m.content.index) == m.content.term)
+    {
+        // The log holds all of it and may hold more, which was answered for: nothing is to be replaced.
+        commit_to(m.content.index);
+    }
+    else if (m.content.index > m_commit)
     {
         m_log.reset(m.content.index, m.content.term);
         m_base_members = m.content.members;
--- a/tests/src/replica_network.hpp
+++ b/tests/src/replica_network.hpp
@@ -152,6 +152,11 @@
     {
         return m_members.at(id).applied;
     }
+    // The time on a member's own clock.
+    monotonic_time local_time(const replica_id& id) const
+    {
+        return local(m_members.at(id));
+    }
     bool live(const replica_id& id) const
     {
         return m_members.at(id).live;
--- a/tests/src/unit-replication.cpp
+++ b/tests/src/unit-replication.cpp
@@ -231,3 +231,124 @@
     BOOST_REQUIRE(net.find_leader() != nullptr);
     BOOST_TEST((net.find_leader()->self() != old));
 }
+
+namespace
+{
+const replica_id member_a{node_id{1}, incarnation_id{1}};
+const replica_id member_b{node_id{2}, incarnation_id{1}};
+const replica_id member_c{node_id{3}, incarnation_id{1}};
+
+replica make_member(const replica_id& self)
+{
+    replica_start start;
+    start.base.members.voters = {member_a, member_b, member_c};
+    return {group_id{1}, self, replica_settings{}, start, 7, monotonic_time{seconds(1)}};
+}
+
+append_request make_appends(std::uint64_t first, std::uint64_t last)
+{
+    append_request out;
+    out.term = term_id{1};
+    out.previous_index = log_index{first - 1};
+    out.previous_term = term_id{first > 1 ? 1U : 0U};
+    for (std::uint64_t i = first; i <= last; ++i)
+    {
+        out.entries.push_back({log_index{i}, term_id{1}, static_cast<std::uint8_t>(entry_kind::command), "x"});
+    }
+    return out;
+}
+} // namespace
+
+// akp-walk-grown trouble-2: the leader sent a newer snapshot while the follower was catching up; entries that the
+// follower had answered for were dropped with its log, and the leader never went back to them.
+BOOST_AUTO_TEST_CASE(a_snapshot_drops_nothing_that_was_answered_for)
+{
+    const monotonic_time now{seconds(2)};
+    replica follower = make_member(member_b);
+    follower.receive({group_id{1}, member_a, member_b, make_appends(1, 10)}, now);
+    static_cast<void>(follower.take_output(now));
+    follower.synced(now);
+    snapshot_request late;
+    late.term = term_id{1};
+    late.content = {log_index{5}, term_id{1}, follower.members(), "state"};
+    follower.receive({group_id{1}, member_a, member_b, late}, now);
+    const replica_output output = follower.take_output(now);
+    BOOST_TEST(!output.install.has_value());
+    BOOST_TEST(follower.last_index().value() == 10U);
+    BOOST_TEST(follower.commit_index().value() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(a_leader_goes_on_while_its_own_disk_stalls)
+{
+    monotonic_time now{seconds(1)};
+    replica leader = make_member(member_a);
+    while (leader.role() != replica_role::leader)
+    {
+        now += milliseconds(50);
+        leader.tick(now);
+        for (const replica_envelope& envelope : leader.take_output(now).messages)
+        {
+            if (const auto* vote = std::get_if<vote_request>(&envelope.message))
+            {
+                leader.receive({group_id{1}, envelope.to, member_a, vote_reply{vote->term, true, vote->pre}}, now);
+            }
+        }
+    }
+    static_cast<void>(leader.take_output(now)); // its sync never ends
+    BOOST_REQUIRE(ok(leader.propose("x", now)));
+    const replica_output output = leader.take_unsynced(now);
+    BOOST_TEST(output.append.empty());
+    std::size_t appends = 0;
+    for (const replica_envelope& envelope : output.messages)
+    {
+        appends += std::holds_alternative<append_request>(envelope.message) ? 1 : 0;
+    }
+    BOOST_TEST(appends == output.messages.size());
+    for (const replica_id& other : {member_b, member_c})
+    {
+        leader.receive({group_id{1}, other, member_a, append_reply{leader.term(), true, leader.last_index(), 0}}, now);
+    }
+    BOOST_TEST((leader.commit_index() == leader.last_index())); // two other disks of three hold it
+    BOOST_TEST(!leader.take_unsynced(now).apply.empty());
+}
+
+BOOST_AUTO_TEST_CASE(what_replaces_a_truncated_entry_is_not_counted_as_synced)
+{
+    const monotonic_time now{seconds(2)};
+    replica follower = make_member(member_b);
+    follower.receive({group_id{1}, member_a, member_b, make_appends(1, 3)}, now);
+    static_cast<void>(follower.take_output(now)); // the sync of 1 to 3 is under way
+    append_request other = make_appends(2, 3);
+    other.term = term_id{2};
+    for (log_entry& entry : other.entries)
+    {
+        entry.term = term_id{2};
+    }
+    follower.receive({group_id{1}, member_c, member_b, other}, now);
+    BOOST_TEST(follower.take_unsynced(now).messages.empty()); // no reply before the new entries are synced
+    const replica_output output = follower.take_output(now);
+    BOOST_TEST(output.append.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_standby_takes_the_place_of_a_voter)
+{
+    replica_network net(3, 5, {});
+    net.run(seconds(3));
+    replica* leader = net.find_leader();
+    BOOST_REQUIRE(leader != nullptr);
+    replica_id lost{};
+    for (const replica_id& voter : leader->members().voters)
+    {
+        lost = voter == leader->self() ? lost : voter;
+    }
+    net.stop(lost);
+    const replica_id fresh = net.lose_disk(lost);
+    BOOST_REQUIRE(ok(leader->add_learner(learner{fresh, false, {}}, net.local_time(leader->self()))));
+    net.run(seconds(2));
+    BOOST_TEST(!leader->members().is_voter(fresh)); // a standby
+    BOOST_REQUIRE(ok(leader->add_learner(learner{fresh, true, lost}, net.local_time(leader->self()))));
+    net.run(seconds(2));
+    BOOST_TEST(leader->members().is_voter(fresh));
+    BOOST_TEST(!leader->members().is_voter(lost));
+    BOOST_REQUIRE_EQUAL(net.broken(), "");
+}
