--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -371,7 +371,7 @@
         end_run(worker, run, run_end::never_began, now); // the only order was refused
         return;
     }
-    known.settled = now; // an earlier order may have been taken: the next look tells
+    send_stop(*view, run, now); // an earlier order may have been taken, or may be yet: a stop rules that out
 }
 
 void dispatcher::end_run(worker_life_id worker, const run_ref& run, run_end how, monotonic_time now)
--- a/tests/src/unit-dispatch.cpp
+++ b/tests/src/unit-dispatch.cpp
@@ -32,6 +32,13 @@
     const char* asked = std::getenv("WALKTHREAD_SEEDS");
     return asked == nullptr ? usual : std::strtoull(asked, nullptr, 10);
 }
+
+// To play one seed again.
+std::uint64_t first_seed()
+{
+    const char* asked = std::getenv("WALKTHREAD_FIRST_SEED");
+    return asked == nullptr ? 1 : std::strtoull(asked, nullptr, 10);
+}
 } // namespace
 
 BOOST_AUTO_TEST_CASE(work_of_every_kind_is_done_once)
@@ -282,7 +289,8 @@
 // Everything at once, from seeds: late orders, refusals, dark and crashing workers, failing ones, changes of leader.
 BOOST_AUTO_TEST_CASE(random_days_start_nothing_twice_and_finish)
 {
-    for (std::uint64_t seed = 1; seed <= seed_count(60); ++seed)
+    const std::uint64_t first = first_seed();
+    for (std::uint64_t seed = first; seed < first + seed_count(60); ++seed)
     {
         pool_settings settings = small(10);
         settings.seed = seed;
