A start that the channel sent twice is not taken for refused; files split by what they do

An end seen on the other channel came too late. Change: an outdated start waits for the next look; answers to repeated orders are marked and settle nothing.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -158,7 +158,7 @@
     [[nodiscard]] bool surely_good(const candidate& item, worker_life_id worker);
     [[nodiscard]] bool reserved_from(const candidate& item, const host_row& row) const;
 
-    // dispatcher_workers.cpp: looks, orders, ends
+    // dispatcher_workers.cpp: looks, leases, ends; dispatcher_orders.cpp: starts, stops, retries
     void look_at_all(monotonic_time now);
     void look_at(worker_view& view, monotonic_time now);
     void take_look(worker_life_id worker, const look_answer& answer, monotonic_time sent, monotonic_time now);
--- a/include/walkthread/dispatch/orders.hpp
+++ b/include/walkthread/dispatch/orders.hpp
@@ -79,6 +79,7 @@
 {
     order_outcome outcome{};
     std::optional<std::int64_t> clock_ms; ///< the worker's clock
+    bool repeated{}; ///< the order went out twice: it may have been carried out before this answer
 };
 
 /// @brief A run that a worker listed.
--- a/include/walkthread/fabric/addresses.hpp
+++ b/include/walkthread/fabric/addresses.hpp
@@ -12,6 +12,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <walkthread/units/ids.hpp>
+
 namespace walkthread::detail
 {
 
@@ -55,4 +57,20 @@
     return boost::asio::ip::make_address_v4(number).to_string();
 }
 
+/// @brief The port of `IP:PORT`; 0 if it is none.
+[[nodiscard]] inline std::uint16_t port_of(std::string_view address)
+{
+    const auto endpoint = parse_endpoint(address);
+    return endpoint ? endpoint->port() : std::uint16_t{0};
+}
+
+/// @brief Bits of an incarnation below the IP number that it carries.
+inline constexpr unsigned address_bits = 32;
+
+/// @brief The IP number that a replica's identity carries.
+[[nodiscard]] inline std::uint64_t ip_part(const replica_id& id)
+{
+    return id.incarnation.value() >> address_bits;
+}
+
 } // namespace walkthread::detail
--- a/include/walkthread/fabric/core_node.hpp
+++ b/include/walkthread/fabric/core_node.hpp
@@ -16,6 +16,9 @@
 namespace walkthread
 {
 
+/// @brief The one group that holds the workload.
+inline constexpr group_id workload_group{0};
+
 /// @brief Times of a core node.
 struct core_node_settings
 {
@@ -54,7 +57,7 @@
     void ask_around(monotonic_time now) override;
 
   private:
-    // core_node.cpp: the replica, membership, leadership
+    // core_node.cpp: the replica, leadership; core_members.cpp: peers, membership
     void open_group(std::unique_ptr<data_folder> folder);
     void changed();
     void begin_leading(monotonic_time now);
--- a/include/walkthread/fabric/web.hpp
+++ b/include/walkthread/fabric/web.hpp
@@ -43,6 +43,7 @@
     std::string body; ///< JSON; empty for none
     std::optional<std::int64_t> retry_after_s;
     std::vector<web_header> headers;
+    bool repeated{}; ///< received: the request was sent twice, so the first may have been carried out before
 };
 
 /// @brief Takes a request and a way to answer it, once, now or later, from the loop's thread.
--- a/include/walkthread/workload/submission.hpp
+++ b/include/walkthread/workload/submission.hpp
@@ -148,6 +148,12 @@
     std::uint32_t gang_failures{};   ///< runs of the whole gang that ended as failed
     std::uint32_t gang_failed_run{}; ///< the newest run counted there
     MSGPACK_DEFINE(tasks, completed, gang_failures, gang_failed_run)
+
+    /// @brief Whether every task is completed.
+    [[nodiscard]] bool complete() const
+    {
+        return completed == tasks.size();
+    }
 };
 
 /// @brief One round's progress.
--- /dev/null
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -0,0 +1,250 @@
+// The part of dispatcher that orders starts and stops, and sends them again.
+
+#include <walkthread/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+
+#include <walkthread/workload/names.hpp>
+
+namespace walkthread
+{
+
+namespace
+{
+constexpr duration stop_retry = milliseconds(250); // an unanswered stop is sent again after that
+constexpr double stuck_factor = 3.0;               // times the expected run time without progress
+} // namespace
+
+// ---------------------------------------------------------------------------------------------------------
+// Starts
+// ---------------------------------------------------------------------------------------------------------
+
+void dispatcher::send_start(worker_life_id worker, const run_ref& run, monotonic_time now)
+{
+    worker_view& view = m_views[worker];
+    run_view& known = view.runs[run];
+    const submission* owner = m_state.find(run.task.step.submission);
+    const work_task* task = m_state.find(run.task);
+    if (owner == nullptr || task == nullptr || known.order_in_flight)
+    {
+        return;
+    }
+    start_task_order order;
+    order.to = address_of(worker);
+    order.run = run;
+    order.payload = owner->spec.payload;
+    order.checkpoint = task->checkpoint;
+    order.ticket = known.ticket == "-" ? std::string{} : known.ticket;
+    order.until_ms = view.grant(now, std::min(m_settings.start_window, m_settings.lease_cap));
+    known.sent = now;
+    known.order_in_flight = true;
+    ++known.tries;
+    ++m_counters.starts;
+    m_hooks.start(order,
+                  [this, alive = m_alive, worker, run](const order_answer& answer)
+                  {
+                      if (*alive)
+                      {
+                          take_start(worker, run, answer, m_hooks.now());
+                      }
+                  });
+}
+
+void dispatcher::take_start(worker_life_id worker, const run_ref& run, const order_answer& answer,
+                            monotonic_time now)
+{
+    worker_view* view = view_of(worker);
+    const auto found = view == nullptr ? std::map<run_ref, run_view>::iterator{} : view->runs.find(run);
+    if (view == nullptr || found == view->runs.end())
+    {
+        return;
+    }
+    run_view& known = found->second;
+    known.order_in_flight = false;
+    if (answer.clock_ms)
+    {
+        view->note_clock(*answer.clock_ms, now);
+    }
+    if (answer.outcome == order_outcome::accepted)
+    {
+        known.settled = now;
+        known.progressed = now;
+        return;
+    }
+    note(now, "start_not_taken", name_of(run),
+         {{"worker", m_state.find(worker)->facts.life},
+          {"outcome", static_cast<int>(answer.outcome)},
+          {"tries", known.tries},
+          {"after_ms", now - known.sent}});
+    if (answer.outcome == order_outcome::unanswered)
+    {
+        ++m_counters.unanswered_orders;
+        return; // retry_orders decides
+    }
+    if (answer.outcome == order_outcome::other_life)
+    {
+        drop_worker_life(*view, "another life answers at its address", now);
+        return;
+    }
+    ++m_counters.refused_starts;
+    if (answer.outcome == order_outcome::unhealthy)
+    {
+        view->avoid_until = std::max(view->avoid_until, now + m_settings.unhealthy_pause);
+    }
+    if (answer.outcome == order_outcome::outdated)
+    {
+        known.settled = now; // it was stopped or has ended there: the next look tells which
+        return;
+    }
+    if (known.tries == 1 && !answer.repeated && answer.outcome != order_outcome::fenced)
+    {
+        end_run(worker, run, run_end::never_began, now); // the only order was refused
+        return;
+    }
+    send_stop(*view, run, now); // an earlier order may have been taken, or may be yet: a stop rules that out
+}
+
+void dispatcher::end_run(worker_life_id worker, const run_ref& run, run_end how, monotonic_time now)
+{
+    note(now, "run_ended", name_of(run),
+         {{"worker", m_state.find(worker)->facts.life}, {"how", name_of(how)}});
+    record_ends command;
+    command.worker = worker;
+    command.ends.push_back({run, static_cast<std::uint8_t>(how), {}});
+    m_hooks.propose(command,
+                    [this, alive = m_alive, worker, run](bool committed)
+                    {
+                        worker_view* later = *alive ? view_of(worker) : nullptr;
+                        if (later != nullptr && committed)
+                        {
+                            later->runs.erase(run);
+                            m_hooks.wake();
+                        }
+                    });
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// Stops and retries
+// ---------------------------------------------------------------------------------------------------------
+
+void dispatcher::send_stop(worker_view& view, const run_ref& run, monotonic_time now)
+{
+    run_view& known = view.runs[run];
+    if (known.stop_in_flight || known.stop_settled || now < known.stop_retry)
+    {
+        return;
+    }
+    if (!known.stopping)
+    {
+        note(now, "run_stopping", name_of(run),
+             {{"worker", m_state.find(view.id)->facts.life}, {"wanted", m_state.wants(run)}});
+    }
+    known.stopping = true;
+    known.stop_in_flight = true;
+    m_hooks.stop(stop_task_order{address_of(view.id), run},
+                 [this, alive = m_alive, worker = view.id, run](const order_answer& answer)
+                 {
+                     if (*alive)
+                     {
+                         take_stop(worker, run, answer, m_hooks.now());
+                     }
+                 });
+}
+
+void dispatcher::take_stop(worker_life_id worker, const run_ref& run, const order_answer& answer,
+                           monotonic_time now)
+{
+    worker_view* view = view_of(worker);
+    const auto found = view == nullptr ? std::map<run_ref, run_view>::iterator{} : view->runs.find(run);
+    if (view == nullptr || found == view->runs.end())
+    {
+        return;
+    }
+    run_view& known = found->second;
+    known.stop_in_flight = false;
+    if (answer.outcome == order_outcome::accepted)
+    {
+        known.stop_settled = now;
+        if (!m_state.find(worker)->occupied.contains(run))
+        {
+            view->runs.erase(found); // a late start of a run that is over
+        }
+        return;
+    }
+    if (answer.outcome == order_outcome::other_life)
+    {
+        drop_worker_life(*view, "another life answers at its address", now);
+        return;
+    }
+    known.stop_retry = now + stop_retry;
+}
+
+void dispatcher::retry_orders(monotonic_time now)
+{
+    for (auto& [id, view] : m_views)
+    {
+        const bool silent = now - view.heard > m_settings.suspect_after + m_settings.look_wait;
+        std::vector<run_ref> again;
+        for (auto& [run, known] : view.runs)
+        {
+            if (known.stopping && !known.stop_settled)
+            {
+                send_stop(view, run, now);
+            }
+            const bool open = !known.settled && !known.inherited && !known.order_in_flight && !known.stopping;
+            if (open && !silent && known.tries > 0 && now - known.sent >= m_settings.order_retry)
+            {
+                again.push_back(run);
+            }
+        }
+        for (const run_ref& run : again)
+        {
+            if (view.runs[run].tries < m_settings.start_tries && m_state.wants(run))
+            {
+                send_start(id, run, now);
+            }
+            else
+            {
+                send_stop(view, run, now);
+            }
+        }
+    }
+}
+
+// Runs that stand still are stopped and started elsewhere; their worker is avoided for a while.
+void dispatcher::watch_runs(monotonic_time now)
+{
+    for (auto& [id, view] : m_views)
+    {
+        for (auto& [run, known] : view.runs)
+        {
+            const submission* owner = m_state.find(run.task.step.submission);
+            const step_spec* spec = m_state.find(run.task.step);
+            if (spec == nullptr || !known.listed || known.stopping)
+            {
+                continue;
+            }
+            const step_spec& step = *spec;
+            const bool leaving =
+                view.draining && step.checkpoints && view.leaves_at - now < m_settings.drain_stop;
+            const double expected = m_objectives.expected_ms(owner->queue, step) * stuck_factor;
+            const duration patience =
+                std::max<duration>(m_settings.stuck_after, milliseconds(static_cast<std::int64_t>(expected)));
+            const bool stuck = !step.lasting && now - known.progressed > patience;
+            if (stuck)
+            {
+                view.avoid_until = std::max(view.avoid_until, now + view.next_quarantine);
+                note(now, "worker_avoided", m_state.find(id)->facts.life,
+                     {{"reason", "a run stands still"},
+                      {"run", name_of(run)},
+                      {"unchanged_ms", now - known.progressed}});
+            }
+            if (leaving || stuck)
+            {
+                send_stop(view, run, now);
+            }
+        }
+    }
+}
+
+} // namespace walkthread
--- /dev/null
+++ b/src/fabric/core_members.cpp
@@ -0,0 +1,237 @@
+// The part of core_node that meets peers and keeps the membership whole.
+
+#include <walkthread/fabric/core_node.hpp>
+
+#include <algorithm>
+
+#include <walkthread/fabric/addresses.hpp>
+#include <walkthread/node/clock.hpp>
+#include <walkthread/wire/codec.hpp>
+
+namespace walkthread
+{
+
+leader_note core_node::present_leader(monotonic_time now) const
+{
+    const replica& core = m_replica->group().core();
+    const std::uint16_t port = detail::port_of(m_settings.peer_address);
+    leader_note out;
+    out.leads = leads(now) && !m_stopping;
+    out.term = core.term().value();
+    if (core.leader().node.value() != 0)
+    {
+        out.leader = peer_address_of(core.leader(), port);
+    }
+    for (const replica_id& voter : core.members().voters)
+    {
+        out.replicas.push_back(peer_address_of(voter, port));
+    }
+    for (const learner& item : core.members().learners)
+    {
+        out.replicas.push_back(peer_address_of(item.id, port));
+    }
+    return out;
+}
+
+void core_node::take(const std::string& from, mesh_message message)
+{
+    const monotonic_time now = monotonic_now();
+    if (auto* note = std::get_if<replica_note>(&message))
+    {
+        auto body = decode<replica_message>(note->message);
+        if (ok(body))
+        {
+            m_replica->receive(
+                replica_envelope{workload_group, note->from, note->to, std::move(value_of(body))});
+        }
+    }
+    else if (auto* question = std::get_if<leader_question>(&message))
+    {
+        m_askers[from] = now;
+        m_mesh.send(from, present_leader(now));
+        if (question->can_advise && m_dispatcher)
+        {
+            m_desk.note_asker(from, now);
+        }
+    }
+    else if (auto* join = std::get_if<join_request>(&message))
+    {
+        take_join(*join, now);
+    }
+    else if (auto* known = std::get_if<leader_note>(&message))
+    {
+        m_watch.take(from, *known, now); // where the others are; who leads is the replica's own knowledge
+    }
+    else
+    {
+        fabric_node::take(from, std::move(message));
+    }
+}
+
+void core_node::ask_around(monotonic_time now)
+{
+    const replica& core = m_replica->group().core();
+    if (m_dispatcher && m_outside.ask_advisor)
+    {
+        m_desk.note_asker(m_settings.peer_address, now);
+    }
+    for (const std::string& peer : m_watch.whom_to_ask(now))
+    {
+        m_mesh.send(peer, leader_question{static_cast<bool>(m_outside.ask_advisor)});
+    }
+    const bool hears_leader = core.leader().node.value() != 0;
+    if (!hears_leader && !m_watch.leader().empty())
+    {
+        m_router.set_leader(m_watch.leader());
+    }
+    ask_to_join(now);
+    if (leads(now) && now - m_members_reviewed >= m_times.review_every)
+    {
+        m_members_reviewed = now;
+        review_members(now);
+        promote_standby(now);
+    }
+}
+
+void core_node::review_members(monotonic_time now)
+{
+    const replica& core = m_replica->group().core();
+    std::vector<replica_id> all = core.members().voters;
+    for (const learner& item : core.members().learners)
+    {
+        all.push_back(item.id);
+    }
+    for (const replica_id& member : all)
+    {
+        const auto heard = core.last_heard(member);
+        const auto lag = core.lag_of(member);
+        if (member == core.self() || !heard || !lag)
+        {
+            continue;
+        }
+        const bool behind = now - *heard > m_times.member_behind || *lag > m_times.lag_reported;
+        const auto reported = m_behind.find(member);
+        if (behind && (reported == m_behind.end() || now - reported->second >= m_times.report_again))
+        {
+            m_behind[member] = now;
+            note("replica_behind", {},
+                 {{"address", peer_address_of(member, detail::port_of(m_settings.peer_address))},
+                  {"silent_ms", now - *heard},
+                  {"entries", *lag},
+                  {"snapshot", core.log().base_index().value()},
+                  {"link_dropped", m_mesh.messages_dropped()}});
+        }
+        else if (!behind && m_behind.erase(member) > 0)
+        {
+            note("replica_caught_up", {},
+                 {{"address", peer_address_of(member, detail::port_of(m_settings.peer_address))}});
+        }
+    }
+}
+
+replica_id core_node::silent_voter(monotonic_time now) const
+{
+    const replica& core = m_replica->group().core();
+    for (const replica_id& voter : core.members().voters)
+    {
+        const auto heard = core.last_heard(voter);
+        if (voter != core.self() && heard && now - *heard > m_times.voter_silent)
+        {
+            return voter;
+        }
+    }
+    return {};
+}
+
+// A standby that is caught up takes the place of a voter that is silent for long.
+void core_node::promote_standby(monotonic_time now)
+{
+    replica& core = m_replica->group().core();
+    const replica_id silent = silent_voter(now);
+    const auto& learners = core.members().learners;
+    const bool under_way = std::any_of(learners.begin(), learners.end(),
+                                       [](const learner& item)
+                                       {
+                                           return item.promote;
+                                       });
+    if (silent.node.value() == 0 || under_way)
+    {
+        return;
+    }
+    for (const learner& item : learners)
+    {
+        const auto heard = core.last_heard(item.id);
+        if (!heard || now - *heard > m_times.member_behind)
+        {
+            continue;
+        }
+        const bool begun = ok(core.add_learner(learner{item.id, true, silent}, now));
+        note("standby_promoted", {},
+             {{"address", peer_address_of(item.id, detail::port_of(m_settings.peer_address))},
+              {"replaces", peer_address_of(silent, detail::port_of(m_settings.peer_address))},
+              {"begun", begun}});
+        m_replica->pump();
+        return;
+    }
+}
+
+// A replica that is in no membership it knows of asks everybody; only the leader acts on it.
+void core_node::ask_to_join(monotonic_time now)
+{
+    const replica& core = m_replica->group().core();
+    const bool heard =
+        core.role() == replica_role::leader || now - core.last_leader_contact() < m_times.member_behind;
+    const bool served = core.members().is_member(core.self()) && heard;
+    if (served || m_stopping || now - m_join_asked < m_times.join_every)
+    {
+        return;
+    }
+    m_join_asked = now;
+    for (const std::string& peer : m_watch.known())
+    {
+        m_mesh.send(peer, join_request{core.self()});
+    }
+}
+
+void core_node::take_join(const join_request& request, monotonic_time now)
+{
+    replica& core = m_replica->group().core();
+    const membership& members = core.members();
+    if (!leads(now) || members.is_member(request.self))
+    {
+        return;
+    }
+    learner newcomer;
+    newcomer.id = request.self;
+    newcomer.promote = members.voters.size() < wanted_voters();
+    for (const learner& item : members.learners)
+    {
+        if (detail::ip_part(item.id) == detail::ip_part(request.self))
+        {
+            static_cast<void>(
+                core.remove_member(item.id, now)); // its disk is gone; asked again if a change is pending
+            m_replica->pump();
+            return;
+        }
+    }
+    for (const replica_id& voter : members.voters)
+    {
+        if (detail::ip_part(voter) == detail::ip_part(request.self))
+        {
+            newcomer.promote = true; // the disk of that voter is gone for good
+            newcomer.replaces = voter;
+        }
+    }
+    const auto added = core.add_learner(newcomer, now);
+    if (ok(added))
+    {
+        note("replica_joins", {},
+             {{"address", peer_address_of(request.self, detail::port_of(m_settings.peer_address))},
+              {"promote", newcomer.promote},
+              {"replaces", newcomer.replaces.incarnation.value()},
+              {"voters", members.voters.size()}});
+    }
+    m_replica->pump();
+}
+
+} // namespace walkthread
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -14,34 +14,22 @@
 
 namespace
 {
-constexpr group_id workload_group{0};
 constexpr std::uint64_t founding_life = 1; // the low half of a founder's incarnation; later ones are random
 constexpr std::size_t most_questions_waiting = 2; // so that a process that comes free has one at hand
-constexpr unsigned half = 32;
 
 // A replica's identity carries its IP number: who knows a membership knows where its members are.
 replica_id make_replica_id(const std::string& ip, std::uint64_t life)
 {
     const std::uint64_t number = detail::ip_number(ip);
     const auto node = static_cast<std::uint16_t>((number & 0xFFFFU) | 1U);
-    return {node_id{node}, incarnation_id{(number << half) | life}};
+    return {node_id{node}, incarnation_id{(number << detail::address_bits) | life}};
 }
 
-std::uint16_t port_of(const std::string& address)
-{
-    const auto endpoint = detail::parse_endpoint(address);
-    return endpoint ? endpoint->port() : std::uint16_t{0};
-}
-
-std::uint64_t ip_part(const replica_id& id)
-{
-    return id.incarnation.value() >> half;
-}
 } // namespace
 
 std::string peer_address_of(const replica_id& replica, std::uint16_t port)
 {
-    return detail::ip_text(static_cast<std::uint32_t>(ip_part(replica))) + ':' + std::to_string(port);
+    return detail::ip_text(static_cast<std::uint32_t>(detail::ip_part(replica))) + ':' + std::to_string(port);
 }
 
 core_node::core_node(boost::asio::io_context& loop, fabric_settings settings, core_node_settings times,
@@ -146,7 +134,7 @@
     replica_host_hooks outward;
     outward.send = [this](const replica_envelope& envelope)
     {
-        const std::string to = peer_address_of(envelope.to, port_of(m_settings.peer_address));
+        const std::string to = peer_address_of(envelope.to, detail::port_of(m_settings.peer_address));
         m_mesh.send(to, replica_note{envelope.from, envelope.to, encode(envelope.message)});
     };
     outward.changed = [this]
@@ -217,7 +205,7 @@
     }
     else if (core.leader().node.value() != 0 && core.leader() != core.self())
     {
-        m_router.set_leader(peer_address_of(core.leader(), port_of(m_settings.peer_address)));
+        m_router.set_leader(peer_address_of(core.leader(), detail::port_of(m_settings.peer_address)));
     }
     if (m_dispatcher)
     {
@@ -263,7 +251,7 @@
 dispatch_hooks core_node::make_hooks()
 {
     const auto unanswered_look = look_answer{order_outcome::unanswered, 0, {}, {}};
-    const auto unanswered = order_answer{order_outcome::unanswered, std::nullopt};
+    const auto unanswered = order_answer{order_outcome::unanswered, std::nullopt, false};
     dispatch_hooks hooks;
     hooks.now = monotonic_now;
     hooks.propose = [this](const workload_command& command, const std::function<void(bool)>& handler)
@@ -343,233 +331,6 @@
     m_dispatcher->pass(now, wall_now());
 }
 
-// ---------------------------------------------------------------------------------------------------------
-// Peers and membership
-// ---------------------------------------------------------------------------------------------------------
-
-leader_note core_node::present_leader(monotonic_time now) const
-{
-    const replica& core = m_replica->group().core();
-    const std::uint16_t port = port_of(m_settings.peer_address);
-    leader_note out;
-    out.leads = leads(now) && !m_stopping;
-    out.term = core.term().value();
-    if (core.leader().node.value() != 0)
-    {
-        out.leader = peer_address_of(core.leader(), port);
-    }
-    for (const replica_id& voter : core.members().voters)
-    {
-        out.replicas.push_back(peer_address_of(voter, port));
-    }
-    for (const learner& item : core.members().learners)
-    {
-        out.replicas.push_back(peer_address_of(item.id, port));
-    }
-    return out;
-}
-
-void core_node::take(const std::string& from, mesh_message message)
-{
-    const monotonic_time now = monotonic_now();
-    if (auto* note = std::get_if<replica_note>(&message))
-    {
-        auto body = decode<replica_message>(note->message);
-        if (ok(body))
-        {
-            m_replica->receive(
-                replica_envelope{workload_group, note->from, note->to, std::move(value_of(body))});
-        }
-    }
-    else if (auto* question = std::get_if<leader_question>(&message))
-    {
-        m_askers[from] = now;
-        m_mesh.send(from, present_leader(now));
-        if (question->can_advise && m_dispatcher)
-        {
-            m_desk.note_asker(from, now);
-        }
-    }
-    else if (auto* join = std::get_if<join_request>(&message))
-    {
-        take_join(*join, now);
-    }
-    else if (auto* known = std::get_if<leader_note>(&message))
-    {
-        m_watch.take(from, *known, now); // where the others are; who leads is the replica's own knowledge
-    }
-    else
-    {
-        fabric_node::take(from, std::move(message));
-    }
-}
-
-void core_node::ask_around(monotonic_time now)
-{
-    const replica& core = m_replica->group().core();
-    if (m_dispatcher && m_outside.ask_advisor)
-    {
-        m_desk.note_asker(m_settings.peer_address, now);
-    }
-    for (const std::string& peer : m_watch.whom_to_ask(now))
-    {
-        m_mesh.send(peer, leader_question{static_cast<bool>(m_outside.ask_advisor)});
-    }
-    const bool hears_leader = core.leader().node.value() != 0;
-    if (!hears_leader && !m_watch.leader().empty())
-    {
-        m_router.set_leader(m_watch.leader());
-    }
-    ask_to_join(now);
-    if (leads(now) && now - m_members_reviewed >= m_times.review_every)
-    {
-        m_members_reviewed = now;
-        review_members(now);
-        promote_standby(now);
-    }
-}
-
-void core_node::review_members(monotonic_time now)
-{
-    const replica& core = m_replica->group().core();
-    std::vector<replica_id> all = core.members().voters;
-    for (const learner& item : core.members().learners)
-    {
-        all.push_back(item.id);
-    }
-    for (const replica_id& member : all)
-    {
-        const auto heard = core.last_heard(member);
-        const auto lag = core.lag_of(member);
-        if (member == core.self() || !heard || !lag)
-        {
-            continue;
-        }
-        const bool behind = now - *heard > m_times.member_behind || *lag > m_times.lag_reported;
-        const auto reported = m_behind.find(member);
-        if (behind && (reported == m_behind.end() || now - reported->second >= m_times.report_again))
-        {
-            m_behind[member] = now;
-            note("replica_behind", {},
-                 {{"address", peer_address_of(member, port_of(m_settings.peer_address))},
-                  {"silent_ms", now - *heard},
-                  {"entries", *lag},
-                  {"snapshot", core.log().base_index().value()},
-                  {"link_dropped", m_mesh.messages_dropped()}});
-        }
-        else if (!behind && m_behind.erase(member) > 0)
-        {
-            note("replica_caught_up", {},
-                 {{"address", peer_address_of(member, port_of(m_settings.peer_address))}});
-        }
-    }
-}
-
-replica_id core_node::silent_voter(monotonic_time now) const
-{
-    const replica& core = m_replica->group().core();
-    for (const replica_id& voter : core.members().voters)
-    {
-        const auto heard = core.last_heard(voter);
-        if (voter != core.self() && heard && now - *heard > m_times.voter_silent)
-        {
-            return voter;
-        }
-    }
-    return {};
-}
-
-// A standby that is caught up takes the place of a voter that is silent for long.
-void core_node::promote_standby(monotonic_time now)
-{
-    replica& core = m_replica->group().core();
-    const replica_id silent = silent_voter(now);
-    const auto& learners = core.members().learners;
-    const bool under_way = std::any_of(learners.begin(), learners.end(),
-                                       [](const learner& item)
-                                       {
-                                           return item.promote;
-                                       });
-    if (silent.node.value() == 0 || under_way)
-    {
-        return;
-    }
-    for (const learner& item : learners)
-    {
-        const auto heard = core.last_heard(item.id);
-        if (!heard || now - *heard > m_times.member_behind)
-        {
-            continue;
-        }
-        const bool begun = ok(core.add_learner(learner{item.id, true, silent}, now));
-        note("standby_promoted", {},
-             {{"address", peer_address_of(item.id, port_of(m_settings.peer_address))},
-              {"replaces", peer_address_of(silent, port_of(m_settings.peer_address))},
-              {"begun", begun}});
-        m_replica->pump();
-        return;
-    }
-}
-
-// A replica that is in no membership it knows of asks everybody; only the leader acts on it.
-void core_node::ask_to_join(monotonic_time now)
-{
-    const replica& core = m_replica->group().core();
-    const bool heard =
-        core.role() == replica_role::leader || now - core.last_leader_contact() < m_times.member_behind;
-    const bool served = core.members().is_member(core.self()) && heard;
-    if (served || m_stopping || now - m_join_asked < m_times.join_every)
-    {
-        return;
-    }
-    m_join_asked = now;
-    for (const std::string& peer : m_watch.known())
-    {
-        m_mesh.send(peer, join_request{core.self()});
-    }
-}
-
-void core_node::take_join(const join_request& request, monotonic_time now)
-{
-    replica& core = m_replica->group().core();
-    const membership& members = core.members();
-    if (!leads(now) || members.is_member(request.self))
-    {
-        return;
-    }
-    learner newcomer;
-    newcomer.id = request.self;
-    newcomer.promote = members.voters.size() < wanted_voters();
-    for (const learner& item : members.learners)
-    {
-        if (ip_part(item.id) == ip_part(request.self))
-        {
-            static_cast<void>(
-                core.remove_member(item.id, now)); // its disk is gone; asked again if a change is pending
-            m_replica->pump();
-            return;
-        }
-    }
-    for (const replica_id& voter : members.voters)
-    {
-        if (ip_part(voter) == ip_part(request.self))
-        {
-            newcomer.promote = true; // the disk of that voter is gone for good
-            newcomer.replaces = voter;
-        }
-    }
-    const auto added = core.add_learner(newcomer, now);
-    if (ok(added))
-    {
-        note("replica_joins", {},
-             {{"address", peer_address_of(request.self, port_of(m_settings.peer_address))},
-              {"promote", newcomer.promote},
-              {"replaces", newcomer.replaces.incarnation.value()},
-              {"voters", members.voters.size()}});
-    }
-    m_replica->pump();
-}
-
 std::string core_node::figures() const
 {
     const replica& core = m_replica->group().core();
--- a/src/fabric/web_client.cpp
+++ b/src/fabric/web_client.cpp
@@ -166,6 +166,7 @@
                              web_answer answer;
                              answer.status = response.result_int();
                              answer.body = std::move(response.body());
+                             answer.repeated = keep->m_repeated;
                              keep->finish(std::move(answer));
                          });
     }
--- /dev/null
+++ b/src/workload/workload_indexes.cpp
@@ -0,0 +1,162 @@
+// The part of workload_state that keeps phases and indexes, and snapshots.
+
+#include <walkthread/workload/workload_state.hpp>
+
+#include <algorithm>
+
+#include <walkthread/wire/codec.hpp>
+
+namespace walkthread
+{
+
+void workload_state::set_phase(submission& owner, submission_phase phase)
+{
+    if (owner.state() == submission_phase::queued)
+    {
+        --m_queued[owner.queue];
+    }
+    owner.phase = static_cast<std::uint8_t>(phase);
+}
+
+void workload_state::finish(wall_ms at, submission& owner, submission_phase phase)
+{
+    set_phase(owner, phase);
+    owner.ended = at;
+    m_ended.insert({at, owner.id});
+    if (owner.active > 0)
+    {
+        m_closing.insert(owner.id);
+    }
+    else
+    {
+        m_over.push_back(owner.id); // its details may be in use by who called this
+    }
+    m_ready.erase(m_ready.lower_bound(step_ref{owner.id, round_id{0}, 0}),
+                  m_ready.upper_bound(step_ref{owner.id, round_id{UINT32_MAX}, UINT32_MAX}));
+}
+
+void workload_state::refresh_ready(const submission& owner, round_id round, std::uint32_t step)
+{
+    const round_progress& progress = owner.rounds[round.value()];
+    const auto& tasks = progress.steps[step].tasks;
+    const bool waits = std::any_of(tasks.begin(), tasks.end(),
+                                   [](const work_task& task)
+                                   {
+                                       return task.state() == work_phase::waiting;
+                                   });
+    const auto& after = owner.spec.steps[step].after;
+    const bool free = std::all_of(after.begin(), after.end(),
+                                  [&progress](std::uint32_t earlier)
+                                  {
+                                      return progress.steps[earlier].complete();
+                                  });
+    const step_ref ref{owner.id, round, step};
+    if (waits && free && !owner.final())
+    {
+        m_ready.insert(ref);
+    }
+    else
+    {
+        m_ready.erase(ref);
+    }
+}
+
+void workload_state::refresh_round(const submission& owner, round_id round)
+{
+    for (std::uint32_t step = 0; step < owner.spec.steps.size(); ++step)
+    {
+        refresh_ready(owner, round, step);
+    }
+}
+
+void workload_state::rebuild_indexes()
+{
+    ++m_workers_version;
+    m_by_life.clear();
+    m_by_host.clear();
+    m_ready.clear();
+    m_closing.clear();
+    m_ended.clear();
+    m_queued.clear();
+    for (const auto& [id, worker] : m_workers)
+    {
+        m_by_life[worker.facts.life] = id;
+        m_by_host[worker.facts.host] = id;
+    }
+    for (const auto& [id, owner] : m_submissions)
+    {
+        if (owner.state() == submission_phase::queued)
+        {
+            ++m_queued[owner.queue];
+        }
+        if (owner.final())
+        {
+            m_ended.insert({owner.ended, id});
+            if (owner.active > 0)
+            {
+                m_closing.insert(id);
+            }
+            continue;
+        }
+        for (std::uint32_t round = 0; round < owner.rounds.size(); ++round)
+        {
+            refresh_round(owner, round_id{round});
+        }
+    }
+}
+
+std::string workload_state::save() const
+{
+    image out;
+    out.held = m_catalogue;
+    out.next_worker = m_next_worker;
+    out.former = m_former;
+    for (const auto& [id, owner] : m_submissions)
+    {
+        out.submissions.push_back(owner);
+    }
+    for (const auto& [id, worker] : m_workers)
+    {
+        out.workers.push_back(worker);
+    }
+    for (const auto& [id, wave] : m_waves)
+    {
+        out.waves.push_back(wave);
+    }
+    return encode(out);
+}
+
+bool workload_state::load(const std::string& bytes)
+{
+    auto decoded = decode<image>(bytes);
+    if (!ok(decoded))
+    {
+        return false;
+    }
+    image& in = value_of(decoded);
+    m_catalogue = std::move(in.held);
+    m_next_worker = in.next_worker;
+    m_former = std::move(in.former);
+    m_submissions.clear();
+    m_workers.clear();
+    m_waves.clear();
+    for (submission& owner : in.submissions)
+    {
+        const submission_id id = owner.id;
+        m_submissions.emplace(id, std::move(owner));
+    }
+    for (worker_life& worker : in.workers)
+    {
+        const worker_life_id id = worker.id;
+        m_workers.emplace(id, std::move(worker));
+    }
+    for (upkeep_wave& wave : in.waves)
+    {
+        const std::uint64_t number = wave.wave;
+        m_waves.emplace(number, std::move(wave));
+    }
+    rebuild_indexes();
+    return true;
+}
+
+} // namespace walkthread
--- /dev/null
+++ b/src/workload/workload_runs.cpp
@@ -0,0 +1,236 @@
+// The part of workload_state that takes starts and ends in.
+
+#include <walkthread/workload/workload_state.hpp>
+
+#include <algorithm>
+
+namespace walkthread
+{
+
+bool workload_state::can_start(const planned_start& planned) const
+{
+    const submission* owner = find(planned.task.step.submission);
+    const work_task* task = find(planned.task);
+    const worker_life* worker = find(planned.worker);
+    if (owner == nullptr || task == nullptr || worker == nullptr || owner->final())
+    {
+        return false;
+    }
+    const resources room = room_of(owner->spec.steps[planned.task.step.step]);
+    const bool fresh = task->state() == work_phase::waiting && planned.run > task->run;
+    return fresh && fits(worker->used + room, worker->facts.size);
+}
+
+bool workload_state::start(const planned_start& planned)
+{
+    if (!can_start(planned))
+    {
+        return false;
+    }
+    submission& owner = m_submissions[planned.task.step.submission];
+    work_task& task = *task_of(planned.task);
+    task.phase = static_cast<std::uint8_t>(work_phase::active);
+    task.run = planned.run;
+    task.worker = planned.worker;
+    ++owner.active;
+    worker_life& worker = m_workers[planned.worker];
+    const resources room = room_of(owner.spec.steps[planned.task.step.step]);
+    worker.occupied.emplace(run_ref{planned.task, planned.run}, room);
+    worker.used += room;
+    if (owner.state() == submission_phase::queued)
+    {
+        set_phase(owner, submission_phase::running);
+    }
+    refresh_ready(owner, planned.task.step.round, planned.task.step.step);
+    return true;
+}
+
+void workload_state::start_all_or_none(const record_starts& command)
+{
+    std::map<worker_life_id, resources> sums;
+    for (const planned_start& planned : command.starts)
+    {
+        const worker_life* worker = find(planned.worker);
+        if (!can_start(planned) || worker == nullptr)
+        {
+            return;
+        }
+        resources& sum = sums[planned.worker];
+        sum += room_of(find(planned.task.step.submission)->spec.steps[planned.task.step.step]);
+        if (!fits(worker->used + sum, worker->facts.size))
+        {
+            return;
+        }
+    }
+    for (const planned_start& planned : command.starts)
+    {
+        start(planned);
+    }
+}
+
+void workload_state::release(worker_life& worker, const run_ref& run)
+{
+    const auto held = worker.occupied.find(run);
+    if (held == worker.occupied.end())
+    {
+        return;
+    }
+    worker.used -= held->second;
+    worker.occupied.erase(held);
+    const auto owner = m_submissions.find(run.task.step.submission);
+    if (owner == m_submissions.end())
+    {
+        return;
+    }
+    --owner->second.active;
+    if (owner->second.active == 0 && owner->second.final())
+    {
+        m_closing.erase(owner->first);
+        drop_details(owner->second);
+    }
+}
+
+// Of a submission that is over only its outcome is asked for: the rest would be most of the state.
+void workload_state::drop_details(submission& owner)
+{
+    owner.spec = submission_spec{};
+    owner.rounds = {};
+}
+
+void workload_state::take_end(wall_ms at, worker_life& worker, const observed_end& end)
+{
+    const auto how = static_cast<run_end>(end.how);
+    const bool known = worker.occupied.contains(end.run);
+    release(worker, end.run); // of a final submission this may drop the details
+    const auto found = m_submissions.find(end.run.task.step.submission);
+    work_task* task = task_of(end.run.task);
+    if (!known || found == m_submissions.end() || task == nullptr)
+    {
+        return;
+    }
+    submission& owner = found->second;
+    const step_spec& step = owner.spec.steps[end.run.task.step.step];
+    if (!end.checkpoint.empty() && task->run == end.run.run)
+    {
+        task->checkpoint = end.checkpoint;
+    }
+    if (owner.final())
+    {
+        return;
+    }
+    if (how == run_end::completed && step.gang && !step.lasting)
+    {
+        complete_gang(at, owner, end.run);
+        return;
+    }
+    if (task->state() != work_phase::active || task->run != end.run.run)
+    {
+        return;
+    }
+    task->phase = static_cast<std::uint8_t>(work_phase::waiting);
+    if (how == run_end::completed && !step.lasting)
+    {
+        complete_task(at, owner, end.run.task);
+    }
+    else if (how == run_end::failed)
+    {
+        fail_task(at, owner, end.run, worker.id);
+    }
+    if (!owner.final())
+    {
+        refresh_ready(owner, end.run.task.step.round, end.run.task.step.step);
+    }
+}
+
+void workload_state::complete_task(wall_ms at, submission& owner, const task_ref& ref)
+{
+    round_progress& round = owner.rounds[ref.step.round.value()];
+    step_progress& step = round.steps[ref.step.step];
+    work_task& task = step.tasks[ref.index];
+    if (task.state() == work_phase::completed)
+    {
+        return;
+    }
+    task.phase = static_cast<std::uint8_t>(work_phase::completed);
+    task.checkpoint.clear();
+    ++step.completed;
+    if (!step.complete())
+    {
+        return;
+    }
+    ++round.completed_steps;
+    if (round.completed_steps == round.steps.size())
+    {
+        ++owner.completed_rounds;
+    }
+    if (owner.completed_rounds == owner.rounds.size())
+    {
+        finish(at, owner, submission_phase::completed);
+        return;
+    }
+    refresh_round(owner, ref.step.round);
+}
+
+void workload_state::complete_gang(wall_ms at, submission& owner, const run_ref& run)
+{
+    const step_ref step = run.task.step;
+    const std::uint32_t count = owner.spec.steps[step.step].count;
+    const step_progress& progress = owner.rounds[step.round.value()].steps[step.step];
+    const bool newest = std::none_of(progress.tasks.begin(), progress.tasks.end(),
+                                     [&run](const work_task& task)
+                                     {
+                                         return task.run > run.run;
+                                     });
+    for (std::uint32_t index = 0; newest && index < count && !owner.final(); ++index)
+    {
+        complete_task(at, owner, task_ref{step, index});
+    }
+    if (!owner.final())
+    {
+        refresh_ready(owner, step.round, step.step);
+    }
+}
+
+void workload_state::fail_task(wall_ms at, submission& owner, const run_ref& run, worker_life_id worker)
+{
+    const step_ref step = run.task.step;
+    const step_spec& spec = owner.spec.steps[step.step];
+    step_progress& progress = owner.rounds[step.round.value()].steps[step.step];
+    work_task& task = progress.tasks[run.task.index];
+    ++task.failures;
+    task.failed_on = worker;
+    if (spec.gang && progress.gang_failed_run < run.run)
+    {
+        progress.gang_failed_run = run.run;
+        ++progress.gang_failures;
+    }
+    const std::uint32_t failures = spec.gang ? progress.gang_failures : task.failures;
+    if (!spec.lasting && failures >= owner.max_attempts)
+    {
+        finish(at, owner, submission_phase::failed);
+    }
+}
+
+void workload_state::drop(wall_ms at, worker_life_id id)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end())
+    {
+        return;
+    }
+    ++m_workers_version;
+    const auto occupied = found->second.occupied;
+    for (const auto& [run, room] : occupied)
+    {
+        take_end(at, found->second, observed_end{run, static_cast<std::uint8_t>(run_end::lapsed), {}});
+    }
+    m_by_life.erase(found->second.facts.life);
+    const auto by_host = m_by_host.find(found->second.facts.host);
+    if (by_host != m_by_host.end() && by_host->second == id)
+    {
+        m_by_host.erase(by_host);
+    }
+    m_workers.erase(found);
+}
+
+} // namespace walkthread
--- a/tests/src/pool_stand_in.hpp
+++ b/tests/src/pool_stand_in.hpp
@@ -26,6 +26,7 @@
     double refuse = 0.0;       // share of starts that are refused, nothing done
     bool fails_all = false;    // every run fails after 100 ms
     bool stands_still = false; // runs never end
+    bool resets = false;       // starts are carried out, the connection breaks, and the channel sends them again
 };
 
 struct pool_settings
@@ -355,7 +356,7 @@
         };
         out.pace = [](const pace_task_order&, const std::function<void(const order_answer&)>& handler)
         {
-            handler({order_outcome::accepted, {}});
+            handler({order_outcome::accepted, {}, false});
         };
         out.advise = [this](const advice_question& question, bool,
                             const std::function<void(const advice_answer&)>& handler)
@@ -381,7 +382,7 @@
         out.order_upkeep = [](const std::string&, std::uint64_t, std::uint64_t,
                               const std::function<void(const order_answer&)>& handler)
         {
-            handler({order_outcome::accepted, {}});
+            handler({order_outcome::accepted, {}, false});
         };
         return out;
     }
@@ -410,7 +411,7 @@
             at(order_patience,
                [handler]
                {
-                   handler({order_outcome::unanswered, {}});
+                   handler({order_outcome::unanswered, {}, false});
                });
             return;
         }
@@ -419,7 +420,7 @@
             at(order_patience,
                [handler]
                {
-                   handler({order_outcome::unanswered, {}});
+                   handler({order_outcome::unanswered, {}, false});
                });
             at(milliseconds(2000 + static_cast<int>(unit() * 10000)),
                [this, order]
@@ -429,7 +430,19 @@
                });
             return;
         }
-        answer_later(handler, {do_start(*worker, order), clock_of(*worker)});
+        if (worker->faults.resets)
+        {
+            do_start(*worker, order);
+            at(milliseconds(210),
+               [this, order, handler]
+               {
+                   sim_worker* again = find(order.to.life);
+                   const order_outcome outcome = again == nullptr ? order_outcome::unanswered : do_start(*again, order);
+                   handler({outcome, {}, true});
+               });
+            return;
+        }
+        answer_later(handler, {do_start(*worker, order), clock_of(*worker), false});
     }
     order_outcome do_start(sim_worker& worker, const start_task_order& order)
     {
@@ -597,13 +610,13 @@
             at(order_patience,
                [handler]
                {
-                   handler({order_outcome::unanswered, {}});
+                   handler({order_outcome::unanswered, {}, false});
                });
             return;
         }
         if (order.to.fence < worker->fence)
         {
-            answer_later(handler, {order_outcome::fenced, clock_of(*worker)});
+            answer_later(handler, {order_outcome::fenced, clock_of(*worker), false});
             return;
         }
         worker->fence = order.to.fence;
@@ -620,7 +633,7 @@
                    }
                });
         }
-        answer_later(handler, {order_outcome::accepted, clock_of(*worker)});
+        answer_later(handler, {order_outcome::accepted, clock_of(*worker), false});
     }
 
     void take_look(const look_order& order, const std::function<void(const look_answer&)>& handler)
@@ -725,7 +738,7 @@
             answer.running.push_back({run, "", static_cast<std::int32_t>(std::min(part, 1.0) * 100), 0});
         }
         auto handler = std::exchange(worker.waiting_look, nullptr);
-        at(m_settings.way,
+        at(worker.faults.resets ? duration(milliseconds(300)) : m_settings.way, // its other channel was reset too
            [handler, answer]
            {
                handler(answer);
--- a/tests/src/unit-dispatch.cpp
+++ b/tests/src/unit-dispatch.cpp
@@ -251,6 +251,31 @@
     }
 }
 
+// cruzadas-prod trouble-3 --seed 1018952526392: TWICE. The channel sent a start again after a reset; the run had ended
+// meanwhile, the second answer was a refusal, and the run was taken for one that never began.
+BOOST_AUTO_TEST_CASE(a_start_that_was_sent_twice_is_not_taken_for_refused)
+{
+    pool_stand_in pool(small(3));
+    for (int i = 0; i < 3; ++i)
+    {
+        pool.faults("w" + std::to_string(i)).resets = true;
+    }
+    pool.lead();
+    pool.run(seconds(1));
+    std::vector<submission_id> all;
+    for (int i = 0; i < 10; ++i)
+    {
+        all.push_back(pool.submit("plain", {make_step(2, 1000, 200)}));
+    }
+    pool.run(seconds(5));
+    for (const submission_id id : all)
+    {
+        BOOST_TEST((pool.phase(id) == submission_phase::completed));
+        BOOST_TEST(pool.starts_of({{id, round_id{0}, 0}, 0}) == 1U);
+    }
+    check_unbroken(pool);
+}
+
 BOOST_AUTO_TEST_CASE(a_run_that_stands_still_is_started_elsewhere)
 {
     pool_stand_in pool(small(4));
@@ -315,7 +340,7 @@
         for (int step = 0; step < 80; ++step)
         {
             const int w = static_cast<int>(draw(10));
-            switch (draw(14))
+            switch (draw(15))
             {
             case 0:
                 pool.faults(life[w]).late = 0.3;
@@ -352,6 +377,9 @@
                 all.push_back(pool.submit(
                     "gangs", {make_step(static_cast<std::uint32_t>(2 + draw(6)), 4500, 1500, true)}));
                 break;
+            case 14:
+                pool.faults(life[w]).resets = !pool.faults(life[w]).resets;
+                break;
             case 7:
                 all.push_back(pool.submit("urgent", {make_step(2, 2500, 600)}));
                 break;
