--- a/include/walkthread/replication/replica.hpp
+++ b/include/walkthread/replication/replica.hpp
@@ -194,6 +194,9 @@
         monotonic_time last_sent{};
         bool snapshot_in_flight{};
         bool in_flight{};
+        log_index in_flight_to{}; ///< the last entry of those in flight
+        monotonic_time in_flight_since{};
+        std::size_t in_flight_bytes{};
     };
 
     void handle(const replica_id& from, const vote_request& m, monotonic_time now);
@@ -210,6 +213,7 @@
     void step_down_if_alone(monotonic_time now);
     void advance_members(monotonic_time now);
     void send_append(const replica_id& to, monotonic_time now);
+    void send_heartbeat(const replica_id& to, progress& p, monotonic_time now);
     void send_to_all(bool heartbeat, monotonic_time now);
     void append_local(entry_kind kind, std::string data);
     void accept_entries(const append_request& m);
--- a/src/replication/replica_log.cpp
+++ b/src/replication/replica_log.cpp
@@ -11,7 +11,9 @@
 
 namespace
 {
-constexpr duration snapshot_patience = seconds(3); // some megabytes over a busy small host, and loading them
+constexpr int heartbeats_for_entries = 3; // a large batch unanswered for so many heartbeats is sent again
+constexpr std::size_t cheap_to_repeat = 16U << 10U; // bytes that go again with each heartbeat without harm
+constexpr duration snapshot_patience = seconds(3);  // some megabytes over a busy small host, and loading them
 constexpr std::uint64_t promotion_lag =
     512; // half a second of the busiest load: under it a follower is never level
 
@@ -120,8 +122,10 @@
     progress& p = found->second;
     p.last_reply = now;
     p.acked_sent_at = std::max(p.acked_sent_at, from_stamp(m.sent_at));
-    p.in_flight = false;
     p.snapshot_in_flight = false;
+    // A heartbeat's answer says nothing about entries that are still on their way.
+    const bool large = p.in_flight_bytes > cheap_to_repeat;
+    p.in_flight = p.in_flight && large && m.accepted && m.match < p.in_flight_to;
     if (!m.accepted)
     {
         const std::uint64_t retry = std::min(m.match.value() + 1, p.next.value() - 1);
@@ -190,6 +194,31 @@
     request.sent_at = to_stamp(now);
     request.entries = m_log.slice(p.next, m_settings.append_bytes);
     p.in_flight = !request.entries.empty();
+    p.in_flight_to = log_index{previous.value() + request.entries.size()};
+    p.in_flight_since = now;
+    p.in_flight_bytes = 0;
+    for (const log_entry& entry : request.entries)
+    {
+        p.in_flight_bytes += entry.data.size();
+    }
+    send(to, std::move(request));
+}
+
+// Keeps the follower from standing for election while entries are on their way to it: those go only once.
+void replica::send_heartbeat(const replica_id& to, progress& p, monotonic_time now)
+{
+    append_request request;
+    request.term = m_state.term;
+    request.previous_index = p.match;
+    const std::optional<term_id> known = m_log.term_at(p.match);
+    if (!known)
+    {
+        return; // it needs a snapshot, which is on its way
+    }
+    request.previous_term = *known;
+    request.commit = std::min(m_commit, p.match);
+    request.sent_at = to_stamp(now);
+    p.last_sent = now;
     send(to, std::move(request));
 }
 
@@ -198,6 +227,13 @@
     for (auto& [id, p] : m_progress)
     {
         const bool due = heartbeat && now - p.last_sent >= m_settings.heartbeat;
+        const bool on_the_way = p.in_flight && p.in_flight_bytes > cheap_to_repeat &&
+                                now - p.in_flight_since < heartbeats_for_entries * m_settings.heartbeat;
+        if (due && on_the_way)
+        {
+            send_heartbeat(id, p, now);
+            continue;
+        }
         const bool has_entries = !p.in_flight && !p.snapshot_in_flight && p.next <= m_log.last_index();
         if (due || has_entries)
         {
--- /dev/null
+++ b/tests/fakes/platform_cell.py
@@ -0,0 +1,292 @@
+"""Stand-ins of the users' platform for process tests: workers, the placement advisor, an operator and callers.
+
+Small, and written from the platform's published protocol only. Workers write down themselves what they started.
+"""
+
+import http.client
+import http.server
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+
+HOST, PREFIX = "example.test", "/q/"
+
+
+def free_ports(count):
+    """Ports that are free now; all are held until all are known."""
+    held = [socket.socket() for _ in range(count)]
+    for s in held:
+        s.bind(("127.0.0.1", 0))
+    ports = [s.getsockname()[1] for s in held]
+    for s in held:
+        s.close()
+    return ports
+
+
+def loopback(number):
+    """Each process has an address of its own, as machines do; all are of the loopback."""
+    return "127.0.0.%d" % (10 + number)
+
+
+def call(address, method, path, body=None, headers=None, timeout=4.0):
+    """One exchange; (status, document), or (None, None) if none came whole."""
+    host, port = address.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        connection.request(method, path, json.dumps(body) if body is not None else None, headers or {})
+        answer = connection.getresponse()
+        text = answer.read()
+        return answer.status, json.loads(text) if text else None
+    except (OSError, http.client.HTTPException, ValueError):
+        return None, None
+    finally:
+        connection.close()
+
+
+class Server:
+    """An HTTP server in threads; `handle(method, path, headers, body)` gives status and document."""
+
+    def __init__(self, handle):
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def answer(self):
+                length = int(self.headers.get("Content-Length") or 0)
+                body = json.loads(self.rfile.read(length)) if length else None
+                status, document = handle(self.command, self.path, self.headers, body)
+                out = json.dumps(document).encode() if document is not None else b""
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(out)))
+                self.end_headers()
+                try:
+                    self.wfile.write(out)
+                except BrokenPipeError:
+                    pass  # who asked was killed meanwhile
+
+            do_GET = do_POST = do_PUT = do_DELETE = answer
+
+            def log_message(self, *_):
+                pass
+
+        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        self.address = "127.0.0.1:%d" % self.server.server_address[1]
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class Worker:
+    """One worker's life. Room, lease, fence, run numbers and tickets as the protocol tells."""
+
+    def __init__(self, cell, number):
+        self.cell, self.number = cell, number
+        self.life = "i-%08x" % number
+        self.lock = threading.Condition()
+        self.fence = self.until = 0
+        self.running, self.highest, self.finished, self.next_end = {}, {}, [], 1
+        self.sequence, self.beat_to, self.live = 0, None, True
+        self.server = Server(self.handle)
+        threading.Thread(target=self.beat, daemon=True).start()
+
+    def clock(self):
+        return int(time.monotonic() * 1000)
+
+    def handle(self, _method, path, headers, body):
+        if headers.get("X-Walkthread-Expect-Instance", self.life) != self.life:
+            return 421, None
+        with self.lock:
+            if body["fencing-token"] < self.fence:
+                return 409, {"clock-ms": self.clock(), "reason": "fence"}
+            self.fence = body["fencing-token"]
+            if self.running and self.clock() > self.until:
+                for key in list(self.running):
+                    self.end(key, "lapsed")
+            self.until = max(self.until, min(body.get("until-ms", 0), self.clock() + 6000))
+            if path.endswith("/run-start"):
+                return self.start(body)
+            if path.endswith("/run-stop"):
+                return self.stop(body)
+            return self.hold(body)
+
+    def start(self, body):
+        key = (body["task"], body["run-id"])
+        if key in self.running:
+            return 200, {"clock-ms": self.clock()}
+        if body["run-id"] <= self.highest.get(body["task"], 0):
+            return 409, {"clock-ms": self.clock(), "reason": "old"}
+        if body["until-ms"] < self.clock():
+            return 409, {"clock-ms": self.clock(), "reason": "late"}
+        step = body["task"].rsplit(".", 1)[0]
+        if time.monotonic() > self.cell.tickets.get((step, self.life, body.get("ticket")), 0):
+            return 409, {"clock-ms": self.clock(), "reason": "ticket"}
+        self.running[key] = time.monotonic()
+        self.cell.starts.append((body["task"], body["run-id"], self.life, time.monotonic()))
+        timer = threading.Timer(self.cell.run_seconds, self.complete, (key,))
+        timer.daemon = True
+        timer.start()
+        return 200, {"clock-ms": self.clock()}
+
+    def complete(self, key):
+        with self.lock:
+            if key in self.running and self.live:
+                self.end(key, "done")
+
+    def end(self, key, how):
+        del self.running[key]
+        self.highest[key[0]] = max(self.highest.get(key[0], 0), key[1])
+        self.finished.append([self.next_end, key[0], key[1], how, ""])
+        if how == "done":
+            self.cell.done.append((key[0], key[1], time.monotonic()))
+        self.next_end += 1
+        self.lock.notify_all()
+
+    def stop(self, body):
+        key = (body["task"], body["run-id"])
+        self.highest[key[0]] = max(self.highest.get(key[0], 0), key[1])
+        if key in self.running:
+            self.end(key, "stopped")
+        return 200, {"clock-ms": self.clock()}
+
+    def hold(self, body):
+        self.finished = [row for row in self.finished if row[0] > body["last-seen"]]
+        self.lock.wait_for(lambda: self.finished, body.get("wait-ms", 0) / 1000.0)
+        running = [[task, run, "", 50] for task, run in self.running]
+        return 200, {"clock-ms": self.clock(), "running": running, "finished": self.finished[:500]}
+
+    def beat(self):
+        while self.live:
+            self.sequence += 1
+            body = {"service": "pool", "machine": "m-%d" % self.number, "address": self.server.address, "zone": "a",
+                    "version": "v1", "slots": 8, "state": "ready", "room": {"cpu": 16000, "mem-mb": 65536, "gpu": 0},
+                    "labels": ["a", "r1-%d" % (self.number % 2)], "clock-ms": self.clock(), "sequence": self.sequence}
+            targets = ([self.beat_to] if self.beat_to else []) + self.cell.operator_addresses()
+            for target in targets:
+                status, answer = call(target, "PUT", "/walkthread/instances/" + self.life, body, timeout=1.0)
+                if status == 200:
+                    self.beat_to = answer.get("heartbeat-addr")
+                    break
+                self.beat_to = None
+            time.sleep(0.7)
+
+
+class PlatformCell:
+    """Core and edge processes with their settings, workers and an advisor."""
+
+    def __init__(self, build, cores=3, edges=2, workers=4, run_seconds=0.3):
+        self.program = os.path.join(build, "walkthread-platformd")
+        self.folder = tempfile.mkdtemp(prefix="walkthread-platform-")
+        self.run_seconds = run_seconds
+        self.starts, self.done, self.tickets = [], [], {}
+        self.processes, self.logs = {}, {}
+        self.peer, self.control, self.front, self.ready = free_ports(4)
+        self.cores, self.edges = list(range(1, cores + 1)), list(range(cores + 1, cores + edges + 1))
+        self.advisor = Server(self.advise)
+        for number in self.cores + self.edges:
+            self.start(number, founding=True)
+        self.workers = [Worker(self, n) for n in range(workers)]
+
+    def advise(self, _method, _path, _headers, body):
+        time.sleep(0.005)
+        good = [[life, "t%d" % random.getrandbits(30)] for life in body["workers"]]
+        for life, ticket in good:
+            self.tickets[(body["step"], life, ticket)] = time.monotonic() + 1.5
+        return 200, {"good": good, "validity-ms": 1500}
+
+    def settings(self, number, founding):
+        ip, core = loopback(number), number in self.cores
+        lines = ['node-name = "n%d"' % number, 'ip = "%s"' % ip, 'zone = "a"', "internal-ports = [%d, %d]" % (self.peer, self.peer),
+                 "seeds = [%s]" % ", ".join('"%s:%d"' % (loopback(n), self.control) for n in self.cores[:3]),
+                 "bootstrap = %s" % str(founding).lower(), 'advice = "%s"' % self.advisor.address,
+                 'serves = ["%s"]' % ("control_plane" if core else "edge")]
+        if core:
+            lines.append('data-dir = "%s"' % os.path.join(self.folder, "disk-%d" % number))
+        lines.append("[listen-addrs]")
+        lines += ['control = "%s:%d"' % (ip, self.control)] if core else [
+            'front = "%s:%d"' % (ip, self.front), 'ready = "%s:%d"' % (ip, self.ready)]
+        lines += ["[fault-tolerance]", "machines = %d" % ((len(self.cores) - 1) // 2), "[bounds]", "hold-max-ms = 6000", "grace-s = 6"]
+        path = os.path.join(self.folder, "n%d.toml" % number)
+        with open(path, "w") as f:
+            f.write("\n".join(lines) + "\n")
+        return path
+
+    def start(self, number, founding=False):
+        self.logs[number] = os.path.join(self.folder, "n%d.log" % number)
+        with open(self.logs[number], "a") as log:
+            self.processes[number] = subprocess.Popen([self.program, "--settings", self.settings(number, founding)], stdout=log, stderr=log)
+
+    def kill(self, number, how=signal.SIGKILL):
+        self.processes[number].send_signal(how)
+        return self.processes[number].wait(15)
+
+    def operator_addresses(self):
+        return ["%s:%d" % (loopback(n), self.control) for n in self.cores]
+
+    def leader(self):
+        """The core process that says it leads, or None."""
+        for n in self.cores:
+            host = http.client.HTTPConnection(loopback(n), self.control, timeout=1)
+            try:
+                host.request("GET", "/metrics")
+                if "walkthread_leads 1" in host.getresponse().read().decode():
+                    return n
+            except (OSError, http.client.HTTPException):
+                pass
+            finally:
+                host.close()
+        return None
+
+    def configure(self, version=1, prefix=PREFIX):
+        route = {"name": "r", "host": HOST, "path-prefix": prefix, "kind": "non_idempotent", "timeout-ms": 3000,
+                 "target-latency-ms": 500, "priority": 0, "service": "pool", "max-attempts": 2, "stretch": 2.0,
+                 "advice": {"decision-ms": 5.0, "each-ms": 0.1, "validity-ms": 1500}}
+        body = {"version": version, "routes": [route], "services": [{"name": "pool", "rejects-overload": False, "spare": False}]}
+        for address in self.operator_addresses():
+            status, _ = call(address, "PUT", "/walkthread/config", body)
+            if status == 200:
+                return True
+        return False
+
+    def ask(self, method, submission="", body=None, edge=None):
+        edge = random.choice(self.edges) if edge is None else edge
+        return call("%s:%d" % (loopback(edge), self.front), method, PREFIX + submission, body, {"Host": HOST})
+
+    def submit(self, submission, steps):
+        """Sends until it is taken; the same id each time."""
+        return wait_for(lambda: self.ask("POST", submission, {"spec": "text", "steps": steps})[0] == 200, 30)
+
+    def state(self, submission):
+        status, answer = self.ask("GET", submission)
+        return answer["state"] if status == 200 else None
+
+    def overlaps(self):
+        """Tasks that were started again after a run of them was done, from the workers' own records."""
+        return [s for s in self.starts for d in self.done if s[0] == d[0] and s[1] > d[1] and s[3] > d[2]]
+
+    def stop(self):
+        for worker in getattr(self, "workers", []):
+            worker.live = False
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+                process.wait(15)
+        self.advisor.close()
+
+
+def wait_for(condition, seconds):
+    """Waits until a condition gives something true, and gives it; fails after so long."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.05)
+    raise AssertionError("Not within %d s." % seconds)
--- /dev/null
+++ b/tests/process/test_platform.py
@@ -0,0 +1,104 @@
+"""The whole path on the users' platform, with stand-ins: submissions of each kind, a leader killed on the way, a lost disk,
+a planned stop, bad input."""
+
+import os
+import shutil
+import signal
+import sys
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "fakes"))
+from platform_cell import HOST, PREFIX, PlatformCell, call, loopback, wait_for  # noqa: E402
+
+SMALL = {"cpu": 1000, "mem-mb": 100, "estimate-ms": 300}
+KINDS = [[dict(SMALL, count=2)],
+         [dict(SMALL, count=3), dict(SMALL, count=2, **{"after-rev": [0]})],
+         [dict(SMALL, count=4, cpu=4500, gang=True)],
+         [dict(SMALL, count=5, checkpointing=True, **{"anti-affinity": 2})]]
+
+
+def submission(number):
+    return "%016x" % (0xABC0000000000000 + number)
+
+
+def bad_input(cell):
+    edge = "%s:%d" % (loopback(cell.edges[0]), cell.front)
+    headers = {"Host": HOST}
+    assert call(edge, "POST", PREFIX + submission(900), {"steps": []}, headers)[0] == 400
+    assert call(edge, "POST", PREFIX + submission(901), {"steps": [{"count": 1, "after-rev": [0]}]}, headers)[0] == 400
+    assert call(edge, "POST", PREFIX + "no-id", {"steps": [{"count": 1}]}, headers)[0] == 400
+    assert call(edge, "POST", "/nowhere/" + submission(902), {"steps": [{"count": 1}]}, headers)[0] == 404
+    assert call(edge, "POST", PREFIX + submission(903), {"spec": "x" * 2_000_000, "steps": []}, headers)[0] in (413, None)
+    assert cell.ask("GET", submission(900))[0] == 410
+    status, _ = call(cell.operator_addresses()[0], "PUT", "/walkthread/config", {"version": 99, "routes": [{}], "services": []})
+    assert status == 400, status
+
+
+def run(cell):
+    wait_for(lambda: cell.configure(), 30)
+    wait_for(lambda: cell.ask("GET")[0] == 200, 30)
+    ids = [submission(n) for n in range(24)]
+    for n, name in enumerate(ids):
+        cell.submit(name, KINDS[n % len(KINDS)])
+        if n == 8:
+            leader = wait_for(cell.leader, 20)
+            cell.kill(leader)
+        if n == 16:
+            cell.start(leader)
+    for name in ids:
+        wait_for(lambda name=name: cell.state(name) == "completed", 60)
+    assert not cell.overlaps(), cell.overlaps()
+    tasks = {s[0] for s in cell.starts}
+    expected = sum(step["count"] for n in range(24) for step in KINDS[n % len(KINDS)])
+    assert len(tasks) == expected, (len(tasks), expected)
+    bad_input(cell)
+
+    # The leader stops as planned: another leads, and nothing that was accepted is gone.
+    leader = wait_for(cell.leader, 30)
+    assert cell.kill(leader, signal.SIGTERM) == 0
+    wait_for(lambda: cell.leader() not in (None, leader), 20)
+    assert cell.state(ids[0]) == "completed"
+
+    # Its disk is lost: it comes back as a new member; then another may go.
+    shutil.rmtree(os.path.join(cell.folder, "disk-%d" % leader))
+    cell.start(leader)
+    caught_up = '"event":"leader_found"'
+    wait_for(lambda: caught_up in open(cell.logs[leader]).read().split('"event":"replica_opened"')[-1], 30)
+    wait_for(lambda: "walkthread_voters 3" in metrics(cell, leader), 30)
+    other = next(n for n in cell.cores if n != leader)
+    cell.kill(other)
+    cell.submit(submission(50), KINDS[0])
+    wait_for(lambda: cell.state(submission(50)) == "completed", 60)
+    assert cell.state(ids[1]) == "completed"
+    assert not cell.overlaps(), cell.overlaps()
+
+
+def metrics(cell, number):
+    import http.client
+    host = http.client.HTTPConnection(loopback(number), cell.control, timeout=2)
+    try:
+        host.request("GET", "/metrics")
+        return host.getresponse().read().decode()
+    except OSError:
+        return ""
+    finally:
+        host.close()
+
+
+def main():
+    cell = PlatformCell(sys.argv[1])
+    failed = True
+    try:
+        run(cell)
+        failed = False
+    finally:
+        cell.stop()
+        if failed:
+            for number, path in cell.logs.items():
+                with open(path) as log:
+                    print("-- process %d\n%s" % (number, log.read()[-3000:]))
+        shutil.rmtree(cell.folder, ignore_errors=True)
+    print("test_platform passed.")
+
+
+if __name__ == "__main__":
+    main()
