--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -48,9 +48,9 @@
 
     /// @brief Takes a worker's report. A life that is not known yet is proposed first.
     /// @param done called once the report counts: its life is in the replicated state
-    void take_report(const worker_report& report, monotonic_time now, std::function<void(bool)> done);
+    void take_report(const worker_report& report, monotonic_time now, const std::function<void(bool)>& done);
     /// @brief A worker says that it ends now.
-    void take_leave(const std::string& life, std::function<void(bool)> done);
+    void take_leave(const std::string& life, const std::function<void(bool)>& done);
     /// @brief Decides all that can be decided at `now`. Complexity: ready steps times workers at most.
     void pass(monotonic_time now, wall_ms wall);
     /// @brief When `pass` is needed again at the latest.
--- a/include/walkthread/fabric/advice_desk.hpp
+++ b/include/walkthread/fabric/advice_desk.hpp
@@ -59,7 +59,7 @@
     };
 
     void send_next(monotonic_time now);
-    void send(const std::string& asker, open_question item, bool urgent, monotonic_time now);
+    void send(const std::string& asker, const open_question& item, bool urgent, monotonic_time now);
     [[nodiscard]] std::string free_asker(monotonic_time now);
     [[nodiscard]] std::size_t live_askers(monotonic_time now) const;
 
--- a/include/walkthread/fabric/fabric_node.hpp
+++ b/include/walkthread/fabric/fabric_node.hpp
@@ -80,7 +80,7 @@
     virtual bool handle_locally(const service_call& body, const call_handler& handler);
     virtual void ask_around(monotonic_time now);
     void note(std::string_view event, std::string_view subject, std::initializer_list<log_field> fields);
-    void answer_call(const std::string& from, call_note note);
+    void answer_call(const std::string& from, const call_note& note);
 
     boost::asio::io_context& m_loop;
     fabric_settings m_settings;
--- a/include/walkthread/fabric/replica_host.hpp
+++ b/include/walkthread/fabric/replica_host.hpp
@@ -63,7 +63,7 @@
     struct disk;
 
     void tick();
-    void write(replica_output output);
+    void write(const replica_output& output);
     void written(const result<done, storage_error>& outcome);
     void store_snapshot_if_due();
     void run_on_disk(std::function<result<done, storage_error>()> job,
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -85,7 +85,8 @@
 // Reports of workers
 // ---------------------------------------------------------------------------------------------------------
 
-void dispatcher::take_report(const worker_report& report, monotonic_time now, std::function<void(bool)> done)
+void dispatcher::take_report(const worker_report& report, monotonic_time now,
+                             const std::function<void(bool)>& done)
 {
     const worker_life* known = m_state.find_life(report.facts.life);
     if (known == nullptr || known->facts != report.facts)
@@ -139,7 +140,7 @@
     done(true);
 }
 
-void dispatcher::take_leave(const std::string& life, std::function<void(bool)> done)
+void dispatcher::take_leave(const std::string& life, const std::function<void(bool)>& done)
 {
     const worker_life* known = m_state.find_life(life);
     if (known == nullptr)
--- a/src/fabric/advice_desk.cpp
+++ b/src/fabric/advice_desk.cpp
@@ -80,13 +80,13 @@
             return;
         }
         auto& queue = urgent ? m_urgent : m_normal;
-        open_question item = std::move(queue.front());
+        const open_question item = std::move(queue.front());
         queue.pop_front();
-        send(asker, std::move(item), urgent, now);
+        send(asker, item, urgent, now);
     }
 }
 
-void advice_desk::send(const std::string& asker, open_question item, bool urgent, monotonic_time now)
+void advice_desk::send(const std::string& asker, const open_question& item, bool urgent, monotonic_time now)
 {
     m_askers[asker].busy = true;
     ++m_busy;
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -38,7 +38,7 @@
       m_stop(std::move(stop)),
       m_desk(
           [this](const std::string& asker, const advice_question& question,
-                 advice_desk::answer_handler handler)
+                 const advice_desk::answer_handler& handler)
           {
               constexpr milliseconds patience{2500}; // the slowest question takes about 1 s
               m_router.call_peer(asker, advise_call{question}, patience,
@@ -343,6 +343,8 @@
     line("walkthread_leads", m_dispatcher ? 1 : 0);
     line("walkthread_commit_index", core.commit_index().value());
     line("walkthread_voters", core.members().voters.size());
+    line("walkthread_learners", core.members().learners.size());
+    line("walkthread_votes", core.members().is_voter(core.self()) ? 1 : 0);
     line("walkthread_log_syncs_total", m_replica->syncs());
     line("walkthread_submissions_kept", m_state.submissions().size());
     line("walkthread_steps_ready", m_state.ready().size());
--- a/src/fabric/fabric_node.cpp
+++ b/src/fabric/fabric_node.cpp
@@ -120,11 +120,11 @@
     }
     else if (auto* call = std::get_if<call_note>(&message))
     {
-        answer_call(from, std::move(*call));
+        answer_call(from, *call);
     }
 }
 
-void fabric_node::answer_call(const std::string& from, call_note note)
+void fabric_node::answer_call(const std::string& from, const call_note& note)
 {
     auto body = decode<service_call>(note.body);
     const auto answer = [this, alive = m_alive, from, number = note.number](service_reply reply)
--- a/src/fabric/replica_host.cpp
+++ b/src/fabric/replica_host.cpp
@@ -158,7 +158,7 @@
         applied += m_group->apply(output) + (output.install ? 1 : 0);
         if (sync)
         {
-            write(std::move(output));
+            write(output);
         }
         else if (!m_writing)
         {
@@ -174,7 +174,7 @@
     }
 }
 
-void replica_host::write(replica_output output)
+void replica_host::write(const replica_output& output)
 {
     m_folder->add(m_group->id(), output);
     run_on_disk(
--- a/src/replication/replica_log.cpp
+++ b/src/replication/replica_log.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 constexpr int heartbeats_for_entries = 3; // a large batch unanswered for so many heartbeats is sent again
-constexpr std::size_t cheap_to_repeat = 16U << 10U; // bytes that go again with each heartbeat without harm
+constexpr std::size_t cheap_to_repeat = 64U << 10U; // bytes that go again with each heartbeat without harm
 constexpr duration snapshot_patience = seconds(3);  // some megabytes over a busy small host, and loading them
 constexpr std::uint64_t promotion_lag =
     512; // half a second of the busiest load: under it a follower is never level
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -61,9 +61,8 @@
     # Its disk is lost: it comes back as a new member; then another may go.
     shutil.rmtree(os.path.join(cell.folder, "disk-%d" % leader))
     cell.start(leader)
-    caught_up = '"event":"leader_found"'
-    wait_for(lambda: caught_up in open(cell.logs[leader]).read().split('"event":"replica_opened"')[-1], 30)
-    wait_for(lambda: "walkthread_voters 3" in metrics(cell, leader), 30)
+    replaced = ("walkthread_votes 1\n", "walkthread_voters 3\n", "walkthread_learners 0\n")
+    wait_for(lambda: all(figure in metrics(cell, leader) for figure in replaced), 30)
     other = next(n for n in cell.cores if n != leader)
     cell.kill(other)
     cell.submit(submission(50), KINDS[0])
