--- a/src/fabric/mesh.cpp
+++ b/src/fabric/mesh.cpp
@@ -10,7 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
 
-#include <walkthread/fabric/addresses.hpp>
+#include <walkthread/fabric/acceptors.hpp>
 #include <walkthread/units/time.hpp>
 #include <walkthread/wire/codec.hpp>
 #include <walkthread/wire/frame.hpp>
@@ -379,31 +379,12 @@
 
 std::string mesh::open()
 {
-    const std::optional<tcp::endpoint> endpoint = detail::parse_endpoint(m_core->self.address);
-    if (!endpoint)
+    std::string failed = detail::open_acceptor(m_core->acceptor, m_core->self.address);
+    if (failed.empty())
     {
-        return m_core->self.address + " is no IP number and port";
+        m_core->accept();
     }
-    error_code failed;
-    m_core->acceptor.open(endpoint->protocol(), failed);
-    if (!failed)
-    {
-        m_core->acceptor.set_option(asio::socket_base::reuse_address(true), failed);
-    }
-    if (!failed)
-    {
-        m_core->acceptor.bind(*endpoint, failed);
-    }
-    if (!failed)
-    {
-        m_core->acceptor.listen(asio::socket_base::max_listen_connections, failed);
-    }
-    if (failed)
-    {
-        return m_core->self.address + ": " + failed.message();
-    }
-    m_core->accept();
-    return {};
+    return failed;
 }
 
 void mesh::send(const std::string& to, const mesh_message& message)
--- a/src/fabric/web_listener.cpp
+++ b/src/fabric/web_listener.cpp
@@ -6,7 +6,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <walkthread/fabric/addresses.hpp>
+#include <walkthread/fabric/acceptors.hpp>
 
 namespace walkthread
 {
@@ -243,31 +243,12 @@
 
 std::string web_listener::open(const std::string& address)
 {
-    const std::optional<tcp::endpoint> endpoint = detail::parse_endpoint(address);
-    if (!endpoint)
+    std::string failed = detail::open_acceptor(m_core->acceptor, address);
+    if (failed.empty())
     {
-        return address + " is no IP number and port";
+        m_core->accept();
     }
-    beast::error_code failed;
-    m_core->acceptor.open(endpoint->protocol(), failed);
-    if (!failed)
-    {
-        m_core->acceptor.set_option(asio::socket_base::reuse_address(true), failed);
-    }
-    if (!failed)
-    {
-        m_core->acceptor.bind(*endpoint, failed);
-    }
-    if (!failed)
-    {
-        m_core->acceptor.listen(asio::socket_base::max_listen_connections, failed);
-    }
-    if (failed)
-    {
-        return address + ": " + failed.message();
-    }
-    m_core->accept();
-    return {};
+    return failed;
 }
 
 void web_listener::wind_down()
