Passes over steps that are not urgent at most once in 20 ms

Ruled out: JSON and HTTP (a fifth together). Urgent and lasting steps are still looked at each time.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -51,7 +51,8 @@
     void take_report(const worker_report& report, monotonic_time now, const std::function<void(bool)>& done);
     /// @brief A worker says that it ends now.
     void take_leave(const std::string& life, const std::function<void(bool)>& done);
-    /// @brief Decides all that can be decided at `now`. Complexity: ready steps times workers at most.
+    /// @brief Decides what can be decided at `now`: urgent and lasting steps each time, the others once in
+    /// `dispatch_settings::full_pass_gap`. Complexity: the steps looked at times workers at most.
     void pass(monotonic_time now, wall_ms wall);
     /// @brief When `pass` is needed again at the latest.
     [[nodiscard]] monotonic_time next_pass(monotonic_time now) const;
@@ -116,7 +117,8 @@
     // dispatcher.cpp: the pass, order
     void sync_views(monotonic_time now);
     void tidy(monotonic_time now, wall_ms wall);
-    [[nodiscard]] std::vector<candidate> order_candidates(monotonic_time now, wall_ms wall);
+    [[nodiscard]] std::vector<candidate> order_candidates(wall_ms wall, bool all);
+    [[nodiscard]] bool rate(candidate& item, wall_ms wall) const;
     void forget_old(wall_ms wall);
     void stop_unwanted(monotonic_time now);
     void propose_starts(const candidate& item, const std::vector<planned_start>& starts,
@@ -196,6 +198,8 @@
     std::map<worker_life_id, worker_view> m_views;
     std::uint64_t m_synced_version = 0;
     monotonic_time m_tidy_due{};
+    monotonic_time m_full_due{}; ///< when steps that are not urgent are looked at again
+    bool m_full_wanted = false;  ///< some of them wait
     std::map<task_ref, worker_life_id> m_planned; ///< starts that wait for their commit
     advice_book m_advice;
     objective_book m_objectives;
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -32,6 +32,8 @@
     milliseconds ticket_margin{150};  ///< a ticket is not used that shortly before its end: commit and way
     milliseconds advice_gap{60};      ///< least time between two questions for one step
     milliseconds advice_retry{250};   ///< after a question without an answer
+    milliseconds full_pass_gap{20};   ///< between passes over steps that are not urgent: their objectives are
+                                      ///< seconds, and such a pass costs most of the leader's time
     milliseconds quarantine{4000};    ///< the first one; doubles each time
     milliseconds quarantine_cap{30000};
     int quarantine_failures = 3;       ///< failed runs in a row of different submissions
--- a/include/walkthread/fabric/core_node.hpp
+++ b/include/walkthread/fabric/core_node.hpp
@@ -77,6 +77,7 @@
     [[nodiscard]] bool enough_copies() const;
     [[nodiscard]] dispatch_hooks make_hooks();
     void wake_dispatcher();
+    void arm_pass(monotonic_time when);
     void run_pass();
 
     // core_calls.cpp: calls at the leader
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -166,7 +166,7 @@
 
 monotonic_time dispatcher::next_pass(monotonic_time now) const
 {
-    return now + idle_pass;
+    return m_full_wanted ? std::max(m_full_due, now) : now + idle_pass;
 }
 
 void dispatcher::pass(monotonic_time now, wall_ms wall)
@@ -178,10 +178,15 @@
         m_tidy_due = now + tidy_every;
         tidy(now, wall);
     }
+    const bool all = now >= m_full_due;
+    if (all)
+    {
+        m_full_due = now + m_settings.full_pass_gap;
+    }
     stop_unwanted(now);
     prepare_rows(now);
     std::size_t failed = 0;
-    for (const candidate& item : order_candidates(now, wall))
+    for (const candidate& item : order_candidates(wall, all))
     {
         const std::uint32_t before = waiting_tasks(item);
         place(item, now);
@@ -205,40 +210,49 @@
     forget_old(wall);
 }
 
-std::vector<dispatcher::candidate> dispatcher::order_candidates(monotonic_time now, wall_ms wall)
+// How pressing a step is. False if nothing of it can be started now.
+bool dispatcher::rate(candidate& item, wall_ms wall) const
+{
+    const wall_ms due = item.owner->spec.due_at(item.ref.round);
+    if (due > wall || waiting_tasks(item) == 0)
+    {
+        return false;
+    }
+    const wall_ms since = std::max(due, item.owner->accepted);
+    const auto age = static_cast<double>(std::max<wall_ms>(wall - since, 0));
+    if (item.step->lasting)
+    {
+        item.slack_ms = -age;
+        return true;
+    }
+    const double objective =
+        item.queue != nullptr ? m_objectives.objective_ms(*item.owner, *item.queue) : 0.0;
+    item.slack_ms = objective - age - m_objectives.remaining_ms(*item.owner, item.ref.step);
+    item.missed = item.slack_ms < -0.25 * objective; // estimates are rough: a little below may still make it
+    return true;
+}
+
+std::vector<dispatcher::candidate> dispatcher::order_candidates(wall_ms wall, bool all)
 {
     std::vector<candidate> out;
+    m_full_wanted = false;
     for (const step_ref& ref : m_state.ready())
     {
         candidate item;
         item.ref = ref;
         item.owner = m_state.find(ref.submission);
-        const wall_ms due = item.owner->spec.due_at(ref.round);
-        if (due > wall)
-        {
-            continue;
-        }
         item.step = &item.owner->spec.steps[ref.step];
         item.queue = m_state.held_catalogue()
                          ? find_queue_by_name(*m_state.held_catalogue(), item.owner->queue)
                          : nullptr;
-        if (waiting_tasks(item) == 0)
+        if (!all && !item.urgent() && !item.step->lasting)
         {
-            continue;
+            m_full_wanted = true;
         }
-        const wall_ms since = std::max(due, item.owner->accepted);
-        const auto age = static_cast<double>(std::max<wall_ms>(wall - since, 0));
-        const double objective =
-            item.queue != nullptr ? m_objectives.objective_ms(*item.owner, *item.queue) : 0.0;
-        item.slack_ms = objective - age - m_objectives.remaining_ms(*item.owner, ref.step);
-        item.missed =
-            item.slack_ms < -0.25 * objective; // estimates are rough: a little below may still make it
-        if (item.step->lasting)
+        else if (rate(item, wall))
         {
-            item.missed = false;
-            item.slack_ms = -age;
+            out.push_back(item);
         }
-        out.push_back(item);
     }
     std::sort(out.begin(), out.end(),
               [](const candidate& a, const candidate& b)
@@ -250,7 +264,6 @@
                   };
                   return key(a) < key(b);
               });
-    static_cast<void>(now);
     return out;
 }
 
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -307,8 +307,13 @@
         return;
     }
     m_pass_due = true;
-    const auto since = monotonic_now() - m_last_pass;
-    m_pass_timer.expires_after(since < m_times.pass_gap ? m_times.pass_gap - since : duration{0});
+    arm_pass(m_last_pass + m_times.pass_gap);
+}
+
+// The next pass, at that time; one that was to come later no longer does.
+void core_node::arm_pass(monotonic_time when)
+{
+    m_pass_timer.expires_after(std::max<duration>(when - monotonic_now(), duration{0}));
     m_pass_timer.async_wait(
         [this, alive = m_alive](boost::system::error_code cancelled)
         {
@@ -329,6 +334,10 @@
     }
     m_last_pass = now;
     m_dispatcher->pass(now, wall_now());
+    if (!m_pass_due)
+    {
+        arm_pass(m_dispatcher->next_pass(now));
+    }
 }
 
 std::string core_node::figures() const
--- a/tests/src/pool_stand_in.hpp
+++ b/tests/src/pool_stand_in.hpp
@@ -286,21 +286,25 @@
             return;
         }
         m_pass_due = true;
-        at(milliseconds(2),
-           [this, term = m_term]
+        pass_at(m_now + milliseconds(2));
+    }
+    // One pass at that time, unless a later call asks for an earlier one.
+    void pass_at(monotonic_time when)
+    {
+        at(when - m_now,
+           [this, term = m_term, number = ++m_pass_number]
            {
-               if (!m_leader || term != m_term)
+               if (!m_leader || term != m_term || number != m_pass_number)
                {
                    return;
                }
                m_pass_due = false;
                ++m_passes;
                m_leader->pass(m_now, wall());
-               at(milliseconds(100),
-                  [this]
-                  {
-                      wake();
-                  });
+               if (!m_pass_due)
+               {
+                   pass_at(m_leader->next_pass(m_now));
+               }
            });
     }
 
@@ -769,6 +773,7 @@
     std::uint64_t m_next_id = 1000;
     bool m_pass_due = false;
     std::size_t m_passes = 0;
+    std::size_t m_pass_number = 0; // of the pass that comes next
     workload_result m_last_result;
     std::priority_queue<event> m_events;
     std::map<std::string, sim_worker> m_workers;
