Room is held for gangs task by task in place of whole reserved hosts

Now at most four gangs at a time gather free room on hosts that the advisor allows, as it comes free, and ask for tickets once they hold enough. Hosts' room that is not held is open to others.

--- a/include/walkthread/dispatch/advice_book.hpp
+++ b/include/walkthread/dispatch/advice_book.hpp
@@ -17,6 +17,9 @@
 namespace walkthread
 {
 
+/// @brief Workers in one question at most; the advisor's bound.
+inline constexpr std::size_t most_asked = 100;
+
 /// @brief What is known about one worker for one step.
 struct advice_entry
 {
--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -81,19 +81,22 @@
             return queue != nullptr && queue->priority == 0;
         }
     };
-    /// Hosts kept free for a gang until it starts.
-    struct reservation
+    /// Room kept for a gang until all of its tasks can start together.
+    struct gang_hold
     {
-        std::vector<worker_life_id> hosts;
-        bool missed{}; ///< the gang was late already
-        monotonic_time since{};
+        std::map<worker_life_id, std::uint32_t> tasks; ///< how many each host has room for
+        std::uint32_t total{};                         ///< the sum of `tasks`
+        resources each{};                              ///< what one task takes
+        bool missed{};                                 ///< the gang was late when it began to hold
+        monotonic_time grew{};                         ///< when `total` last rose
     };
     /// A worker during one pass.
     struct host_row
     {
         const worker_life* worker{};
         const worker_view* view{};
-        resources free{};
+        resources open{}; ///< what no run takes
+        resources free{}; ///< the same without what is held for gangs
         bool usable{};
     };
     /// A worker that a step's tasks may go to.
@@ -104,6 +107,7 @@
         std::uint32_t slots{}; ///< tasks of the step that fit now
         std::uint32_t whole{}; ///< tasks that would fit if nothing ran there
         bool near{};           ///< in the rack with the data
+        bool held{};           ///< a part of it is held for a gang
         bool keeps_large{};    ///< a task there takes no room from gangs
         double speed{};        ///< learned, 1 is usual
         std::string ticket;    ///< "-" where none is needed, empty where none counts
@@ -129,36 +133,50 @@
     // dispatcher_place.cpp: which worker
     void place(const candidate& item, monotonic_time now);
     void place_each(const candidate& item, monotonic_time now);
-    void place_gang(const candidate& item, monotonic_time now);
     void prepare_rows(monotonic_time now);
     [[nodiscard]] bool allowed(const candidate& item, const host_row& row) const;
     [[nodiscard]] std::string ticket_for(const candidate& item, worker_life_id worker, monotonic_time now);
-    [[nodiscard]] resources free_room(const worker_life& worker, const worker_view& view) const;
+    [[nodiscard]] resources open_room(const worker_life& worker, const worker_view& view) const;
+    [[nodiscard]] resources room_for(const candidate& item, const host_row& row) const;
     [[nodiscard]] std::uint32_t slots(const candidate& item, const resources& room) const;
     [[nodiscard]] std::uint32_t waiting_tasks(const candidate& item) const;
     [[nodiscard]] std::map<worker_life_id, std::uint32_t> spread(const candidate& item) const;
     [[nodiscard]] std::set<worker_life_id> failed_before(const candidate& item);
     [[nodiscard]] offer make_offer(const candidate& item, const host_row& row, monotonic_time now);
     [[nodiscard]] std::vector<offer> find_offers(const candidate& item, monotonic_time now);
+    [[nodiscard]] std::vector<offer> find_good_offers(const candidate& item, monotonic_time now);
     [[nodiscard]] std::vector<offer> find_open_offers(const candidate& item, monotonic_time now);
+    [[nodiscard]] bool surely_good(const candidate& item, worker_life_id worker);
     [[nodiscard]] bool keeps_large_slots(const resources& room, const resources& need) const;
+
+    // dispatcher_gangs.cpp: all tasks of a step at once
+    void place_gang(const candidate& item, monotonic_time now);
+    [[nodiscard]] bool start_gang(const candidate& item, monotonic_time now);
     void learn_large_task(const candidate& item);
+    void hold_room(const candidate& item, monotonic_time now);
+    [[nodiscard]] bool may_gather(const candidate& item) const;
+    [[nodiscard]] std::uint32_t held_tasks(const step_ref& ref) const;
+    void set_hold(const candidate& item, gang_hold next);
+    void drop_hold(const step_ref& ref);
+    void review_holds(monotonic_time now);
+    void ask_for_gang(const candidate& item, monotonic_time now);
+    [[nodiscard]] std::vector<worker_life_id> hosts_without_ticket(const candidate& item,
+                                                                   const gang_hold& hold, monotonic_time now);
 
     // dispatcher_advice.cpp
     void ask_advice(const candidate& item, std::uint32_t need, monotonic_time now);
+    [[nodiscard]] bool may_ask(const candidate& item, monotonic_time now);
+    void ask(const candidate& item, std::uint32_t need, const std::vector<worker_life_id>& workers,
+             monotonic_time now);
+    void take_advice(const step_ref& ref, const std::string& queue,
+                     const std::vector<worker_life_id>& workers, const advice_answer& answer,
+                     milliseconds validity);
 
     // dispatcher_preempt.cpp
-    [[nodiscard]] duration free_in(const candidate& item, const offer& o) const;
-    void reserve(const candidate& item, monotonic_time now);
-    void drop_reservation(const step_ref& ref);
-    void review_reservations(monotonic_time now);
-    [[nodiscard]] bool reserved_hosts_ready_soon(const candidate& item, monotonic_time now);
     void preempt_for(const candidate& item, std::uint32_t need, monotonic_time now);
     std::uint32_t preempt_on(const candidate& item, const offer& o, const resources& room, std::uint32_t need,
                              monotonic_time now);
     [[nodiscard]] bool may_preempt(const candidate& item, const run_ref& run, const run_view& known) const;
-    [[nodiscard]] bool surely_good(const candidate& item, worker_life_id worker);
-    [[nodiscard]] bool reserved_from(const candidate& item, const host_row& row) const;
 
     // dispatcher_workers.cpp: looks, leases, ends; dispatcher_orders.cpp: starts, stops, retries
     void look_at_all(monotonic_time now);
@@ -203,11 +221,11 @@
     std::map<task_ref, worker_life_id> m_planned; ///< starts that wait for their commit
     advice_book m_advice;
     objective_book m_objectives;
-    std::map<worker_life_id, step_ref> m_reserved;  ///< hosts kept free for a gang
-    std::map<step_ref, reservation> m_reservations; ///< the same by gang
+    std::map<step_ref, gang_hold> m_holds;                 ///< room kept for gangs
+    std::unordered_map<worker_life_id, resources> m_held;  ///< the same by host
+    std::map<step_ref, monotonic_time> m_hold_after;       ///< gangs that gathered in vain wait until then
     std::vector<host_row> m_rows;                   ///< of this pass
     std::unordered_map<worker_life_id, std::size_t> m_row_of;
-    std::map<step_ref, monotonic_time> m_reserve_after;
     std::map<step_ref, monotonic_time> m_preempted; ///< when runs were last stopped for a step
     resources m_large_task{};                       ///< about what a task of a gang takes
     std::set<std::string> m_joining;                ///< lives whose admission is proposed
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -43,12 +43,11 @@
     milliseconds drain_stop{1000}; ///< before a draining worker goes: checkpointing runs are stopped
     milliseconds keep_final{
         150000}; ///< final submissions are known for that long; above the platform's bound
-    double most_reserved =
-        0.4; ///< part of all hosts that may be kept free for gangs at a time: half of the work is gangs
-    milliseconds reservation_lasts{
-        6000}; ///< one that led to no start by then is given up: hosts stand idle for it
-    milliseconds ticket_ahead{
-        450}; ///< before reserved hosts are free: a question for a few workers takes that long
+    std::size_t most_gathering = 4; ///< gangs that gather room at a time: the advisor allows each of them
+                                    ///< about a third of the hosts, so four take up what becomes free
+    double gang_reach = 3.0; ///< a gang wants to know of hosts with room for so many times its tasks when
+                             ///< nothing runs there: about a third of it is free at a time
+    milliseconds hold_lasts{4000}; ///< room held for a gang that gained none for that long is given up
     milliseconds gang_preempt{4500}; ///< below that, lesser runs with checkpoints are stopped for it
 };
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -206,7 +206,7 @@
     retry_orders(now);
     watch_runs(now);
     advance_waves(now, wall);
-    review_reservations(now);
+    review_holds(now);
     forget_old(wall);
 }
 
@@ -295,7 +295,7 @@
         return !m_state.ready().contains(item.first);
     };
     std::erase_if(m_preempted, over);
-    std::erase_if(m_reserve_after, over);
+    std::erase_if(m_hold_after, over);
     if (command.ids.empty())
     {
         return;
@@ -341,11 +341,13 @@
                                 const std::vector<std::string>& tickets, monotonic_time now)
 {
     const resources room = room_of(*item.step);
-    drop_reservation(item.ref);
+    drop_hold(item.ref);
     for (const planned_start& planned : starts)
     {
         m_views[planned.worker].planned += room;
-        m_rows[m_row_of.at(planned.worker)].free -= room;
+        host_row& row = m_rows[m_row_of.at(planned.worker)];
+        row.open -= room;
+        row.free -= room;
         m_planned[planned.task] = planned.worker;
     }
     note(now, "starts_planned", name_of(item.ref),
--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -11,21 +11,26 @@
 
 namespace
 {
-constexpr std::size_t most_asked = 100;     // workers in one question: the advisor's bound
 constexpr std::size_t least_asked = 3;      // a question costs most for being asked at all
 constexpr double spare_factor = 1.4;        // ask for so much more than is needed: shares are averages
 constexpr double full_worker_weight = 0.35; // a worker without room now may have some soon
 } // namespace
 
-void dispatcher::ask_advice(const candidate& item, std::uint32_t need, monotonic_time now)
+bool dispatcher::may_ask(const candidate& item, monotonic_time now)
 {
     if (item.queue == nullptr || !item.queue->advised)
     {
-        return;
+        return false;
     }
-    step_advice& known = m_advice.of(item.ref);
-    if (known.in_flight || now < known.ask_after ||
-        (!item.urgent() && m_hooks.advisors_free && !m_hooks.advisors_free()))
+    const step_advice& known = m_advice.of(item.ref);
+    const bool turn = item.urgent() || !m_hooks.advisors_free || m_hooks.advisors_free();
+    return !known.in_flight && now >= known.ask_after && turn;
+}
+
+// For tasks one by one and for urgent gangs; dispatcher_gangs.cpp has the others' questions.
+void dispatcher::ask_advice(const candidate& item, std::uint32_t need, monotonic_time now)
+{
+    if (!may_ask(item, now))
     {
         return;
     }
@@ -36,18 +41,13 @@
         bool good;
         double weight;
     };
+    step_advice& known = m_advice.of(item.ref);
     const double share = m_advice.good_share(item.owner->queue);
-    const bool large_gang = item.step->gang && !item.urgent();
-    const bool awaited = large_gang && reserved_hosts_ready_soon(item, now);
     std::vector<question_item> offers;
     double enough = 0;
     for (const offer& o : find_offers(item, now))
     {
         const worker_life_id id = o.worker->id;
-        if (awaited && (!m_reserved.contains(id) || m_reserved.at(id) != item.ref))
-        {
-            continue;
-        }
         const auto entry = known.entries.find(id);
         const bool seen = entry != known.entries.end();
         if ((seen && !entry->second.good) || o.whole == 0)
@@ -55,7 +55,7 @@
             continue;
         }
         const bool counts = seen && advice_book::usable(entry->second, now, m_settings.ticket_margin);
-        if (counts || (seen && o.slots == 0 && !awaited))
+        if (counts || (seen && o.slots == 0))
         {
             enough += counts ? o.slots : 0;
             continue; // nothing to be gained by asking again now
@@ -82,71 +82,85 @@
     {
         within_reach += o.slots > 0 ? o.weight : 0.0;
     }
-    if (item.step->gang && !first && !awaited && within_reach < need)
+    if (item.step->gang && !first && within_reach < need)
     {
         return; // fresh tickets would run out before there is room for all
     }
-    advice_question question;
-    question.step = item.ref;
     std::vector<worker_life_id> asked;
     double sum = enough;
     for (const question_item& o : offers)
     {
-        // A gang learns of all workers at once: it then waits for those that are free first.
-        const bool done = sum >= need * spare_factor && asked.size() >= least_asked && !large_gang;
-        if (done || asked.size() >= most_asked || (!first && !awaited && o.slots == 0))
+        const bool done = sum >= need * spare_factor && asked.size() >= least_asked;
+        if (done || asked.size() >= most_asked || (!first && o.slots == 0))
         {
             break;
         }
-        question.lives.push_back(m_state.find(o.worker)->facts.life);
         asked.push_back(o.worker);
         sum += o.weight;
     }
-    if (asked.empty())
+    ask(item, need, asked, now);
+}
+
+void dispatcher::ask(const candidate& item, std::uint32_t need, const std::vector<worker_life_id>& workers,
+                     monotonic_time now)
+{
+    if (workers.empty())
     {
         return;
     }
-    known.in_flight = true;
+    advice_question question;
+    question.step = item.ref;
+    for (const worker_life_id worker : workers)
+    {
+        question.lives.push_back(m_state.find(worker)->facts.life);
+    }
+    m_advice.of(item.ref).in_flight = true;
     ++m_counters.questions;
     note(now, "advice_asked", name_of(item.ref),
-         {{"workers", asked.size()},
+         {{"workers", workers.size()},
           {"need", need},
-          {"usable_slots", static_cast<std::int64_t>(enough)},
-          {"share_good", share}});
+          {"held", held_tasks(item.ref)},
+          {"share_good", m_advice.good_share(item.owner->queue)}});
     const milliseconds validity{item.queue->advice.validity_ms};
     m_hooks.advise(question, item.urgent(),
-                   [this, alive = m_alive, ref = item.ref, queue = item.owner->queue, asked,
+                   [this, alive = m_alive, ref = item.ref, queue = item.owner->queue, workers,
                     validity](const advice_answer& answer)
                    {
-                       if (!*alive)
-                       {
-                           return;
-                       }
-                       const monotonic_time then = m_hooks.now();
-                       step_advice& open = m_advice.of(ref);
-                       open.in_flight = false;
-                       open.ask_after =
-                           then + (answer.answered ? m_settings.advice_gap : m_settings.advice_retry);
-                       if (answer.answered)
+                       if (*alive)
                        {
-                           std::map<worker_life_id, std::string> tickets;
-                           for (const advice_grant& grant : answer.good)
-                           {
-                               const worker_life* worker = m_state.find_life(grant.life);
-                               if (worker != nullptr)
-                               {
-                                   tickets[worker->id] = grant.ticket;
-                               }
-                           }
-                           m_advice.take(ref, queue, asked, tickets, then - answer.took, validity);
+                           take_advice(ref, queue, workers, answer, validity);
                        }
-                       note(then, "advice_taken", name_of(ref),
-                            {{"answered", answer.answered},
-                             {"asked", asked.size()},
-                             {"good", answer.good.size()},
-                             {"took_ms", answer.took}});
-                       m_hooks.wake();
                    });
 }
 
+void dispatcher::take_advice(const step_ref& ref, const std::string& queue,
+                             const std::vector<worker_life_id>& workers, const advice_answer& answer,
+                             milliseconds validity)
+{
+    const monotonic_time now = m_hooks.now();
+    step_advice& open = m_advice.of(ref);
+    open.in_flight = false;
+    open.ask_after = now + (answer.answered ? m_settings.advice_gap : m_settings.advice_retry);
+    if (answer.answered)
+    {
+        std::map<worker_life_id, std::string> tickets;
+        for (const advice_grant& grant : answer.good)
+        {
+            const worker_life* worker = m_state.find_life(grant.life);
+            if (worker != nullptr)
+            {
+                tickets[worker->id] = grant.ticket;
+            }
+        }
+        m_advice.take(ref, queue, workers, tickets, now - answer.took, validity);
+    }
+    note(now, "advice_taken", name_of(ref),
+         {{"answered", answer.answered},
+          {"asked", workers.size()},
+          {"good", answer.good.size()},
+          {"took_ms", answer.took}});
+    m_full_due = std::min(m_full_due, now); // what was asked for is used while it counts
+    m_hooks.wake();
+}
+
 } // namespace walkthread
--- /dev/null
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -0,0 +1,346 @@
+// The part of dispatcher that starts gangs: all tasks at once, with room held until there is enough.
+
+#include <walkthread/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+
+#include <walkthread/workload/names.hpp>
+
+namespace walkthread
+{
+
+namespace
+{
+constexpr std::int64_t large_task_memory = 8; // the learned size of a gang's task follows about that many
+constexpr double spare_factor = 1.5;          // asked beyond the need: the share of good ones is an average
+constexpr double full_worker_weight = 0.35;   // a worker without room now may have some soon
+constexpr std::size_t least_asked = 8;        // a question costs most for being asked at all
+constexpr std::size_t most_late_gathering = 1; // late gangs earn little: one at a time gathers room
+} // namespace
+
+void dispatcher::learn_large_task(const candidate& item)
+{
+    if (item.urgent())
+    {
+        return;
+    }
+    const auto follow = [](std::int64_t& learned, std::int64_t seen)
+    {
+        learned = learned == 0 ? seen : learned + (seen - learned) / large_task_memory;
+    };
+    follow(m_large_task.cpu, item.step->size.cpu);
+    follow(m_large_task.memory, item.step->size.memory);
+}
+
+void dispatcher::place_gang(const candidate& item, monotonic_time now)
+{
+    if (waiting_tasks(item) != item.step->count)
+    {
+        return;
+    }
+    learn_large_task(item);
+    if (start_gang(item, now))
+    {
+        return;
+    }
+    if (item.urgent()) // small, and served first: it needs no room of its own
+    {
+        ask_advice(item, item.step->count, now);
+        preempt_for(item, item.step->count, now);
+        return;
+    }
+    hold_room(item, now);
+    ask_for_gang(item, now);
+    const std::uint32_t held = held_tasks(item.ref);
+    if (held < item.step->count)
+    {
+        preempt_for(item, item.step->count - held, now);
+    }
+}
+
+// Starts a gang if all of its tasks have room and a ticket now.
+bool dispatcher::start_gang(const candidate& item, monotonic_time now)
+{
+    std::vector<offer> offers = find_open_offers(item, now);
+    std::map<std::string, std::uint32_t> by_rack;
+    std::uint32_t sum = 0;
+    for (const offer& o : offers)
+    {
+        by_rack[o.rack()] += o.slots;
+        sum += o.slots;
+    }
+    if (sum < item.step->count)
+    {
+        return false;
+    }
+    std::string only_rack;
+    for (const auto& [rack, free] : by_rack)
+    {
+        const bool whole = item.step->same_rack && free >= item.step->count;
+        only_rack = whole ? rack : only_rack;
+    }
+    if (by_rack.contains(item.step->preferred_rack) && by_rack[item.step->preferred_rack] >= item.step->count)
+    {
+        only_rack = item.step->preferred_rack;
+    }
+    // Urgent gangs are small and go where lesser work goes; others fill hosts whole, from the high end.
+    const bool small = item.urgent();
+    std::sort(offers.begin(), offers.end(),
+              [small](const offer& a, const offer& b)
+              {
+                  const auto key = [small](const offer& o)
+                  {
+                      return small ? std::make_tuple(-o.speed, std::int64_t{o.worker->id.value()})
+                                   : std::make_tuple(-static_cast<double>(o.slots),
+                                                     -std::int64_t{o.worker->id.value()});
+                  };
+                  return key(a) < key(b);
+              });
+    const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
+    std::uint32_t run = 0;
+    for (const work_task& task : tasks)
+    {
+        run = std::max(run, task.run + 1);
+    }
+    std::vector<planned_start> starts;
+    std::vector<std::string> tickets;
+    for (const offer& o : offers)
+    {
+        const bool elsewhere = !only_rack.empty() && o.rack() != only_rack;
+        for (std::uint32_t n = 0; !elsewhere && n < o.slots && starts.size() < tasks.size(); ++n)
+        {
+            starts.push_back(
+                {task_ref{item.ref, static_cast<std::uint32_t>(starts.size())}, run, o.worker->id});
+            tickets.push_back(o.ticket);
+        }
+    }
+    propose_starts(item, starts, tickets, now);
+    return true;
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// Room that is held
+// ---------------------------------------------------------------------------------------------------------
+
+std::uint32_t dispatcher::held_tasks(const step_ref& ref) const
+{
+    const auto hold = m_holds.find(ref);
+    return hold == m_holds.end() ? 0 : hold->second.total;
+}
+
+// Few gangs gather at a time: what one of them holds stands idle until it has enough.
+bool dispatcher::may_gather(const candidate& item) const
+{
+    if (m_holds.contains(item.ref))
+    {
+        return true;
+    }
+    std::size_t gathering = 0;
+    std::size_t late = 0;
+    for (const auto& [ref, hold] : m_holds)
+    {
+        const step_spec* step = m_state.find(ref);
+        gathering += step != nullptr && hold.total < step->count ? 1 : 0;
+        late += hold.missed ? 1 : 0;
+    }
+    return gathering < m_settings.most_gathering && (!item.missed || late < most_late_gathering);
+}
+
+void dispatcher::set_hold(const candidate& item, gang_hold next)
+{
+    drop_hold(item.ref);
+    if (next.total == 0)
+    {
+        return;
+    }
+    for (const auto& [host, count] : next.tasks)
+    {
+        const resources room = next.each * count;
+        m_held[host] += room;
+        m_rows[m_row_of.at(host)].free -= room;
+    }
+    m_holds[item.ref] = std::move(next);
+}
+
+void dispatcher::drop_hold(const step_ref& ref)
+{
+    const auto hold = m_holds.find(ref);
+    if (hold == m_holds.end())
+    {
+        return;
+    }
+    for (const auto& [host, count] : hold->second.tasks)
+    {
+        const resources room = hold->second.each * count;
+        const auto row = m_row_of.find(host);
+        if (row != m_row_of.end())
+        {
+            m_rows[row->second].free += room;
+        }
+        resources& held = m_held[host];
+        held -= room;
+        if (held == resources{})
+        {
+            m_held.erase(host);
+        }
+    }
+    m_holds.erase(hold);
+}
+
+// Keeps what is free on hosts that may run the gang, until there is enough for all of its tasks. What it held
+// before stays its own as far as it is still free.
+void dispatcher::hold_room(const candidate& item, monotonic_time now)
+{
+    const auto before = m_holds.find(item.ref);
+    const std::uint32_t had = before == m_holds.end() ? 0 : before->second.total;
+    std::vector<offer> offers = find_good_offers(item, now);
+    std::uint32_t sum = 0;
+    for (const offer& o : offers)
+    {
+        sum += o.slots;
+    }
+    const bool resting = m_hold_after.contains(item.ref) && now < m_hold_after[item.ref];
+    if (sum == 0 || (sum < item.step->count && (resting || !may_gather(item))))
+    {
+        drop_hold(item.ref);
+        return;
+    }
+    const auto own = [&](const offer& o)
+    {
+        return before != m_holds.end() && before->second.tasks.contains(o.worker->id);
+    };
+    std::sort(offers.begin(), offers.end(),
+              [&own](const offer& a, const offer& b)
+              {
+                  return std::make_tuple(own(b), b.slots, b.worker->id) <
+                         std::make_tuple(own(a), a.slots, a.worker->id);
+              });
+    gang_hold next;
+    next.each = room_of(*item.step);
+    next.missed = item.missed;
+    for (const offer& o : offers)
+    {
+        const std::uint32_t count = std::min(o.slots, item.step->count - next.total);
+        if (count > 0)
+        {
+            next.tasks[o.worker->id] = count;
+            next.total += count;
+        }
+    }
+    next.grew = next.total > had || before == m_holds.end() ? now : before->second.grew;
+    if (had == 0)
+    {
+        note(now, "room_held", name_of(item.ref),
+             {{"tasks", next.total},
+              {"of", item.step->count},
+              {"hosts", next.tasks.size()},
+              {"slack_ms", static_cast<std::int64_t>(item.slack_ms)},
+              {"missed", item.missed},
+              {"holds", m_holds.size() + 1}});
+    }
+    set_hold(item, std::move(next));
+}
+
+// Holds end with their step, and where nothing came to them for a while: room stands idle for them.
+void dispatcher::review_holds(monotonic_time now)
+{
+    std::vector<step_ref> over;
+    for (const auto& [ref, hold] : m_holds)
+    {
+        const step_spec* step = m_state.find(ref);
+        const bool waits = step != nullptr && m_state.ready().contains(ref);
+        const bool stale = now - hold.grew > m_settings.hold_lasts;
+        if (stale && waits)
+        {
+            m_hold_after[ref] = now + m_settings.hold_lasts;
+            note(now, "room_given_up", name_of(ref), {{"tasks", hold.total}, {"of", step->count}});
+        }
+        if (!waits || stale)
+        {
+            over.push_back(ref);
+        }
+    }
+    for (const step_ref& ref : over)
+    {
+        drop_hold(ref);
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// Advice
+// ---------------------------------------------------------------------------------------------------------
+
+// Those of its hosts whose tickets would be over before a question about all of them is answered.
+std::vector<worker_life_id> dispatcher::hosts_without_ticket(const candidate& item, const gang_hold& hold,
+                                                             monotonic_time now)
+{
+    const advice_terms& terms = item.queue->advice;
+    const double question_ms = terms.decision_ms + terms.each_ms * static_cast<double>(hold.tasks.size());
+    const milliseconds needed = m_settings.ticket_margin + milliseconds(static_cast<std::int64_t>(question_ms));
+    const step_advice& known = m_advice.of(item.ref);
+    std::vector<worker_life_id> hosts;
+    for (const auto& [host, count] : hold.tasks)
+    {
+        const auto entry = known.entries.find(host);
+        const bool lasts = entry != known.entries.end() && advice_book::usable(entry->second, now, needed);
+        if (!lasts && hosts.size() < most_asked)
+        {
+            hosts.push_back(host);
+        }
+    }
+    return hosts;
+}
+
+// First learns of hosts enough; once room for all is held on good ones, asks for their tickets.
+void dispatcher::ask_for_gang(const candidate& item, monotonic_time now)
+{
+    if (!may_ask(item, now))
+    {
+        return;
+    }
+    step_advice& known = m_advice.of(item.ref);
+    known.ask_after = now + m_settings.advice_gap;
+    std::vector<worker_life_id> asked;
+    const auto hold = m_holds.find(item.ref);
+    if (hold != m_holds.end() && hold->second.total >= item.step->count)
+    {
+        ask(item, item.step->count, hosts_without_ticket(item, hold->second, now), now);
+        return;
+    }
+    double within_reach = 0;
+    std::vector<offer> unknown;
+    for (const offer& o : find_offers(item, now))
+    {
+        const auto entry = known.entries.find(o.worker->id);
+        if (entry == known.entries.end() && o.whole > 0)
+        {
+            unknown.push_back(o);
+        }
+        within_reach += entry != known.entries.end() && entry->second.good ? o.whole : 0;
+    }
+    if (within_reach >= m_settings.gang_reach * item.step->count)
+    {
+        return;
+    }
+    std::sort(unknown.begin(), unknown.end(),
+              [](const offer& a, const offer& b)
+              {
+                  return std::make_tuple(b.slots, b.whole, b.worker->id) <
+                         std::make_tuple(a.slots, a.whole, a.worker->id);
+              });
+    const double share = m_advice.good_share(item.owner->queue);
+    double sum = 0;
+    for (const offer& o : unknown)
+    {
+        const bool enough = sum >= item.step->count * spare_factor && asked.size() >= least_asked;
+        if (enough || asked.size() >= most_asked)
+        {
+            break;
+        }
+        asked.push_back(o.worker->id);
+        sum += share * (o.slots > 0 ? o.slots : o.whole * full_worker_weight);
+    }
+    ask(item, item.step->count, asked, now);
+}
+
+} // namespace walkthread
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -11,8 +11,6 @@
 
 namespace
 {
-constexpr std::int64_t large_task_memory = 8; // the learned size of a gang's task follows about that many
-
 std::uint32_t count_slots(const resources& need, const resources& room)
 {
     std::int64_t slots = UINT32_MAX;
@@ -30,7 +28,7 @@
 }
 } // namespace
 
-resources dispatcher::free_room(const worker_life& worker, const worker_view& view) const
+resources dispatcher::open_room(const worker_life& worker, const worker_view& view) const
 {
     return worker.facts.size - worker.used - view.planned;
 }
@@ -74,14 +72,26 @@
     return out;
 }
 
-bool dispatcher::reserved_from(const candidate& item, const host_row& row) const
+// Room on a host for tasks of a step. What is held for gangs counts for urgent and lasting work only, which
+// takes little of it, and for the gang itself.
+resources dispatcher::room_for(const candidate& item, const host_row& row) const
 {
-    const auto found = m_reserved.find(row.worker->id);
-    if (found == m_reserved.end() || found->second == item.ref || item.urgent() || item.step->lasting)
+    if (item.urgent() || item.step->lasting)
     {
-        return false;
+        return row.open;
+    }
+    const auto hold = m_holds.find(item.ref);
+    if (hold == m_holds.end())
+    {
+        return row.free;
+    }
+    const auto own = hold->second.tasks.find(row.worker->id);
+    resources room = row.free;
+    if (own != hold->second.tasks.end())
+    {
+        room += hold->second.each * own->second;
     }
-    return true;
+    return room;
 }
 
 // One row a worker for this pass, so that steps do not look everything up again.
@@ -95,7 +105,9 @@
         host_row row;
         row.worker = &worker;
         row.view = &m_views.at(id);
-        row.free = free_room(worker, *row.view);
+        row.open = open_room(worker, *row.view);
+        const auto held = m_held.find(id);
+        row.free = held == m_held.end() ? row.open : row.open - held->second;
         row.usable = row.view->usable(now, m_settings) && !m_upkeep_hosts.contains(worker.facts.host);
         m_row_of.emplace(id, m_rows.size());
         m_rows.push_back(row);
@@ -104,7 +116,7 @@
 
 bool dispatcher::allowed(const candidate& item, const host_row& row) const
 {
-    if (!row.usable || row.worker->facts.pool != item.owner->pool || reserved_from(item, row))
+    if (!row.usable || row.worker->facts.pool != item.owner->pool)
     {
         return false;
     }
@@ -186,14 +198,15 @@
 {
     offer o;
     o.worker = row.worker;
-    o.room = row.free;
-    o.slots = slots(item, row.free);
+    o.room = room_for(item, row);
+    o.slots = slots(item, o.room);
     o.whole = slots(item, row.worker->facts.size);
     const auto& labels = row.worker->facts.labels;
     o.near = !item.step->preferred_rack.empty() &&
              std::find(labels.begin(), labels.end(), item.step->preferred_rack) != labels.end();
     o.ticket = ticket_for(item, row.worker->id, now);
     o.speed = row.view->speed;
+    o.held = m_held.contains(row.worker->id);
     return o;
 }
 
@@ -213,57 +226,54 @@
     return offers;
 }
 
-// Those that can take a task of the step now: room, and a ticket where one is needed.
-std::vector<dispatcher::offer> dispatcher::find_open_offers(const candidate& item, monotonic_time now)
+bool dispatcher::surely_good(const candidate& item, worker_life_id worker)
 {
-    std::vector<offer> offers;
-    const std::set<worker_life_id> failed = failed_before(item);
-    const auto take = [&](const host_row& row)
+    if (item.queue == nullptr || !item.queue->advised)
     {
-        if (!allowed(item, row) || failed.contains(row.worker->id))
-        {
-            return;
-        }
-        offer o = make_offer(item, row, now);
-        if (o.slots > 0 && !o.ticket.empty())
-        {
-            offers.push_back(std::move(o));
-        }
-    };
+        return true;
+    }
+    const step_advice& known = m_advice.of(item.ref);
+    const auto entry = known.entries.find(worker);
+    return entry != known.entries.end() && entry->second.good;
+}
+
+// Workers that may run the step as far as the advisor has said, whether or not a ticket still counts.
+std::vector<dispatcher::offer> dispatcher::find_good_offers(const candidate& item, monotonic_time now)
+{
     if (item.queue == nullptr || !item.queue->advised)
     {
-        std::for_each(m_rows.begin(), m_rows.end(), take);
-        return offers;
+        return find_offers(item, now);
     }
+    std::vector<offer> offers;
+    const std::set<worker_life_id> failed = failed_before(item);
     for (const auto& [id, entry] : m_advice.of(item.ref).entries)
     {
         const auto row = m_row_of.find(id);
-        if (row != m_row_of.end() && advice_book::usable(entry, now, m_settings.ticket_margin))
+        const bool known = row != m_row_of.end() && entry.good && !failed.contains(id);
+        if (known && allowed(item, m_rows[row->second]))
         {
-            take(m_rows[row->second]);
+            offers.push_back(make_offer(item, m_rows[row->second], now));
         }
     }
     return offers;
 }
 
-// Tasks of gangs are large; a lesser task that leaves as many of them room as before does no harm there.
-bool dispatcher::keeps_large_slots(const resources& room, const resources& need) const
+// Those that can take a task of the step now: room, and a ticket where one is needed.
+std::vector<dispatcher::offer> dispatcher::find_open_offers(const candidate& item, monotonic_time now)
 {
-    return count_slots(m_large_task, room) == count_slots(m_large_task, room - need);
+    std::vector<offer> offers = find_good_offers(item, now);
+    std::erase_if(offers,
+                  [](const offer& o)
+                  {
+                      return o.slots == 0 || o.ticket.empty();
+                  });
+    return offers;
 }
 
-void dispatcher::learn_large_task(const candidate& item)
+// Tasks of gangs are large; a lesser task that leaves as many of them room as before does no harm there.
+bool dispatcher::keeps_large_slots(const resources& room, const resources& need) const
 {
-    if (!item.step->gang || item.urgent())
-    {
-        return;
-    }
-    const auto follow = [](std::int64_t& learned, std::int64_t seen)
-    {
-        learned = learned == 0 ? seen : learned + (seen - learned) / large_task_memory;
-    };
-    follow(m_large_task.cpu, item.step->size.cpu);
-    follow(m_large_task.memory, item.step->size.memory);
+    return count_slots(m_large_task, room) == count_slots(m_large_task, room - need);
 }
 
 // ---------------------------------------------------------------------------------------------------------
@@ -278,7 +288,7 @@
     const resources need = room_of(*item.step);
     for (offer& o : offers)
     {
-        o.keeps_large = keeps_large_slots(o.room, need) && !m_reserved.contains(o.worker->id);
+        o.keeps_large = keeps_large_slots(o.room, need) && !o.held;
         if (item.step->per_host_limit > 0)
         {
             o.slots -= std::min(o.slots, used[o.worker->id]);
@@ -331,85 +341,4 @@
     }
 }
 
-// ---------------------------------------------------------------------------------------------------------
-// Gangs
-// ---------------------------------------------------------------------------------------------------------
-
-void dispatcher::place_gang(const candidate& item, monotonic_time now)
-{
-    const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
-    if (waiting_tasks(item) != tasks.size())
-    {
-        return;
-    }
-    learn_large_task(item);
-    const auto kept = m_reservations.find(item.ref);
-    if (kept != m_reservations.end() && item.missed && !kept->second.missed)
-    {
-        drop_reservation(item.ref); // others can still make it
-    }
-    std::vector<offer> offers = find_open_offers(item, now);
-    std::map<std::string, std::uint32_t> by_rack;
-    std::uint32_t sum = 0;
-    for (const offer& o : offers)
-    {
-        by_rack[o.rack()] += o.slots;
-        sum += o.slots;
-    }
-    if (sum < item.step->count)
-    {
-        if (!item.urgent())
-        {
-            reserve(item, now);
-        }
-        ask_advice(item, item.step->count, now);
-        preempt_for(item, item.step->count, now);
-        return;
-    }
-    std::string only_rack;
-    for (const auto& [rack, free] : by_rack)
-    {
-        const bool whole = item.step->same_rack && free >= item.step->count;
-        only_rack = whole ? rack : only_rack;
-    }
-    if (by_rack.contains(item.step->preferred_rack) && by_rack[item.step->preferred_rack] >= item.step->count)
-    {
-        only_rack = item.step->preferred_rack;
-    }
-    // Urgent gangs are small and go where lesser work goes; others fill hosts whole, from the high end.
-    const bool small = item.urgent();
-    std::sort(offers.begin(), offers.end(),
-              [small](const offer& a, const offer& b)
-              {
-                  const auto key = [small](const offer& o)
-                  {
-                      return small ? std::make_tuple(-o.speed, std::int64_t{o.worker->id.value()})
-                                   : std::make_tuple(-static_cast<double>(o.slots),
-                                                     -std::int64_t{o.worker->id.value()});
-                  };
-                  return key(a) < key(b);
-              });
-    std::uint32_t run = 0;
-    for (const work_task& task : tasks)
-    {
-        run = std::max(run, task.run + 1);
-    }
-    std::vector<planned_start> starts;
-    std::vector<std::string> tickets;
-    for (const offer& o : offers)
-    {
-        for (std::uint32_t n = 0; n < o.slots && starts.size() < tasks.size(); ++n)
-        {
-            if (!only_rack.empty() && o.rack() != only_rack)
-            {
-                break;
-            }
-            starts.push_back(
-                {task_ref{item.ref, static_cast<std::uint32_t>(starts.size())}, run, o.worker->id});
-            tickets.push_back(o.ticket);
-        }
-    }
-    propose_starts(item, starts, tickets, now);
-}
-
 } // namespace walkthread
