Urgent tasks take held room last; gangs learn of hosts by several questions at once

Cause: traces of gangs showed up to ten rounds of tickets each, as urgent tasks were sent to the very hosts with most room (those held), and three questions of 1.3 s one after the other before a gang knew enough hosts.

--- a/include/walkthread/dispatch/advice_book.hpp
+++ b/include/walkthread/dispatch/advice_book.hpp
@@ -32,7 +32,7 @@
 struct step_advice
 {
     std::map<worker_life_id, advice_entry> entries;
-    bool in_flight{};
+    std::uint32_t open_questions{}; ///< several may be asked at once, each about other workers
     monotonic_time ask_after{};
 };
 
--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -107,7 +107,7 @@
         std::uint32_t slots{}; ///< tasks of the step that fit now
         std::uint32_t whole{}; ///< tasks that would fit if nothing ran there
         bool near{};           ///< in the rack with the data
-        bool held{};           ///< a part of it is held for a gang
+        bool held{};           ///< the room is held for a gang, its own or another
         bool keeps_large{};    ///< a task there takes no room from gangs
         double speed{};        ///< learned, 1 is usual
         std::string ticket;    ///< "-" where none is needed, empty where none counts
--- a/src/dispatch/advice_book.cpp
+++ b/src/dispatch/advice_book.cpp
@@ -27,7 +27,7 @@
     std::erase_if(m_steps,
                   [&keep](const auto& item)
                   {
-                      return !keep(item.first) && !item.second.in_flight;
+                      return !keep(item.first) && item.second.open_questions == 0;
                   });
 }
 
--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -24,7 +24,7 @@
     }
     const step_advice& known = m_advice.of(item.ref);
     const bool turn = item.urgent() || !m_hooks.advisors_free || m_hooks.advisors_free();
-    return !known.in_flight && now >= known.ask_after && turn;
+    return known.open_questions == 0 && now >= known.ask_after && turn;
 }
 
 // For tasks one by one and for urgent gangs; dispatcher_gangs.cpp has the others' questions.
@@ -38,6 +38,7 @@
     {
         worker_life_id worker;
         std::uint32_t slots;
+        bool held;
         bool good;
         double weight;
     };
@@ -62,7 +63,7 @@
         }
         const double certainty = seen ? 1.0 : share;
         const double weight = o.slots > 0 ? certainty * o.slots : certainty * o.whole * full_worker_weight;
-        offers.push_back({id, o.slots, seen, weight});
+        offers.push_back({id, o.slots, o.held, seen, weight});
     }
     known.ask_after =
         now + m_settings.advice_gap; // also where there is nothing to ask: little changes until then
@@ -73,8 +74,8 @@
     std::sort(offers.begin(), offers.end(),
               [](const question_item& a, const question_item& b)
               {
-                  return std::make_tuple(b.slots > 0, b.good, b.slots, a.worker) <
-                         std::make_tuple(a.slots > 0, a.good, a.slots, b.worker);
+                  return std::make_tuple(b.slots > 0, a.held, b.good, b.slots, a.worker) <
+                         std::make_tuple(a.slots > 0, b.held, a.good, a.slots, b.worker);
               });
     const bool first = known.entries.empty();
     double within_reach = enough;
@@ -114,7 +115,7 @@
     {
         question.lives.push_back(m_state.find(worker)->facts.life);
     }
-    m_advice.of(item.ref).in_flight = true;
+    ++m_advice.of(item.ref).open_questions;
     ++m_counters.questions;
     note(now, "advice_asked", name_of(item.ref),
          {{"workers", workers.size()},
@@ -139,7 +140,7 @@
 {
     const monotonic_time now = m_hooks.now();
     step_advice& open = m_advice.of(ref);
-    open.in_flight = false;
+    --open.open_questions;
     open.ask_after = now + (answer.answered ? m_settings.advice_gap : m_settings.advice_retry);
     if (answer.answered)
     {
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -12,8 +12,8 @@
 namespace
 {
 constexpr std::int64_t large_task_memory = 8; // the learned size of a gang's task follows about that many
-constexpr double spare_factor = 1.5;          // asked beyond the need: the share of good ones is an average
-constexpr double full_worker_weight = 0.35;   // a worker without room now may have some soon
+constexpr double spare_factor = 1.5; // asked beyond the need: the share of good ones is an average
+constexpr std::size_t learning_question = 64; // workers: about as long again as a question takes at least
 constexpr std::size_t least_asked = 8;        // a question costs most for being asked at all
 constexpr std::size_t most_late_gathering = 1; // late gangs earn little: one at a time gathers room
 } // namespace
@@ -329,18 +329,27 @@
                          std::make_tuple(a.slots, a.whole, a.worker->id);
               });
     const double share = m_advice.good_share(item.owner->queue);
-    double sum = 0;
+    double now_free = 0;
     for (const offer& o : unknown)
     {
-        const bool enough = sum >= item.step->count * spare_factor && asked.size() >= least_asked;
-        if (enough || asked.size() >= most_asked)
+        const bool reached = within_reach >= m_settings.gang_reach * item.step->count;
+        const bool enough = reached || now_free >= item.step->count * spare_factor;
+        if (enough && asked.size() >= least_asked)
         {
             break;
         }
         asked.push_back(o.worker->id);
-        sum += share * (o.slots > 0 ? o.slots : o.whole * full_worker_weight);
+        now_free += share * o.slots;
+        within_reach += share * o.whole;
+    }
+    // Several questions at once, as each takes the longer the more workers it names.
+    for (std::size_t begin = 0; begin < asked.size(); begin += learning_question)
+    {
+        const auto first = asked.begin() + static_cast<std::ptrdiff_t>(begin);
+        const auto last = asked.begin() + static_cast<std::ptrdiff_t>(
+                                              std::min(begin + learning_question, asked.size()));
+        ask(item, item.step->count, {first, last}, now);
     }
-    ask(item, item.step->count, asked, now);
 }
 
 } // namespace walkthread
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -72,13 +72,13 @@
     return out;
 }
 
-// Room on a host for tasks of a step. What is held for gangs counts for urgent and lasting work only, which
-// takes little of it, and for the gang itself.
+// Room on a host for tasks of a step. What is held for gangs counts for the gang itself, and for urgent and
+// lasting work where there is no other.
 resources dispatcher::room_for(const candidate& item, const host_row& row) const
 {
     if (item.urgent() || item.step->lasting)
     {
-        return row.open;
+        return slots(item, row.free) > 0 ? row.free : row.open;
     }
     const auto hold = m_holds.find(item.ref);
     if (hold == m_holds.end())
@@ -144,7 +144,7 @@
     if (item.queue != nullptr && item.queue->advised)
     {
         const step_advice& known = m_advice.of(item.ref);
-        if (known.in_flight && known.entries.empty())
+        if (known.open_questions > 0 && known.entries.empty())
         {
             return; // nothing is known yet, and the question is on its way
         }
@@ -206,7 +206,7 @@
              std::find(labels.begin(), labels.end(), item.step->preferred_rack) != labels.end();
     o.ticket = ticket_for(item, row.worker->id, now);
     o.speed = row.view->speed;
-    o.held = m_held.contains(row.worker->id);
+    o.held = o.room != row.free;
     return o;
 }
 
@@ -288,7 +288,7 @@
     const resources need = room_of(*item.step);
     for (offer& o : offers)
     {
-        o.keeps_large = keeps_large_slots(o.room, need) && !o.held;
+        o.keeps_large = keeps_large_slots(o.room, need);
         if (item.step->per_host_limit > 0)
         {
             o.slots -= std::min(o.slots, used[o.worker->id]);
@@ -302,7 +302,7 @@
               {
                   const auto key = [urgent](const offer& o)
                   {
-                      return std::make_tuple(!o.near, !o.keeps_large, urgent ? -o.speed : 0.0, o.worker->id);
+                      return std::make_tuple(!o.near, o.held, !o.keeps_large, urgent ? -o.speed : 0.0, o.worker->id);
                   };
                   return key(a) < key(b);
               });
