Gangs run on hosts of one speed; speeds are learned from sound estimates

Cause: a gang runs as its slowest member and a third of the hosts are slower by 1.3, so nearly every gang ran slowly. Learned speeds were too rough to tell hosts apart: estimates of one kind are 0.9 off, those of another 0.2. Runs now weigh by how sound their queue's estimates are, gangs take fast hosts (or only slow ones where these have room for all), other batch work takes slow hosts first, urgent questions name fast hosts, and a few more where that is cheap.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -110,6 +110,7 @@
         bool held{};           ///< the room is held for a gang, its own or another
         bool keeps_large{};    ///< a task there takes no room from gangs
         double speed{};        ///< learned, 1 is usual
+        bool slow{};           ///< clearly slower than most
         std::string ticket;    ///< "-" where none is needed, empty where none counts
         /// The last label names the rack.
         [[nodiscard]] std::string rack() const
@@ -134,6 +135,7 @@
     void place(const candidate& item, monotonic_time now);
     void place_each(const candidate& item, monotonic_time now);
     void prepare_rows(monotonic_time now);
+    void learn_usual_speed();
     [[nodiscard]] bool allowed(const candidate& item, const host_row& row) const;
     [[nodiscard]] std::string ticket_for(const candidate& item, worker_life_id worker, monotonic_time now);
     [[nodiscard]] resources open_room(const worker_life& worker, const worker_view& view) const;
@@ -152,6 +154,8 @@
     // dispatcher_gangs.cpp: all tasks of a step at once
     void place_gang(const candidate& item, monotonic_time now);
     [[nodiscard]] bool start_gang(const candidate& item, monotonic_time now);
+    void start_gang_on(const candidate& item, std::vector<offer> offers, monotonic_time now);
+    [[nodiscard]] static std::vector<offer> of_one_speed(const candidate& item, std::vector<offer> offers);
     void learn_large_task(const candidate& item);
     void hold_room(const candidate& item, monotonic_time now);
     [[nodiscard]] bool may_gather(const candidate& item) const;
@@ -217,6 +221,7 @@
     std::uint64_t m_synced_version = 0;
     monotonic_time m_tidy_due{};
     monotonic_time m_full_due{}; ///< when steps that are not urgent are looked at again
+    double m_usual_speed = 1.0;  ///< of the faster half of the hosts
     bool m_full_wanted = false;  ///< some of them wait
     std::map<task_ref, worker_life_id> m_planned; ///< starts that wait for their commit
     advice_book m_advice;
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -45,6 +45,8 @@
         150000}; ///< final submissions are known for that long; above the platform's bound
     std::size_t most_gathering = 4; ///< gangs that gather room at a time: the advisor allows each of them
                                     ///< about a third of the hosts, so four take up what becomes free
+    double slow_below = 0.88; ///< of the usual speed: such hosts are kept from gangs, which run as their
+                              ///< slowest member; between the users' hosts, which differ by 1 to 1.3
     double gang_reach = 5.0; ///< a gang wants to know of hosts with room for so many times its tasks when
                              ///< nothing runs there: about a third of it is free at a time
     milliseconds hold_lasts{4000}; ///< room held for a gang that gained none for that long is given up
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -207,6 +207,7 @@
     watch_runs(now);
     advance_waves(now, wall);
     review_holds(now);
+    learn_usual_speed();
     forget_old(wall);
 }
 
--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -12,6 +12,8 @@
 namespace
 {
 constexpr std::size_t least_asked = 3;      // a question costs most for being asked at all
+constexpr std::size_t spare_asked = 20;     // beyond that, little is gained by more choice
+constexpr double spare_cost = 0.12;         // part of a question's time that more choice may add
 constexpr double spare_factor = 1.4;        // ask for so much more than is needed: shares are averages
 constexpr double full_worker_weight = 0.35; // a worker without room now may have some soon
 } // namespace
@@ -39,6 +41,7 @@
         worker_life_id worker;
         std::uint32_t slots;
         bool held;
+        bool slow; ///< and that matters: urgent work goes to fast hosts
         bool good;
         double weight;
     };
@@ -63,7 +66,7 @@
         }
         const double certainty = seen ? 1.0 : share;
         const double weight = o.slots > 0 ? certainty * o.slots : certainty * o.whole * full_worker_weight;
-        offers.push_back({id, o.slots, o.held, seen, weight});
+        offers.push_back({id, o.slots, o.held, item.urgent() && o.slow, seen, weight});
     }
     known.ask_after =
         now + m_settings.advice_gap; // also where there is nothing to ask: little changes until then
@@ -74,8 +77,8 @@
     std::sort(offers.begin(), offers.end(),
               [](const question_item& a, const question_item& b)
               {
-                  return std::make_tuple(b.slots > 0, a.held, b.good, b.slots, a.worker) <
-                         std::make_tuple(a.slots > 0, b.held, a.good, a.slots, b.worker);
+                  return std::make_tuple(b.slots > 0, a.held, a.slow, b.good, b.slots, a.worker) <
+                         std::make_tuple(a.slots > 0, b.held, b.slow, a.good, a.slots, b.worker);
               });
     const bool first = known.entries.empty();
     double within_reach = enough;
@@ -87,11 +90,15 @@
     {
         return; // fresh tickets would run out before there is room for all
     }
+    // A few more cost little where naming a worker is cheap; retries and fast hosts then need no new question.
+    const advice_terms& terms = item.queue->advice;
+    const double cheap = terms.each_ms > 0 ? spare_cost * terms.decision_ms / terms.each_ms : 0.0;
+    const std::size_t least = std::clamp(static_cast<std::size_t>(cheap), least_asked, spare_asked);
     std::vector<worker_life_id> asked;
     double sum = enough;
     for (const question_item& o : offers)
     {
-        const bool done = sum >= need * spare_factor && asked.size() >= least_asked;
+        const bool done = sum >= need * spare_factor && asked.size() >= least;
         if (done || asked.size() >= most_asked || (!first && o.slots == 0))
         {
             break;
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -14,6 +14,7 @@
 constexpr std::int64_t large_task_memory = 8; // the learned size of a gang's task follows about that many
 constexpr double spare_factor = 1.5; // asked beyond the need: the share of good ones is an average
 constexpr std::size_t learning_question = 64; // workers: about as long again as a question takes at least
+constexpr double enough_reach = 1.5; // times its tasks, on empty hosts: below, a gang takes any host
 constexpr std::size_t least_asked = 8;        // a question costs most for being asked at all
 constexpr std::size_t most_late_gathering = 1; // late gangs earn little: one at a time gathers room
 } // namespace
@@ -58,21 +59,53 @@
     }
 }
 
+// A gang runs as its slowest member: hosts of one speed, the fast ones if they have room for all or will have,
+// else the slow ones if they have now, else any.
+std::vector<dispatcher::offer> dispatcher::of_one_speed(const candidate& item, std::vector<offer> offers)
+{
+    std::uint32_t fast = 0;
+    std::uint32_t slow = 0;
+    double fast_reach = 0;
+    for (const offer& o : offers)
+    {
+        (o.slow ? slow : fast) += o.slots;
+        fast_reach += o.slow ? 0 : o.whole;
+    }
+    const std::uint32_t need = item.step->count;
+    const bool only_slow = fast < need && slow >= need;
+    const bool only_fast = fast >= need || (!only_slow && fast_reach >= enough_reach * need);
+    std::erase_if(offers,
+                  [only_fast, only_slow](const offer& o)
+                  {
+                      return (only_fast && o.slow) || (only_slow && !o.slow);
+                  });
+    return offers;
+}
+
 // Starts a gang if all of its tasks have room and a ticket now.
 bool dispatcher::start_gang(const candidate& item, monotonic_time now)
 {
-    std::vector<offer> offers = find_open_offers(item, now);
-    std::map<std::string, std::uint32_t> by_rack;
+    std::vector<offer> offers = of_one_speed(item, find_open_offers(item, now));
     std::uint32_t sum = 0;
     for (const offer& o : offers)
     {
-        by_rack[o.rack()] += o.slots;
         sum += o.slots;
     }
     if (sum < item.step->count)
     {
         return false;
     }
+    start_gang_on(item, std::move(offers), now);
+    return true;
+}
+
+void dispatcher::start_gang_on(const candidate& item, std::vector<offer> offers, monotonic_time now)
+{
+    std::map<std::string, std::uint32_t> by_rack;
+    for (const offer& o : offers)
+    {
+        by_rack[o.rack()] += o.slots;
+    }
     std::string only_rack;
     for (const auto& [rack, free] : by_rack)
     {
@@ -115,7 +148,6 @@
         }
     }
     propose_starts(item, starts, tickets, now);
-    return true;
 }
 
 // ---------------------------------------------------------------------------------------------------------
@@ -193,7 +225,7 @@
 {
     const auto before = m_holds.find(item.ref);
     const std::uint32_t had = before == m_holds.end() ? 0 : before->second.total;
-    std::vector<offer> offers = find_good_offers(item, now);
+    std::vector<offer> offers = of_one_speed(item, find_good_offers(item, now));
     std::uint32_t sum = 0;
     for (const offer& o : offers)
     {
@@ -308,6 +340,8 @@
         return;
     }
     double within_reach = 0;
+    double unknown_free = 0;
+    const double share = m_advice.good_share(item.owner->queue);
     std::vector<offer> unknown;
     for (const offer& o : find_offers(item, now))
     {
@@ -315,25 +349,27 @@
         if (entry == known.entries.end() && o.whole > 0)
         {
             unknown.push_back(o);
+            unknown_free += share * o.slots;
         }
         within_reach += entry != known.entries.end() && entry->second.good ? o.whole : 0;
     }
-    if (within_reach >= m_settings.gang_reach * item.step->count)
+    const double missing = item.step->count - held_tasks(item.ref);
+    const bool reached = within_reach >= m_settings.gang_reach * item.step->count;
+    if (reached && unknown_free < missing * spare_factor) // else others have room now, and waiting gains nothing
     {
         return;
     }
     std::sort(unknown.begin(), unknown.end(),
               [](const offer& a, const offer& b)
               {
-                  return std::make_tuple(b.slots, b.whole, b.worker->id) <
-                         std::make_tuple(a.slots, a.whole, a.worker->id);
+                  return std::make_tuple(a.slow, b.slots, b.whole, b.worker->id) <
+                         std::make_tuple(b.slow, a.slots, a.whole, a.worker->id);
               });
-    const double share = m_advice.good_share(item.owner->queue);
     double now_free = 0;
     for (const offer& o : unknown)
     {
-        const bool reached = within_reach >= m_settings.gang_reach * item.step->count;
-        const bool enough = reached || now_free >= item.step->count * spare_factor;
+        const bool far = !reached && within_reach >= m_settings.gang_reach * item.step->count;
+        const bool enough = far || now_free >= missing * spare_factor;
         if (enough && asked.size() >= least_asked)
         {
             break;
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -114,6 +114,24 @@
     }
 }
 
+// The median of the faster half, so that a third of slow hosts does not pull it down.
+void dispatcher::learn_usual_speed()
+{
+    std::vector<double> speeds;
+    speeds.reserve(m_views.size());
+    for (const auto& [id, view] : m_views)
+    {
+        speeds.push_back(view.speed);
+    }
+    if (speeds.empty())
+    {
+        return;
+    }
+    const auto at = speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() * 3 / 4);
+    std::nth_element(speeds.begin(), at, speeds.end());
+    m_usual_speed = *at;
+}
+
 bool dispatcher::allowed(const candidate& item, const host_row& row) const
 {
     if (!row.usable || row.worker->facts.pool != item.owner->pool)
@@ -206,6 +224,7 @@
              std::find(labels.begin(), labels.end(), item.step->preferred_rack) != labels.end();
     o.ticket = ticket_for(item, row.worker->id, now);
     o.speed = row.view->speed;
+    o.slow = o.speed < m_settings.slow_below * m_usual_speed;
     o.held = o.room != row.free;
     return o;
 }
@@ -294,15 +313,17 @@
             o.slots -= std::min(o.slots, used[o.worker->id]);
         }
     }
-    // The rack with the data first; then what leaves whole hosts free for gangs; urgent work on fast hosts;
-    // then from the low end of the list, as gangs fill it from the high end.
+    // The rack with the data first; then what leaves whole hosts free for gangs; urgent work on fast hosts and
+    // other work on slow ones, which gangs avoid; then from the low end of the list, as gangs fill it from the
+    // high end.
     const bool urgent = item.urgent();
     std::sort(offers.begin(), offers.end(),
               [urgent](const offer& a, const offer& b)
               {
                   const auto key = [urgent](const offer& o)
                   {
-                      return std::make_tuple(!o.near, o.held, !o.keeps_large, urgent ? -o.speed : 0.0, o.worker->id);
+                      return std::make_tuple(!o.near, o.held, urgent ? o.slow : !o.slow, !o.keeps_large,
+                                             urgent ? -o.speed : 0.0, o.worker->id);
                   };
                   return key(a) < key(b);
               });
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -12,7 +12,8 @@
 namespace
 {
 constexpr std::size_t listed_at_once = 500; // a worker lists at most that many ends in one answer
-constexpr double speed_weight = 0.08;       // of one run: estimates are rough, a dozen runs settle it
+constexpr double speed_weight = 0.1;        // of one run whose estimate is sound: a dozen settle it
+constexpr double sound_spread = 0.06;       // of estimates that are about a quarter off
 constexpr double least_speed = 0.3;         // one run says at most that much
 constexpr double most_speed = 2.5;
 } // namespace
@@ -236,10 +237,11 @@
             const std::int64_t took_ms = std::chrono::duration_cast<milliseconds>(took).count();
             const double expected = m_objectives.expected_ms(owner->queue, step);
             m_objectives.note_run(owner->queue, step.estimate_ms, took_ms);
+            const double sound = std::min(1.0, sound_spread / m_objectives.spread(owner->queue));
             const double seen = std::clamp(expected / static_cast<double>(std::max<std::int64_t>(took_ms, 1)),
                                            least_speed, most_speed);
             view.speed +=
-                step.gang ? 0.0 : speed_weight * (seen - view.speed); // a gang runs as its slowest member
+                step.gang ? 0.0 : speed_weight * sound * (seen - view.speed); // a gang runs as its slowest member
         }
     }
     else if (end.how == run_end::failed && !step.lasting && view.last_failed != owner->id)
--- a/src/dispatch/objective.cpp
+++ b/src/dispatch/objective.cpp
@@ -20,14 +20,23 @@
         return;
     }
     const double seen = static_cast<double>(took_ms) / static_cast<double>(estimate_ms);
-    const auto [ratio, added] = m_ratios.emplace(queue, 1.0);
-    ratio->second += learning_rate * (std::clamp(seen, least_ratio, most_ratio) - ratio->second);
+    estimate_record& record = m_records[queue];
+    const double off = std::clamp(seen, least_ratio, most_ratio) - record.ratio;
+    const double relative = off / record.ratio;
+    record.ratio += learning_rate * off;
+    record.spread += learning_rate * (relative * relative - record.spread);
+}
+
+double objective_book::spread(const std::string& queue) const
+{
+    const auto found = m_records.find(queue);
+    return found == m_records.end() ? estimate_record{}.spread : found->second.spread;
 }
 
 double objective_book::expected_ms(const std::string& queue, const step_spec& step) const
 {
-    const auto found = m_ratios.find(queue);
-    const double ratio = found == m_ratios.end() ? 1.0 : found->second;
+    const auto found = m_records.find(queue);
+    const double ratio = found == m_records.end() ? 1.0 : found->second.ratio;
     return (step.estimate_ms > 0 ? static_cast<double>(step.estimate_ms) : unknown_run_ms) * ratio;
 }
 
