A soak of real processes with faults from outside

Checked from what callers and workers see. A process may listen for peers elsewhere than it is reached (`peer-bind`), which the proxy needs.

--- a/include/walkthread/fabric/mesh.hpp
+++ b/include/walkthread/fabric/mesh.hpp
@@ -35,8 +35,9 @@
     mesh(const mesh&) = delete;
     mesh& operator=(const mesh&) = delete;
 
-    /// @brief Listens at the greeting's address. @return what failed, or empty
-    std::string open();
+    /// @brief Listens at the greeting's address, or at `bind_to` where that is reached through something in
+    /// between. @return what failed, or empty
+    std::string open(const std::string& bind_to = {});
     /// @brief Sends a message; opens a connection if there is none. Messages over the bound are dropped.
     void send(const std::string& to, const mesh_message& message);
     /// @brief Sends an already encoded message, for the same content to several peers.
--- a/src/fabric/fabric_node.cpp
+++ b/src/fabric/fabric_node.cpp
@@ -40,7 +40,7 @@
 
 std::string fabric_node::start()
 {
-    std::string failed = m_mesh.open();
+    std::string failed = m_mesh.open(m_settings.bind_address);
     if (failed.empty())
     {
         tick();
--- a/src/fabric/mesh.cpp
+++ b/src/fabric/mesh.cpp
@@ -377,9 +377,10 @@
     m_core->links.clear(); // each link holds the core: the circle ends here
 }
 
-std::string mesh::open()
+std::string mesh::open(const std::string& bind_to)
 {
-    std::string failed = detail::open_acceptor(m_core->acceptor, m_core->self.address);
+    const std::string& address = bind_to.empty() ? m_core->self.address : bind_to;
+    std::string failed = detail::open_acceptor(m_core->acceptor, address);
     if (failed.empty())
     {
         m_core->accept();
--- a/tests/fakes/platform_cell.py
+++ b/tests/fakes/platform_cell.py
@@ -16,6 +16,8 @@
 import time
 
 HOST, PREFIX = "example.test", "/q/"
+WORKER_CPU = 16000  # thousandths of a core
+LATE_S = (2.0, 4.0)  # after which an order that got no answer is carried out; the platform's are 2 to 12
 
 
 def free_ports(count):
@@ -50,7 +52,8 @@
 
 
 class Server:
-    """An HTTP server in threads; `handle(method, path, headers, body)` gives status and document."""
+    """An HTTP server in threads; `handle(method, path, headers, body)` gives status and document, or no status: then the
+    connection ends without an answer."""
 
     def __init__(self, handle):
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -60,6 +63,9 @@
                 length = int(self.headers.get("Content-Length") or 0)
                 body = json.loads(self.rfile.read(length)) if length else None
                 status, document = handle(self.command, self.path, self.headers, body)
+                if status is None:
+                    self.close_connection = True
+                    return
                 out = json.dumps(document).encode() if document is not None else b""
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(out)))
@@ -87,13 +93,14 @@
 class Worker:
     """One worker's life. Room, lease, fence, run numbers and tickets as the protocol tells."""
 
-    def __init__(self, cell, number):
+    def __init__(self, cell, number, life=None):
         self.cell, self.number = cell, number
-        self.life = "i-%08x" % number
+        self.life = life or "i-%08x" % number
         self.lock = threading.Condition()
         self.fence = self.until = 0
         self.running, self.highest, self.finished, self.next_end = {}, {}, [], 1
         self.sequence, self.beat_to, self.live = 0, None, True
+        self.hushed_until = 0.0
         self.server = Server(self.handle)
         threading.Thread(target=self.beat, daemon=True).start()
 
@@ -103,7 +110,17 @@
     def handle(self, _method, path, headers, body):
         if headers.get("X-Walkthread-Expect-Instance", self.life) != self.life:
             return 421, None
+        if time.monotonic() < self.hushed_until and not path.endswith("/hold"):
+            late = threading.Timer(random.uniform(*LATE_S), self.carry_out, (path, body))
+            late.daemon = True
+            late.start()
+            return None, None
+        return self.carry_out(path, body)
+
+    def carry_out(self, path, body):
         with self.lock:
+            if not self.live:
+                return None, None
             if body["fencing-token"] < self.fence:
                 return 409, {"clock-ms": self.clock(), "reason": "fence"}
             self.fence = body["fencing-token"]
@@ -128,6 +145,7 @@
         step = body["task"].rsplit(".", 1)[0]
         if time.monotonic() > self.cell.tickets.get((step, self.life, body.get("ticket")), 0):
             return 409, {"clock-ms": self.clock(), "reason": "ticket"}
+        self.check_start(body["task"])
         self.running[key] = time.monotonic()
         self.cell.starts.append((body["task"], body["run-id"], self.life, time.monotonic()))
         timer = threading.Timer(self.cell.run_seconds, self.complete, (key,))
@@ -135,10 +153,30 @@
         timer.start()
         return 200, {"clock-ms": self.clock()}
 
+    def check_start(self, task):
+        """What must hold on this worker and beside the others that are up."""
+        used = sum(self.cell.cpu_of(t) for t, _ in self.running) + self.cell.cpu_of(task)
+        if used > WORKER_CPU:
+            self.cell.violations.append("%s holds %d of %d with %s" % (self.life, used, WORKER_CPU, task))
+        for other in self.cell.workers:
+            if other is not self and other.live and other.clock() <= other.until:
+                for t, run in list(other.running):
+                    if t == task:
+                        self.cell.violations.append("%s runs on %s and %s at once" % (task, self.life, other.life))
+
     def complete(self, key):
         with self.lock:
             if key in self.running and self.live:
-                self.end(key, "done")
+                self.end(key, "done" if self.clock() <= self.until else "lapsed")
+
+    def crash(self, next_life):
+        """This life ends with all that runs; another of the same host follows."""
+        with self.lock:
+            self.live = False
+            self.running.clear()
+            self.lock.notify_all()
+        self.server.close()
+        return Worker(self.cell, self.number, next_life)
 
     def end(self, key, how):
         del self.running[key]
@@ -157,6 +195,7 @@
         return 200, {"clock-ms": self.clock()}
 
     def hold(self, body):
+        self.cell.noted += [(r[1], r[2], time.monotonic()) for r in self.finished if r[0] <= body["last-seen"] and r[3] == "done"]
         self.finished = [row for row in self.finished if row[0] > body["last-seen"]]
         self.lock.wait_for(lambda: self.finished, body.get("wait-ms", 0) / 1000.0)
         running = [[task, run, "", 50] for task, run in self.running]
@@ -166,7 +205,7 @@
         while self.live:
             self.sequence += 1
             body = {"service": "pool", "machine": "m-%d" % self.number, "address": self.server.address, "zone": "a",
-                    "version": "v1", "slots": 8, "state": "ready", "room": {"cpu": 16000, "mem-mb": 65536, "gpu": 0},
+                    "version": "v1", "slots": 8, "state": "ready", "room": {"cpu": WORKER_CPU, "mem-mb": 65536, "gpu": 0},
                     "labels": ["a", "r1-%d" % (self.number % 2)], "clock-ms": self.clock(), "sequence": self.sequence}
             targets = ([self.beat_to] if self.beat_to else []) + self.cell.operator_addresses()
             for target in targets:
@@ -185,7 +224,7 @@
         self.program = os.path.join(build, "walkthread-platformd")
         self.folder = tempfile.mkdtemp(prefix="walkthread-platform-")
         self.run_seconds = run_seconds
-        self.starts, self.done, self.tickets = [], [], {}
+        self.starts, self.done, self.noted, self.violations, self.tickets, self.workers = [], [], [], [], {}, []
         self.processes, self.logs = {}, {}
         self.peer, self.control, self.front, self.ready = free_ports(4)
         self.cores, self.edges = list(range(1, cores + 1)), list(range(cores + 1, cores + edges + 1))
@@ -194,6 +233,10 @@
             self.start(number, founding=True)
         self.workers = [Worker(self, n) for n in range(workers)]
 
+    def cpu_of(self, _task):
+        """Thousandths of a core that a task takes, where the test knows."""
+        return 0
+
     def advise(self, _method, _path, _headers, body):
         time.sleep(0.005)
         good = [[life, "t%d" % random.getrandbits(30)] for life in body["workers"]]
@@ -201,12 +244,16 @@
             self.tickets[(body["step"], life, ticket)] = time.monotonic() + 1.5
         return 200, {"good": good, "validity-ms": 1500}
 
+    def own_settings(self, number):
+        """Lines of walkthread's own settings, which the platform does not give."""
+        return []
+
     def settings(self, number, founding):
         ip, core = loopback(number), number in self.cores
         lines = ['node-name = "n%d"' % number, 'ip = "%s"' % ip, 'zone = "a"', "internal-ports = [%d, %d]" % (self.peer, self.peer),
                  "seeds = [%s]" % ", ".join('"%s:%d"' % (loopback(n), self.control) for n in self.cores[:3]),
                  "bootstrap = %s" % str(founding).lower(), 'advice = "%s"' % self.advisor.address,
-                 'serves = ["%s"]' % ("control_plane" if core else "edge")]
+                 'serves = ["%s"]' % ("control_plane" if core else "edge")] + self.own_settings(number)
         if core:
             lines.append('data-dir = "%s"' % os.path.join(self.folder, "disk-%d" % number))
         lines.append("[listen-addrs]")
