Work is ordered by what it can still earn

Cause: under overload an order by slack alone serves each submission when it is about to be late, and the most overdue of the late ones first, which earn nothing any more. Now: on time, doubtful (the better chance first), late, worthless.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -74,8 +74,12 @@
         const submission* owner{};
         const step_spec* step{};
         const queue_spec* queue{};
-        bool missed{};
+        outlook chance{};
         double slack_ms{};
+        [[nodiscard]] bool missed() const
+        {
+            return chance >= outlook::late;
+        }
         [[nodiscard]] bool urgent() const
         {
             return queue != nullptr && queue->priority == 0;
@@ -124,6 +128,7 @@
     void tidy(monotonic_time now, wall_ms wall);
     [[nodiscard]] std::vector<candidate> order_candidates(wall_ms wall, bool all);
     [[nodiscard]] bool rate(candidate& item, wall_ms wall) const;
+    [[nodiscard]] static int rank(const candidate& item);
     void forget_old(wall_ms wall);
     void stop_unwanted(monotonic_time now);
     void propose_starts(const candidate& item, const std::vector<planned_start>& starts,
--- a/include/walkthread/dispatch/objective.hpp
+++ b/include/walkthread/dispatch/objective.hpp
@@ -4,6 +4,7 @@
 /// @brief When a submission has to be done to be on time, and how much of its way lies behind each step.
 /// @since 0.2
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -13,6 +14,27 @@
 namespace walkthread
 {
 
+/// @brief What a submission can still earn, as far as estimates say. Under overload the better outlook goes
+/// first: an order by slack alone would spend all room on work that is late by the time it is done.
+enum class outlook : std::uint8_t
+{
+    on_time,   ///< it will be done in time if it starts now
+    doubtful,  ///< it may be, as estimates are rough
+    late,      ///< it earns the part that late work earns
+    worthless, ///< it earns nothing any more; it is done all the same, last
+};
+
+/// @brief Bounds between outlooks, as parts of the objective.
+struct outlook_bounds
+{
+    double on_time = 0.1;    ///< slack above: a tenth for what estimates leave open
+    double doubtful = -0.25; ///< slack above; estimates are off by a quarter and more
+    double late = -2.0;      ///< slack above: work earns a part until three times its objective
+};
+
+/// @brief The outlook of work that has `slack_ms` left against an objective.
+[[nodiscard]] outlook judge_outlook(double slack_ms, double objective_ms, const outlook_bounds& bounds);
+
 /// @brief Learned ratio of observed to estimated run times, by queue.
 ///
 /// Estimates are the callers' rough guesses; the mean ratio corrects what they have in common.
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include <walkthread/dispatch/objective.hpp>
 #include <walkthread/dispatch/orders.hpp>
 #include <walkthread/units/time.hpp>
 
@@ -32,6 +33,7 @@
     milliseconds ticket_margin{150};  ///< a ticket is not used that shortly before its end: commit and way
     milliseconds advice_gap{60};      ///< least time between two questions for one step
     milliseconds advice_retry{250};   ///< after a question without an answer
+    outlook_bounds outlooks{};
     milliseconds full_pass_gap{20};   ///< between passes over steps that are not urgent: their objectives are
                                       ///< seconds, and such a pass costs most of the leader's time
     milliseconds quarantine{4000};    ///< the first one; doubles each time
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -229,10 +229,24 @@
     const double objective =
         item.queue != nullptr ? m_objectives.objective_ms(*item.owner, *item.queue) : 0.0;
     item.slack_ms = objective - age - m_objectives.remaining_ms(*item.owner, item.ref.step);
-    item.missed = item.slack_ms < -0.25 * objective; // estimates are rough: a little below may still make it
+    item.chance = judge_outlook(item.slack_ms, objective, m_settings.outlooks);
     return true;
 }
 
+// Lower goes first; within a rank by slack. Urgent work that can be late is still worth more than other work.
+int dispatcher::rank(const candidate& item)
+{
+    if (item.step->lasting)
+    {
+        return 0;
+    }
+    if (item.urgent() && !item.missed())
+    {
+        return 1;
+    }
+    return 2 + static_cast<int>(item.chance);
+}
+
 std::vector<dispatcher::candidate> dispatcher::order_candidates(wall_ms wall, bool all)
 {
     std::vector<candidate> out;
@@ -258,12 +272,13 @@
     std::sort(out.begin(), out.end(),
               [](const candidate& a, const candidate& b)
               {
-                  const auto key = [](const candidate& c)
+                  // What is doubtful becomes more so by waiting: there the better chance goes first.
+                  const auto pressing = [](const candidate& c)
                   {
-                      const int group = c.step->lasting ? 0 : c.missed ? 3 : c.urgent() ? 1 : 2;
-                      return std::make_tuple(group, c.slack_ms, c.ref);
+                      return c.chance == outlook::doubtful && !c.urgent() ? -c.slack_ms : c.slack_ms;
                   };
-                  return key(a) < key(b);
+                  return std::make_tuple(rank(a), pressing(a), a.ref) <
+                         std::make_tuple(rank(b), pressing(b), b.ref);
               });
     return out;
 }
@@ -355,7 +370,7 @@
          {{"queue", item.owner->queue},
           {"tasks", starts.size()},
           {"slack_ms", static_cast<std::int64_t>(item.slack_ms)},
-          {"missed", item.missed},
+          {"missed", item.missed()},
           {"gang", item.step->gang}});
     m_hooks.propose(record_starts{starts},
                     [this, alive = m_alive, starts, tickets, room](bool committed)
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -175,7 +175,7 @@
         gathering += step != nullptr && hold.total < step->count ? 1 : 0;
         late += hold.missed ? 1 : 0;
     }
-    return gathering < m_settings.most_gathering && (!item.missed || late < most_late_gathering);
+    return gathering < m_settings.most_gathering && (!item.missed() || late < most_late_gathering);
 }
 
 void dispatcher::set_hold(const candidate& item, gang_hold next)
@@ -249,7 +249,7 @@
               });
     gang_hold next;
     next.each = room_of(*item.step);
-    next.missed = item.missed;
+    next.missed = item.missed();
     for (const offer& o : offers)
     {
         const std::uint32_t count = std::min(o.slots, item.step->count - next.total);
@@ -267,7 +267,7 @@
               {"of", item.step->count},
               {"hosts", next.tasks.size()},
               {"slack_ms", static_cast<std::int64_t>(item.slack_ms)},
-              {"missed", item.missed},
+              {"missed", item.missed()},
               {"holds", m_holds.size() + 1}});
     }
     set_hold(item, std::move(next));
--- a/src/dispatch/objective.cpp
+++ b/src/dispatch/objective.cpp
@@ -13,6 +13,19 @@
 constexpr double unknown_run_ms = 1000; // for a step without an estimate: the middle of the users' kinds
 } // namespace
 
+outlook judge_outlook(double slack_ms, double objective_ms, const outlook_bounds& bounds)
+{
+    if (slack_ms >= bounds.on_time * objective_ms)
+    {
+        return outlook::on_time;
+    }
+    if (slack_ms >= bounds.doubtful * objective_ms)
+    {
+        return outlook::doubtful;
+    }
+    return slack_ms >= bounds.late * objective_ms ? outlook::late : outlook::worthless;
+}
+
 void objective_book::note_run(const std::string& queue, std::int64_t estimate_ms, std::int64_t took_ms)
 {
     if (estimate_ms <= 0)
