--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -137,8 +137,8 @@
               std::initializer_list<log_field> fields);
 
     // dispatcher_place.cpp: which worker
-    void place(const candidate& item, monotonic_time now);
-    void place_each(const candidate& item, monotonic_time now);
+    bool place(const candidate& item, monotonic_time now);
+    bool place_each(const candidate& item, monotonic_time now);
     void prepare_rows(monotonic_time now);
     void learn_usual_speed();
     [[nodiscard]] bool allowed(const candidate& item, const host_row& row) const;
@@ -157,7 +157,7 @@
     [[nodiscard]] bool keeps_large_slots(const resources& room, const resources& need) const;
 
     // dispatcher_gangs.cpp: all tasks of a step at once
-    void place_gang(const candidate& item, monotonic_time now);
+    bool place_gang(const candidate& item, monotonic_time now);
     [[nodiscard]] bool start_gang(const candidate& item, monotonic_time now);
     void start_gang_on(const candidate& item, std::vector<offer> offers, monotonic_time now);
     [[nodiscard]] static std::vector<offer> of_one_speed(const candidate& item, std::vector<offer> offers);
@@ -234,6 +234,7 @@
     std::map<step_ref, gang_hold> m_holds;                 ///< room kept for gangs
     std::unordered_map<worker_life_id, resources> m_held;  ///< the same by host
     std::map<step_ref, monotonic_time> m_hold_after;       ///< gangs that gathered in vain wait until then
+    std::map<step_ref, monotonic_time> m_gang_retry;       ///< gangs without room held are looked at then
     std::vector<host_row> m_rows;                   ///< of this pass
     std::unordered_map<worker_life_id, std::size_t> m_row_of;
     std::map<step_ref, monotonic_time> m_preempted; ///< when runs were last stopped for a step
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 constexpr std::size_t forget_at_once = 200;        // bounds one log entry
-constexpr std::size_t most_failed_placements = 60; // per pass: behind so many that do not fit, little does
+constexpr std::size_t most_failed_placements = 120; // per pass: behind so many that do not fit, little does
 constexpr duration tidy_every = milliseconds(50);  // a fifth of the shortest retry
 constexpr duration idle_pass = milliseconds(100);  // leases, retries and due times are looked at that often
 } // namespace
@@ -188,9 +188,7 @@
     std::size_t failed = 0;
     for (const candidate& item : order_candidates(wall, all))
     {
-        const std::uint32_t before = waiting_tasks(item);
-        place(item, now);
-        failed += waiting_tasks(item) == before ? 1 : 0;
+        failed += place(item, now) ? 0 : 1;
         if (failed > most_failed_placements)
         {
             break;
@@ -312,6 +310,7 @@
     };
     std::erase_if(m_preempted, over);
     std::erase_if(m_hold_after, over);
+    std::erase_if(m_gang_retry, over);
     if (command.ids.empty())
     {
         return;
--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -167,6 +167,7 @@
           {"asked", workers.size()},
           {"good", answer.good.size()},
           {"took_ms", answer.took}});
+    m_gang_retry.erase(ref);
     m_full_due = std::min(m_full_due, now); // what was asked for is used while it counts
     m_hooks.wake();
 }
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -14,6 +14,7 @@
 constexpr std::int64_t large_task_memory = 8; // the learned size of a gang's task follows about that many
 constexpr double spare_factor = 1.5; // asked beyond the need: the share of good ones is an average
 constexpr std::size_t learning_question = 64; // workers: about as long again as a question takes at least
+constexpr duration gang_retry = milliseconds(120); // without room held; many wait, and each looks at its hosts
 constexpr double enough_reach = 1.5; // times its tasks, on empty hosts: below, a gang takes any host
 constexpr std::size_t least_asked = 8;        // a question costs most for being asked at all
 constexpr std::size_t most_late_gathering = 1; // late gangs earn little: one at a time gathers room
@@ -33,22 +34,25 @@
     follow(m_large_task.memory, item.step->size.memory);
 }
 
-void dispatcher::place_gang(const candidate& item, monotonic_time now)
+bool dispatcher::place_gang(const candidate& item, monotonic_time now)
 {
-    if (waiting_tasks(item) != item.step->count)
+    const bool holds = m_holds.contains(item.ref);
+    const bool resting = !holds && !item.urgent() && now < m_gang_retry[item.ref];
+    if (resting || waiting_tasks(item) != item.step->count)
     {
-        return;
+        return true;
     }
+    m_gang_retry[item.ref] = now + gang_retry;
     learn_large_task(item);
     if (start_gang(item, now))
     {
-        return;
+        return true;
     }
     if (item.urgent()) // small, and served first: it needs no room of its own
     {
         ask_advice(item, item.step->count, now);
         preempt_for(item, item.step->count, now);
-        return;
+        return false;
     }
     hold_room(item, now);
     ask_for_gang(item, now);
@@ -57,6 +61,7 @@
     {
         preempt_for(item, item.step->count - held, now);
     }
+    return false;
 }
 
 // A gang runs as its slowest member: hosts of one speed, the fast ones if they have room for all or will have,
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -157,24 +157,18 @@
     return counts ? entry->second.ticket : std::string{};
 }
 
-void dispatcher::place(const candidate& item, monotonic_time now)
+// Returns false if workers were looked at in vain.
+bool dispatcher::place(const candidate& item, monotonic_time now)
 {
     if (item.queue != nullptr && item.queue->advised)
     {
         const step_advice& known = m_advice.of(item.ref);
         if (known.open_questions > 0 && known.entries.empty())
         {
-            return; // nothing is known yet, and the question is on its way
+            return true; // nothing is known yet, and the question is on its way
         }
     }
-    if (item.step->gang)
-    {
-        place_gang(item, now);
-    }
-    else
-    {
-        place_each(item, now);
-    }
+    return item.step->gang ? place_gang(item, now) : place_each(item, now);
 }
 
 // Workers that failed this step before are left out, as long as others may take it.
@@ -299,7 +293,7 @@
 // Tasks one by one
 // ---------------------------------------------------------------------------------------------------------
 
-void dispatcher::place_each(const candidate& item, monotonic_time now)
+bool dispatcher::place_each(const candidate& item, monotonic_time now)
 {
     const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
     std::map<worker_life_id, std::uint32_t> used = spread(item);
@@ -360,6 +354,7 @@
         ask_advice(item, left, now);
         preempt_for(item, left, now);
     }
+    return !starts.empty();
 }
 
 } // namespace walkthread
