--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -267,13 +267,17 @@
             out.push_back(item);
         }
     }
+    const auto lead_ms = static_cast<double>(m_settings.gang_lead.count());
     std::sort(out.begin(), out.end(),
-              [](const candidate& a, const candidate& b)
+              [lead_ms](const candidate& a, const candidate& b)
               {
-                  // What is doubtful becomes more so by waiting: there the better chance goes first.
-                  const auto pressing = [](const candidate& c)
+                  // What is doubtful becomes more so by waiting: there the better chance goes first. A gang has
+                  // to gather room and tickets before it can start.
+                  const auto pressing = [lead_ms](const candidate& c)
                   {
-                      return c.chance == outlook::doubtful && !c.urgent() ? -c.slack_ms : c.slack_ms;
+                      const bool prepares = c.step->gang && !c.urgent();
+                      const double left = c.slack_ms - (prepares ? lead_ms : 0.0);
+                      return c.chance == outlook::doubtful && !c.urgent() ? -left : left;
                   };
                   return std::make_tuple(rank(a), pressing(a), a.ref) <
                          std::make_tuple(rank(b), pressing(b), b.ref);
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -17,7 +17,6 @@
 constexpr duration gang_retry = milliseconds(120); // without room held; many wait, and each looks at its hosts
 constexpr double enough_reach = 1.5; // times its tasks, on empty hosts: below, a gang takes any host
 constexpr std::size_t least_asked = 8;        // a question costs most for being asked at all
-constexpr std::size_t most_late_gathering = 1; // late gangs earn little: one at a time gathers room
 } // namespace
 
 void dispatcher::learn_large_task(const candidate& item)
@@ -173,14 +172,13 @@
         return true;
     }
     std::size_t gathering = 0;
-    std::size_t late = 0;
     for (const auto& [ref, hold] : m_holds)
     {
         const step_spec* step = m_state.find(ref);
-        gathering += step != nullptr && hold.total < step->count ? 1 : 0;
-        late += hold.missed ? 1 : 0;
+        const bool before = item.missed() || !hold.missed; // those that are late leave room for others
+        gathering += before && step != nullptr && hold.total < step->count ? 1 : 0;
     }
-    return gathering < m_settings.most_gathering && (!item.missed() || late < most_late_gathering);
+    return gathering < m_settings.most_gathering;
 }
 
 void dispatcher::set_hold(const candidate& item, gang_hold next)
