--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -172,14 +172,15 @@
     void set_hold(const candidate& item, gang_hold next);
     void drop_hold(const step_ref& ref);
     void review_holds(monotonic_time now);
+    void learn_hosts(const candidate& item, monotonic_time now);
     void ask_for_gang(const candidate& item, monotonic_time now);
     [[nodiscard]] std::vector<worker_life_id> hosts_without_ticket(const candidate& item,
                                                                    const gang_hold& hold, monotonic_time now);
 
     // dispatcher_advice.cpp
     void ask_advice(const candidate& item, std::uint32_t need, monotonic_time now);
-    [[nodiscard]] bool may_ask(const candidate& item, monotonic_time now);
-    void ask(const candidate& item, std::uint32_t need, const std::vector<worker_life_id>& workers,
+    [[nodiscard]] bool may_ask(const candidate& item, bool pressing, monotonic_time now);
+    void ask(const candidate& item, const std::vector<worker_life_id>& workers, bool pressing,
              monotonic_time now);
     void take_advice(const step_ref& ref, const std::string& queue,
                      const std::vector<worker_life_id>& workers, const advice_answer& answer,
--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -18,21 +18,22 @@
 constexpr double full_worker_weight = 0.35; // a worker without room now may have some soon
 } // namespace
 
-bool dispatcher::may_ask(const candidate& item, monotonic_time now)
+// What is `pressing` goes ahead of other questions, and need not wait for a process that is free.
+bool dispatcher::may_ask(const candidate& item, bool pressing, monotonic_time now)
 {
     if (item.queue == nullptr || !item.queue->advised)
     {
         return false;
     }
     const step_advice& known = m_advice.of(item.ref);
-    const bool turn = item.urgent() || !m_hooks.advisors_free || m_hooks.advisors_free();
+    const bool turn = pressing || !m_hooks.advisors_free || m_hooks.advisors_free();
     return known.open_questions == 0 && now >= known.ask_after && turn;
 }
 
 // For tasks one by one and for urgent gangs; dispatcher_gangs.cpp has the others' questions.
 void dispatcher::ask_advice(const candidate& item, std::uint32_t need, monotonic_time now)
 {
-    if (!may_ask(item, now))
+    if (!may_ask(item, item.urgent(), now))
     {
         return;
     }
@@ -106,10 +107,10 @@
         asked.push_back(o.worker);
         sum += o.weight;
     }
-    ask(item, need, asked, now);
+    ask(item, asked, item.urgent(), now);
 }
 
-void dispatcher::ask(const candidate& item, std::uint32_t need, const std::vector<worker_life_id>& workers,
+void dispatcher::ask(const candidate& item, const std::vector<worker_life_id>& workers, bool pressing,
                      monotonic_time now)
 {
     if (workers.empty())
@@ -126,11 +127,11 @@
     ++m_counters.questions;
     note(now, "advice_asked", name_of(item.ref),
          {{"workers", workers.size()},
-          {"need", need},
+          {"need", item.step->count},
           {"held", held_tasks(item.ref)},
           {"share_good", m_advice.good_share(item.owner->queue)}});
     const milliseconds validity{item.queue->advice.validity_ms};
-    m_hooks.advise(question, item.urgent(),
+    m_hooks.advise(question, pressing,
                    [this, alive = m_alive, ref = item.ref, queue = item.owner->queue, workers,
                     validity](const advice_answer& answer)
                    {
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -329,19 +329,33 @@
 // First learns of hosts enough; once room for all is held on good ones, asks for their tickets.
 void dispatcher::ask_for_gang(const candidate& item, monotonic_time now)
 {
-    if (!may_ask(item, now))
+    const auto hold = m_holds.find(item.ref);
+    const bool complete = hold != m_holds.end() && hold->second.total >= item.step->count;
+    if (!may_ask(item, complete, now))
     {
         return;
     }
-    step_advice& known = m_advice.of(item.ref);
-    known.ask_after = now + m_settings.advice_gap;
-    std::vector<worker_life_id> asked;
-    const auto hold = m_holds.find(item.ref);
-    if (hold != m_holds.end() && hold->second.total >= item.step->count)
+    if (complete)
+    {
+        m_advice.of(item.ref).ask_after = now + m_settings.advice_gap;
+        ask(item, hosts_without_ticket(item, hold->second, now), complete, now);
+        return;
+    }
+    learn_hosts(item, now);
+}
+
+// Asks about more workers, if those that are known to be good do not suffice.
+void dispatcher::learn_hosts(const candidate& item, monotonic_time now)
+{
+    // Questions are many, and processes that ask are few: not for those that would not gather next.
+    const bool next = m_holds.contains(item.ref) || m_holds.size() < m_settings.most_gathering;
+    if (item.missed() && !next)
     {
-        ask(item, item.step->count, hosts_without_ticket(item, hold->second, now), now);
         return;
     }
+    step_advice& known = m_advice.of(item.ref);
+    known.ask_after = now + m_settings.advice_gap;
+    std::vector<worker_life_id> asked;
     double within_reach = 0;
     double unknown_free = 0;
     const double share = m_advice.good_share(item.owner->queue);
@@ -358,7 +372,7 @@
     }
     const double missing = item.step->count - held_tasks(item.ref);
     const bool reached = within_reach >= m_settings.gang_reach * item.step->count;
-    if (reached && unknown_free < missing * spare_factor) // else others have room now, and waiting gains nothing
+    if (reached && (!next || unknown_free < missing * spare_factor)) // else others have room now
     {
         return;
     }
@@ -387,7 +401,7 @@
         const auto first = asked.begin() + static_cast<std::ptrdiff_t>(begin);
         const auto last = asked.begin() + static_cast<std::ptrdiff_t>(
                                               std::min(begin + learning_question, asked.size()));
-        ask(item, item.step->count, {first, last}, now);
+        ask(item, {first, last}, item.urgent(), now);
     }
 }
 
