--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -347,9 +347,8 @@
 // Asks about more workers, if those that are known to be good do not suffice.
 void dispatcher::learn_hosts(const candidate& item, monotonic_time now)
 {
-    // Questions are many, and processes that ask are few: not for those that would not gather next.
-    const bool next = m_holds.contains(item.ref) || m_holds.size() < m_settings.most_gathering;
-    if (item.missed() && !next)
+    // Processes that ask are few: not for late gangs that would not gather next.
+    if (item.missed() && m_holds.size() >= m_settings.most_gathering)
     {
         return;
     }
@@ -372,7 +371,7 @@
     }
     const double missing = item.step->count - held_tasks(item.ref);
     const bool reached = within_reach >= m_settings.gang_reach * item.step->count;
-    if (reached && (!next || unknown_free < missing * spare_factor)) // else others have room now
+    if (reached && unknown_free < missing * spare_factor) // else others have room now
     {
         return;
     }
