--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -45,8 +45,8 @@
     milliseconds drain_stop{1000}; ///< before a draining worker goes: checkpointing runs are stopped
     milliseconds keep_final{
         150000}; ///< final submissions are known for that long; above the platform's bound
-    std::size_t most_gathering = 3; ///< gangs that gather room at a time: the advisor allows each of them
-                                    ///< about a third of the hosts, so three take up what becomes free
+    std::size_t most_gathering = 2; ///< gangs that gather room at a time: the advisor allows each of them
+                                    ///< about a third of the hosts; three and more hold each other up
     milliseconds gang_lead{4000};   ///< from first look to start: two questions and the gathering between them
     double slow_below = 0.88; ///< of the usual speed: such hosts are kept from gangs, which run as their
                               ///< slowest member; between the users' hosts, which differ by 1 to 1.3
