Serving and filling tasks side by side: pace by tails, and lasting tasks that may not be missed

Cause: HARM and AVAIL were not carried by anything (docs/PLATFORM.md said so). Fillers beside a serving task over its target now work half as much with each report, not at all after 1.8 s; serving and filling work is kept apart where there is a choice; a task of a step with may_miss is not stopped for upkeep while as many others of it are away.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -119,6 +119,7 @@
         bool keeps_large{};    ///< a task there takes no room from gangs
         double speed{};        ///< learned, 1 is usual
         bool slow{};           ///< clearly slower than most
+        bool disturbs{};       ///< filling work would go beside serving work, or the other way round
         std::string ticket;    ///< "-" where none is needed, empty where none counts
         /// The last label names the rack.
         [[nodiscard]] std::string rack() const
@@ -214,6 +215,13 @@
     [[nodiscard]] worker_address address_of(worker_life_id worker) const;
     worker_view* view_of(worker_life_id worker);
 
+    // dispatcher_sharing.cpp: serving and filling tasks side by side
+    void pace_fillers(worker_view& view, const look_answer& answer, monotonic_time now);
+    void slow_fillers(worker_view& view, monotonic_time now);
+    void send_paces(worker_view& view, monotonic_time now);
+    [[nodiscard]] bool may_end_lasting(const run_ref& run);
+    [[nodiscard]] bool at_work(const task_ref& ref);
+
     // dispatcher_upkeep.cpp
     void advance_waves(monotonic_time now, wall_ms wall);
     void advance_wave(const upkeep_wave& wave, monotonic_time now, wall_ms wall);
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -42,6 +42,11 @@
     milliseconds unhealthy_pause{800}; ///< after a worker said that it cannot start anything
     milliseconds stuck_after{
         2500}; ///< no progress for that long, and three times the usual: the run stands still
+    milliseconds pace_settles{600};      ///< before a new pace shows: tails are of the last half second
+    milliseconds pace_rise_after{1500};  ///< between steps up: disturbance shifts within seconds
+    milliseconds harm_patience{1800};    ///< over its target for that long: fillers rest; under half of the
+                                         ///< platform's bound
+    milliseconds sharing_look_wait{400}; ///< looks at hosts where serving and filling tasks meet
     milliseconds drain_stop{1000}; ///< before a draining worker goes: checkpointing runs are stopped
     milliseconds keep_final{
         150000}; ///< final submissions are known for that long; above the platform's bound
@@ -71,6 +76,8 @@
     std::int32_t percent{};
     monotonic_time progressed{}; ///< when the percentage last rose
     std::string checkpoint;
+    std::int32_t pace = 100; ///< percent that it was told to work at
+    bool pace_in_flight{};
     bool listed{};    ///< by the last look
     bool inherited{}; ///< started by an earlier leader
 };
@@ -98,6 +105,11 @@
     submission_id last_failed{};
     monotonic_time avoid_until{};
     milliseconds next_quarantine{};
+    std::uint32_t serving{}; ///< tasks with a latency target in the last look
+    std::uint32_t filling{}; ///< filling tasks in the last look
+    std::optional<monotonic_time> over_since; ///< a tail there has been over its target since then
+    std::int32_t filler_pace = 100;           ///< percent at which fillers there are to work
+    monotonic_time pace_changed{};
     double speed = 1.0;       ///< learned from run times against what was expected
     resources planned{};      ///< room of starts that wait for their commit
     std::uint64_t sequence{}; ///< of the newest report
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t forget_at_once = 200;        // bounds one log entry
 constexpr std::size_t most_failed_placements = 120; // per pass: behind so many that do not fit, little does
 constexpr duration tidy_every = milliseconds(50);  // a fifth of the shortest retry
+constexpr std::int32_t inherited_pace = 25;       // percent: fillers of an earlier leader, until tails are known
 constexpr duration idle_pass = milliseconds(100);  // leases, retries and due times are looked at that often
 } // namespace
 
@@ -90,6 +91,9 @@
             known.sent = now;
             known.progressed = now;
             known.inherited = true;
+            // An earlier leader may have paced it; low until its neighbours' tails are known.
+            const step_spec* step = m_state.find(run.task.step);
+            view.filler_pace = step != nullptr && step->fills ? inherited_pace : view.filler_pace;
         }
     }
 }
--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -230,7 +230,8 @@
             const double expected = m_objectives.expected_ms(owner->queue, step) * stuck_factor;
             const duration patience =
                 std::max<duration>(m_settings.stuck_after, milliseconds(static_cast<std::int64_t>(expected)));
-            const bool stuck = !step.lasting && now - known.progressed > patience;
+            const bool paced = known.pace < 100; // stands still on our own order
+            const bool stuck = !step.lasting && !paced && now - known.progressed > patience;
             if (stuck)
             {
                 view.avoid_until = std::max(view.avoid_until, now + view.next_quarantine);
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -220,6 +220,8 @@
     o.speed = row.view->speed;
     o.slow = o.speed < m_settings.slow_below * m_usual_speed;
     o.held = o.room != row.free;
+    o.disturbs = (item.step->fills && row.view->serving > 0) ||
+                 (item.step->latency_target_ms > 0 && row.view->filling > 0);
     return o;
 }
 
@@ -316,7 +318,7 @@
               {
                   const auto key = [urgent](const offer& o)
                   {
-                      return std::make_tuple(!o.near, o.held, urgent ? o.slow : !o.slow, !o.keeps_large,
+                      return std::make_tuple(o.disturbs, !o.near, o.held, urgent ? o.slow : !o.slow, !o.keeps_large,
                                              urgent ? -o.speed : 0.0, o.worker->id);
                   };
                   return key(a) < key(b);
--- a/src/dispatch/dispatcher_upkeep.cpp
+++ b/src/dispatch/dispatcher_upkeep.cpp
@@ -97,7 +97,8 @@
     {
         const step_spec* step = m_state.find(run.task.step);
         const bool moves_well = step != nullptr && (step->lasting || step->checkpoints);
-        if (hurry || moves_well)
+        const bool missed_too_much = step != nullptr && step->lasting && !may_end_lasting(run);
+        if ((hurry || moves_well) && !missed_too_much)
         {
             send_stop(view, run, now);
         }
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -56,7 +56,9 @@
     {
         order.until_ms = view.grant(now, std::min(m_settings.lease, m_settings.lease_cap));
     }
-    order.wait_ms = view.answered ? m_settings.look_wait.count() : 0;
+    const bool shared = view.serving > 0 && view.filling > 0;
+    const milliseconds wait = shared ? m_settings.sharing_look_wait : m_settings.look_wait;
+    order.wait_ms = view.answered ? wait.count() : 0;
     view.look_in_flight = true;
     view.look_sent = now;
     m_hooks.look(order,
@@ -95,6 +97,7 @@
     view->heard = now;
     view->note_clock(answer.clock_ms, now);
     take_runs(*view, answer, now);
+    pace_fillers(*view, answer, now);
     take_ends(*view, answer, sent, now);
     view->answered = true;
     if (!view->recording)
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -278,7 +278,11 @@
     {
         leads(monotonic_now()) ? m_outside.stop(order, handler) : handler(unanswered);
     };
-    hooks.pace = m_outside.pace;
+    hooks.pace = [this, unanswered](const pace_task_order& order,
+                                    const std::function<void(const order_answer&)>& handler)
+    {
+        leads(monotonic_now()) ? m_outside.pace(order, handler) : handler(unanswered);
+    };
     hooks.order_upkeep = [this, unanswered](const std::string& host, std::uint64_t wave, std::uint64_t fence,
                                             const std::function<void(const order_answer&)>& handler)
     {
