--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -250,7 +250,6 @@
     std::unordered_map<worker_life_id, resources> m_held;  ///< the same by host
     std::map<step_ref, monotonic_time> m_hold_after;       ///< gangs that gathered in vain wait until then
     std::map<step_ref, monotonic_time> m_gang_retry;       ///< gangs without room held are looked at then
-    std::set<step_ref> m_late_learners;                    ///< late gangs with questions about further hosts
     std::vector<host_row> m_rows;                   ///< of this pass
     std::unordered_map<worker_life_id, std::size_t> m_row_of;
     std::map<step_ref, monotonic_time> m_preempted; ///< when runs were last stopped for a step
--- a/include/walkthread/dispatch/orders.hpp
+++ b/include/walkthread/dispatch/orders.hpp
@@ -160,6 +160,8 @@
     /// Whether another question that is not urgent would be asked soon. Those that wait are asked in the
     /// order of the passes, not of their coming. Null: always.
     std::function<bool()> advisors_free;
+    /// Whether many of the processes that ask have nothing to ask. Null: always.
+    std::function<bool()> advisors_idle;
     /// Orders a host's upkeep at the platform.
     std::function<void(const std::string& host, std::uint64_t wave, std::uint64_t fence,
                        std::function<void(const order_answer&)>)>
--- a/include/walkthread/fabric/advice_desk.hpp
+++ b/include/walkthread/fabric/advice_desk.hpp
@@ -44,6 +44,8 @@
     {
         return m_busy;
     }
+    /// @brief Whether many of the processes that may ask have nothing to ask. Complexity: linear in them.
+    [[nodiscard]] bool mostly_idle(monotonic_time now) const;
 
   private:
     struct open_question
--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -169,10 +169,6 @@
           {"good", answer.good.size()},
           {"took_ms", answer.took}});
     m_gang_retry.erase(ref);
-    if (open.open_questions == 0)
-    {
-        m_late_learners.erase(ref);
-    }
     m_full_due = std::min(m_full_due, now); // what was asked for is used while it counts
     m_hooks.wake();
 }
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -16,7 +16,6 @@
 constexpr std::size_t learning_question = 64; // workers: about as long again as a question takes at least
 constexpr duration gang_retry = milliseconds(120); // without room held; many wait, and each looks at its hosts
 constexpr double enough_reach = 1.5; // times its tasks, on empty hosts: below, a gang takes any host
-constexpr std::size_t most_late_learners = 4; // late gangs that learn of hosts at a time, by four questions each
 constexpr std::size_t least_asked = 8;        // a question costs most for being asked at all
 } // namespace
 
@@ -348,8 +347,8 @@
 // Asks about more workers, if those that are known to be good do not suffice.
 void dispatcher::learn_hosts(const candidate& item, monotonic_time now)
 {
-    // Processes that ask are few: late gangs, which earn little, leave most of them to others.
-    if (item.missed() && m_late_learners.size() >= most_late_learners)
+    // Processes that ask are few: late gangs, which earn little, use those that would be idle.
+    if (item.missed() && m_hooks.advisors_idle && !m_hooks.advisors_idle())
     {
         return;
     }
@@ -395,10 +394,6 @@
         now_free += share * o.slots;
         within_reach += share * o.whole;
     }
-    if (item.missed() && !asked.empty())
-    {
-        m_late_learners.insert(item.ref);
-    }
     // Several questions at once, as each takes the longer the more workers it names.
     for (std::size_t begin = 0; begin < asked.size(); begin += learning_question)
     {
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -297,6 +297,10 @@
     {
         return m_desk.normal_waiting() < most_questions_waiting;
     };
+    hooks.advisors_idle = [this]
+    {
+        return m_desk.mostly_idle(monotonic_now());
+    };
     hooks.wake = [this]
     {
         wake_dispatcher();
