--- a/include/walkthread/fabric/core_node.hpp
+++ b/include/walkthread/fabric/core_node.hpp
@@ -49,7 +49,7 @@
     void prepare_stop() override;
     /// @brief Whether this process leads no longer, so that it may end.
     [[nodiscard]] bool may_end() const;
-    [[nodiscard]] std::string figures() const override;
+    void fill(figure_page& page) const override;
 
   protected:
     void take(const std::string& from, mesh_message message) override;
@@ -99,12 +99,20 @@
     void handle(const explain_call& call, const call_handler& handler);
     [[nodiscard]] const queue_spec* queue_at(const std::string& host, const std::string& path) const;
 
+    void fill_leading(figure_page& page) const;
+
     core_node_settings m_times;
     std::function<void(const storage_error&)> m_stop;
     workload_state m_state;
     std::unique_ptr<replica_host> m_replica;
     std::unique_ptr<dispatcher> m_dispatcher;
     advice_desk m_desk;
+    time_histograms m_commit_times{
+        "walkthread_commit_seconds", "From a proposal at the leader to its commit.", {}};
+    time_histograms m_start_waits{
+        "walkthread_start_wait_seconds", "From a step's turn to the plan of its tasks, by queue.", {"queue"}};
+    time_histograms m_advice_times{
+        "walkthread_advice_seconds", "Questions to the placement advisor, waiting included.", {"answered"}};
     std::uint64_t m_led_term = 0;
     monotonic_time m_join_asked{};
     monotonic_time m_last_pass{};
--- a/include/walkthread/fabric/fabric_node.hpp
+++ b/include/walkthread/fabric/fabric_node.hpp
@@ -16,6 +16,7 @@
 #include <walkthread/fabric/call_router.hpp>
 #include <walkthread/fabric/leader_watch.hpp>
 #include <walkthread/observe/decision_log.hpp>
+#include <walkthread/observe/figure_page.hpp>
 
 namespace walkthread
 {
@@ -73,8 +74,8 @@
     virtual void prepare_stop()
     {
     }
-    /// @brief Figures for the metrics page, as name and value pairs in the text format.
-    [[nodiscard]] virtual std::string figures() const;
+    /// @brief Puts this process's figures on a metrics page.
+    virtual void fill(figure_page& page) const;
 
   protected:
     virtual void take(const std::string& from, mesh_message message);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -378,6 +378,11 @@
 {
     const resources room = room_of(*item.step);
     drop_hold(item.ref);
+    if (m_hooks.planned)
+    {
+        const wall_ms since = std::max(item.owner->spec.due_at(item.ref.round), item.owner->accepted);
+        m_hooks.planned(item.owner->queue, milliseconds(std::max<wall_ms>(m_wall - since, 0)));
+    }
     for (const planned_start& planned : starts)
     {
         m_views[planned.worker].planned += room;
--- a/src/fabric/core_calls.cpp
+++ b/src/fabric/core_calls.cpp
@@ -51,8 +51,13 @@
                         std::function<void(std::optional<workload_result>)> handler)
 {
     m_replica->propose(wall_now(), encode(command),
-                       [handler = std::move(handler)](const std::optional<std::string>& answer)
+                       [this, alive = m_alive, began = monotonic_now(),
+                        handler = std::move(handler)](const std::optional<std::string>& answer)
                        {
+                           if (*alive && answer)
+                           {
+                               m_commit_times.observe({}, monotonic_now() - began);
+                           }
                            if (!answer)
                            {
                                handler(std::nullopt);
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -291,7 +291,14 @@
     hooks.advise = [this](const advice_question& question, bool urgent,
                           const std::function<void(const advice_answer&)>& handler)
     {
-        m_desk.put(question, urgent, handler, monotonic_now());
+        const monotonic_time asked = monotonic_now();
+        m_desk.put(question, urgent,
+                   [this, asked, handler](const advice_answer& answer)
+                   {
+                       m_advice_times.observe({answer.answered ? "yes" : "no"}, monotonic_now() - asked);
+                       handler(answer);
+                   },
+                   asked);
     };
     hooks.advisors_free = [this]
     {
@@ -301,6 +308,10 @@
     {
         return m_desk.mostly_idle(monotonic_now());
     };
+    hooks.planned = [this](const std::string& queue, duration waited)
+    {
+        m_start_waits.observe({queue}, waited);
+    };
     hooks.wake = [this]
     {
         wake_dispatcher();
@@ -348,37 +359,48 @@
     }
 }
 
-std::string core_node::figures() const
+void core_node::fill(figure_page& page) const
 {
+    fabric_node::fill(page);
     const replica& core = m_replica->group().core();
-    std::string out = fabric_node::figures();
-    const auto line = [&out](const char* name, std::uint64_t value)
+    const auto gauge = [&page](const char* name, const char* help, std::uint64_t value)
     {
-        out += std::string(name) + ' ' + std::to_string(value) + '\n';
+        page.add_gauge(name, help, static_cast<double>(value));
     };
-    line("walkthread_term", core.term().value());
-    line("walkthread_leads", m_dispatcher ? 1 : 0);
-    line("walkthread_commit_index", core.commit_index().value());
-    line("walkthread_voters", core.members().voters.size());
-    line("walkthread_learners", core.members().learners.size());
-    line("walkthread_votes", core.members().is_voter(core.self()) ? 1 : 0);
-    line("walkthread_log_syncs_total", m_replica->syncs());
-    line("walkthread_submissions_kept", m_state.submissions().size());
-    line("walkthread_steps_ready", m_state.ready().size());
-    line("walkthread_workers", m_state.workers().size());
-    line("walkthread_advice_waiting", m_desk.waiting());
-    if (m_dispatcher)
-    {
-        const dispatch_counters& c = m_dispatcher->counters();
-        line("walkthread_task_starts_total", c.starts);
-        line("walkthread_task_ends_total", c.ends);
-        line("walkthread_task_starts_refused_total", c.refused_starts);
-        line("walkthread_orders_unanswered_total", c.unanswered_orders);
-        line("walkthread_workers_lost_total", c.lost_workers);
-        line("walkthread_advice_questions_total", c.questions);
-        line("walkthread_preemptions_total", c.preemptions);
-    }
-    return out;
+    gauge("walkthread_term", "The replica's term.", core.term().value());
+    gauge("walkthread_leads", "1 if this process leads.", m_dispatcher ? 1 : 0);
+    gauge("walkthread_commit_index", "The last entry known to be committed.", core.commit_index().value());
+    gauge("walkthread_voters", "Replicas that vote.", core.members().voters.size());
+    gauge("walkthread_learners", "Replicas that stand by.", core.members().learners.size());
+    gauge("walkthread_votes", "1 if this replica votes.", core.members().is_voter(core.self()) ? 1 : 0);
+    gauge("walkthread_submissions_kept", "Submissions in the replicated state.",
+          m_state.submissions().size());
+    gauge("walkthread_steps_ready", "Steps with tasks that wait for a host.", m_state.ready().size());
+    gauge("walkthread_workers", "Workers' lives in the replicated state.", m_state.workers().size());
+    page.add_count("walkthread_log_syncs_total", "Syncs of the log.", static_cast<double>(m_replica->syncs()));
+    page.add(m_commit_times.collect());
+    fill_leading(page);
+}
+
+// What is counted since this process began to lead.
+void core_node::fill_leading(figure_page& page) const
+{
+    page.add_gauge("walkthread_advice_waiting", "Questions that wait for a process to ask them.",
+                   static_cast<double>(m_desk.waiting()));
+    page.add(m_start_waits.collect());
+    page.add(m_advice_times.collect());
+    const dispatch_counters c = m_dispatcher ? m_dispatcher->counters() : dispatch_counters{};
+    const auto count = [&page](const char* name, const char* help, std::uint64_t value)
+    {
+        page.add_count(name, help, static_cast<double>(value));
+    };
+    count("walkthread_task_starts_total", "Orders to start a task.", c.starts);
+    count("walkthread_task_ends_total", "Ends that workers listed.", c.ends);
+    count("walkthread_task_starts_refused_total", "Orders that a worker refused.", c.refused_starts);
+    count("walkthread_orders_unanswered_total", "Orders without an answer.", c.unanswered_orders);
+    count("walkthread_workers_lost_total", "Workers' lives that were dropped.", c.lost_workers);
+    count("walkthread_advice_questions_total", "Questions to the placement advisor.", c.questions);
+    count("walkthread_preemptions_total", "Runs stopped for other work.", c.preemptions);
 }
 
 } // namespace walkthread
--- a/src/fabric/fabric_node.cpp
+++ b/src/fabric/fabric_node.cpp
@@ -69,13 +69,17 @@
     m_watch.add_seeds(seeds);
 }
 
-std::string fabric_node::figures() const
+void fabric_node::fill(figure_page& page) const
 {
-    return "walkthread_calls_waiting " + std::to_string(m_router.waiting()) +
-           "\nwalkthread_peer_sent_bytes_total " + std::to_string(m_mesh.bytes_sent()) +
-           "\nwalkthread_peer_messages_dropped_total " + std::to_string(m_mesh.messages_dropped()) +
-           "\nwalkthread_log_lines_dropped_total " + std::to_string(m_log.dropped()) +
-           "\nwalkthread_leader_known " + (connected() ? "1" : "0") + "\n";
+    page.add_gauge("walkthread_calls_waiting", "Calls to the leader without an answer yet.",
+                   static_cast<double>(m_router.waiting()));
+    page.add_count("walkthread_peer_sent_bytes_total", "Bytes sent to other processes.",
+                   static_cast<double>(m_mesh.bytes_sent()));
+    page.add_count("walkthread_peer_messages_dropped_total", "Messages dropped as a link's queue was full.",
+                   static_cast<double>(m_mesh.messages_dropped()));
+    page.add_count("walkthread_log_lines_dropped_total", "Log lines dropped for their rate.",
+                   static_cast<double>(m_log.dropped()));
+    page.add_gauge("walkthread_leader_known", "1 if a leader is known and answers.", connected() ? 1 : 0);
 }
 
 void fabric_node::tick()
