--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -57,8 +57,8 @@
     /// @brief When `pass` is needed again at the latest.
     [[nodiscard]] monotonic_time next_pass(monotonic_time now) const;
 
-    /// @brief Calls `then` once no end that a worker listed for this submission waits for its commit; at once if
-    /// none does, and when this leadership ends. A read that came behind an end then tells of it.
+    /// @brief Calls `then` once no end that a worker listed for this submission waits for its commit; at once
+    /// if none does, and when this leadership ends. A read that came behind an end then tells of it.
     void after_recording(submission_id id, std::function<void()> then);
 
     [[nodiscard]] const dispatch_counters& counters() const
@@ -240,17 +240,17 @@
     std::map<worker_life_id, worker_view> m_views;
     std::uint64_t m_synced_version = 0;
     monotonic_time m_tidy_due{};
-    monotonic_time m_full_due{}; ///< when steps that are not urgent are looked at again
-    double m_usual_speed = 1.0;  ///< of the faster half of the hosts
-    bool m_full_wanted = false;  ///< some of them wait
+    monotonic_time m_full_due{};                  ///< when steps that are not urgent are looked at again
+    double m_usual_speed = 1.0;                   ///< of the faster half of the hosts
+    bool m_full_wanted = false;                   ///< some of them wait
     std::map<task_ref, worker_life_id> m_planned; ///< starts that wait for their commit
     advice_book m_advice;
     objective_book m_objectives;
-    std::map<step_ref, gang_hold> m_holds;                 ///< room kept for gangs
-    std::unordered_map<worker_life_id, resources> m_held;  ///< the same by host
-    std::map<step_ref, monotonic_time> m_hold_after;       ///< gangs that gathered in vain wait until then
-    std::map<step_ref, monotonic_time> m_gang_retry;       ///< gangs without room held are looked at then
-    std::vector<host_row> m_rows;                   ///< of this pass
+    std::map<step_ref, gang_hold> m_holds;                ///< room kept for gangs
+    std::unordered_map<worker_life_id, resources> m_held; ///< the same by host
+    std::map<step_ref, monotonic_time> m_hold_after;      ///< gangs that gathered in vain wait until then
+    std::map<step_ref, monotonic_time> m_gang_retry;      ///< gangs without room held are looked at then
+    std::vector<host_row> m_rows;                         ///< of this pass
     std::unordered_map<worker_life_id, std::size_t> m_row_of;
     std::map<step_ref, monotonic_time> m_preempted; ///< when runs were last stopped for a step
     resources m_large_task{};                       ///< about what a task of a gang takes
--- a/include/walkthread/dispatch/orders.hpp
+++ b/include/walkthread/dispatch/orders.hpp
@@ -166,7 +166,8 @@
     std::function<void(const std::string& host, std::uint64_t wave, std::uint64_t fence,
                        std::function<void(const order_answer&)>)>
         order_upkeep;
-    /// Told for each step some tasks of which were placed: how long it waited since its turn came. May be null.
+    /// Told for each step some tasks of which were placed: how long it waited since its turn came. May be
+    /// null.
     std::function<void(const std::string& queue, duration waited)> planned;
     /// Asks for another call of `dispatcher::pass` soon.
     std::function<void()> wake;
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -34,9 +34,9 @@
     milliseconds advice_gap{60};      ///< least time between two questions for one step
     milliseconds advice_retry{250};   ///< after a question without an answer
     outlook_bounds outlooks{};
-    milliseconds full_pass_gap{20};   ///< between passes over steps that are not urgent: their objectives are
-                                      ///< seconds, and such a pass costs most of the leader's time
-    milliseconds quarantine{4000};    ///< the first one; doubles each time
+    milliseconds full_pass_gap{20}; ///< between passes over steps that are not urgent: their objectives are
+                                    ///< seconds, and such a pass costs most of the leader's time
+    milliseconds quarantine{4000};  ///< the first one; doubles each time
     milliseconds quarantine_cap{30000};
     int quarantine_failures = 3;       ///< failed runs in a row of different submissions
     milliseconds unhealthy_pause{800}; ///< after a worker said that it cannot start anything
@@ -47,17 +47,17 @@
     milliseconds harm_patience{1800};    ///< over its target for that long: fillers rest; under half of the
                                          ///< platform's bound
     milliseconds sharing_look_wait{400}; ///< looks at hosts where serving and filling tasks meet
-    milliseconds drain_stop{1000}; ///< before a draining worker goes: checkpointing runs are stopped
+    milliseconds drain_stop{1000};       ///< before a draining worker goes: checkpointing runs are stopped
     milliseconds keep_final{
-        150000}; ///< final submissions are known for that long; above the platform's bound
+        150000};                    ///< final submissions are known for that long; above the platform's bound
     std::size_t most_gathering = 2; ///< gangs that gather room at a time: the advisor allows each of them
                                     ///< about a third of the hosts; three and more hold each other up
-    milliseconds gang_lead{4000};   ///< from first look to start: two questions and the gathering between them
-    double slow_below = 0.88; ///< of the usual speed: such hosts are kept from gangs, which run as their
-                              ///< slowest member; between the users' hosts, which differ by 1 to 1.3
+    milliseconds gang_lead{4000}; ///< from first look to start: two questions and the gathering between them
+    double slow_below = 0.88;     ///< of the usual speed: such hosts are kept from gangs, which run as their
+                                  ///< slowest member; between the users' hosts, which differ by 1 to 1.3
     double gang_reach = 5.0; ///< a gang wants to know of hosts with room for so many times its tasks when
                              ///< nothing runs there: about a third of it is free at a time
-    milliseconds hold_lasts{4000}; ///< room held for a gang that gained none for that long is given up
+    milliseconds hold_lasts{4000};   ///< room held for a gang that gained none for that long is given up
     milliseconds gang_preempt{4500}; ///< below that, lesser runs with checkpoints are stopped for it
 };
 
@@ -105,8 +105,8 @@
     submission_id last_failed{};
     monotonic_time avoid_until{};
     milliseconds next_quarantine{};
-    std::uint32_t serving{}; ///< tasks with a latency target in the last look
-    std::uint32_t filling{}; ///< filling tasks in the last look
+    std::uint32_t serving{};                  ///< tasks with a latency target in the last look
+    std::uint32_t filling{};                  ///< filling tasks in the last look
     std::optional<monotonic_time> over_since; ///< a tail there has been over its target since then
     std::int32_t filler_pace = 100;           ///< percent at which fillers there are to work
     monotonic_time pace_changed{};
--- a/include/walkthread/fabric/fabric_node.hpp
+++ b/include/walkthread/fabric/fabric_node.hpp
@@ -27,8 +27,8 @@
 {
     std::string name;
     std::string hall;
-    std::string peer_address;       ///< where this process hears the others, `IP:PORT`
-    std::string bind_address;       ///< where it listens for them, if they reach it through something in between
+    std::string peer_address; ///< where this process hears the others, `IP:PORT`
+    std::string bind_address; ///< where it listens for them, if they reach it through something in between
     std::vector<std::string> seeds; ///< peer addresses of some that keep replicas; may be stale
     std::string data_folder;        ///< empty for a process without replica
     bool founding{};                ///< the very first start of the whole system
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -11,11 +11,11 @@
 
 namespace
 {
-constexpr std::size_t forget_at_once = 200;        // bounds one log entry
+constexpr std::size_t forget_at_once = 200;         // bounds one log entry
 constexpr std::size_t most_failed_placements = 120; // per pass: behind so many that do not fit, little does
-constexpr duration tidy_every = milliseconds(50);  // a fifth of the shortest retry
-constexpr std::int32_t inherited_pace = 25;       // percent: fillers of an earlier leader, until tails are known
-constexpr duration idle_pass = milliseconds(100);  // leases, retries and due times are looked at that often
+constexpr duration tidy_every = milliseconds(50);   // a fifth of the shortest retry
+constexpr std::int32_t inherited_pace = 25; // percent: fillers of an earlier leader, until tails are known
+constexpr duration idle_pass = milliseconds(100); // leases, retries and due times are looked at that often
 } // namespace
 
 dispatcher::dispatcher(const workload_state& state, dispatch_settings settings, dispatch_hooks hooks,
@@ -288,8 +288,8 @@
     std::sort(out.begin(), out.end(),
               [lead_ms](const candidate& a, const candidate& b)
               {
-                  // What is doubtful becomes more so by waiting: there the better chance goes first. A gang has
-                  // to gather room and tickets before it can start.
+                  // What is doubtful becomes more so by waiting: there the better chance goes first. A gang
+                  // has to gather room and tickets before it can start.
                   const auto pressing = [lead_ms](const candidate& c)
                   {
                       const bool prepares = c.step->gang && !c.urgent();
--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -91,7 +91,8 @@
     {
         return; // fresh tickets would run out before there is room for all
     }
-    // A few more cost little where naming a worker is cheap; retries and fast hosts then need no new question.
+    // A few more cost little where naming a worker is cheap; retries and fast hosts then need no new
+    // question.
     const advice_terms& terms = item.queue->advice;
     const double cheap = terms.each_ms > 0 ? spare_cost * terms.decision_ms / terms.each_ms : 0.0;
     const std::size_t least = std::clamp(static_cast<std::size_t>(cheap), least_asked, spare_asked);
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -12,11 +12,12 @@
 namespace
 {
 constexpr std::int64_t large_task_memory = 8; // the learned size of a gang's task follows about that many
-constexpr double spare_factor = 1.5; // asked beyond the need: the share of good ones is an average
+constexpr double spare_factor = 1.5;          // asked beyond the need: the share of good ones is an average
 constexpr std::size_t learning_question = 64; // workers: about as long again as a question takes at least
-constexpr duration gang_retry = milliseconds(120); // without room held; many wait, and each looks at its hosts
-constexpr double enough_reach = 1.5; // times its tasks, on empty hosts: below, a gang takes any host
-constexpr std::size_t least_asked = 8;        // a question costs most for being asked at all
+constexpr duration gang_retry =
+    milliseconds(120);                 // without room held; many wait, and each looks at its hosts
+constexpr double enough_reach = 1.5;   // times its tasks, on empty hosts: below, a gang takes any host
+constexpr std::size_t least_asked = 8; // a question costs most for being asked at all
 } // namespace
 
 void dispatcher::learn_large_task(const candidate& item)
@@ -63,8 +64,8 @@
     return false;
 }
 
-// A gang runs as its slowest member: hosts of one speed, the fast ones if they have room for all or will have,
-// else the slow ones if they have now, else any.
+// A gang runs as its slowest member: hosts of one speed, the fast ones if they have room for all or will
+// have, else the slow ones if they have now, else any.
 std::vector<dispatcher::offer> dispatcher::of_one_speed(const candidate& item, std::vector<offer> offers)
 {
     std::uint32_t fast = 0;
@@ -311,7 +312,8 @@
 {
     const advice_terms& terms = item.queue->advice;
     const double question_ms = terms.decision_ms + terms.each_ms * static_cast<double>(hold.tasks.size());
-    const milliseconds needed = m_settings.ticket_margin + milliseconds(static_cast<std::int64_t>(question_ms));
+    const milliseconds needed =
+        m_settings.ticket_margin + milliseconds(static_cast<std::int64_t>(question_ms));
     const step_advice& known = m_advice.of(item.ref);
     std::vector<worker_life_id> hosts;
     for (const auto& [host, count] : hold.tasks)
@@ -398,8 +400,8 @@
     for (std::size_t begin = 0; begin < asked.size(); begin += learning_question)
     {
         const auto first = asked.begin() + static_cast<std::ptrdiff_t>(begin);
-        const auto last = asked.begin() + static_cast<std::ptrdiff_t>(
-                                              std::min(begin + learning_question, asked.size()));
+        const auto last =
+            asked.begin() + static_cast<std::ptrdiff_t>(std::min(begin + learning_question, asked.size()));
         ask(item, {first, last}, item.urgent(), now);
     }
 }
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -309,17 +309,17 @@
             o.slots -= std::min(o.slots, used[o.worker->id]);
         }
     }
-    // The rack with the data first; then what leaves whole hosts free for gangs; urgent work on fast hosts and
-    // other work on slow ones, which gangs avoid; then from the low end of the list, as gangs fill it from the
-    // high end.
+    // The rack with the data first; then what leaves whole hosts free for gangs; urgent work on fast hosts
+    // and other work on slow ones, which gangs avoid; then from the low end of the list, as gangs fill it
+    // from the high end.
     const bool urgent = item.urgent();
     std::sort(offers.begin(), offers.end(),
               [urgent](const offer& a, const offer& b)
               {
                   const auto key = [urgent](const offer& o)
                   {
-                      return std::make_tuple(o.disturbs, !o.near, o.held, urgent ? o.slow : !o.slow, !o.keeps_large,
-                                             urgent ? -o.speed : 0.0, o.worker->id);
+                      return std::make_tuple(o.disturbs, !o.near, o.held, urgent ? o.slow : !o.slow,
+                                             !o.keeps_large, urgent ? -o.speed : 0.0, o.worker->id);
                   };
                   return key(a) < key(b);
               });
--- a/src/dispatch/dispatcher_preempt.cpp
+++ b/src/dispatch/dispatcher_preempt.cpp
@@ -32,8 +32,9 @@
 
 void dispatcher::preempt_for(const candidate& item, std::uint32_t need, monotonic_time now)
 {
-    const bool pressing = item.urgent() || (m_holds.contains(item.ref) &&
-                                            item.slack_ms < static_cast<double>(m_settings.gang_preempt.count()));
+    const bool pressing =
+        item.urgent() ||
+        (m_holds.contains(item.ref) && item.slack_ms < static_cast<double>(m_settings.gang_preempt.count()));
     if (item.missed() || !pressing || now < m_preempted[item.ref] + preempt_gap)
     {
         return;
--- a/src/dispatch/dispatcher_sharing.cpp
+++ b/src/dispatch/dispatcher_sharing.cpp
@@ -1,4 +1,5 @@
-// The part of dispatcher for hosts on which tasks that serve users and tasks that fill the rest work side by side.
+// The part of dispatcher for hosts on which tasks that serve users and tasks that fill the rest work side by
+// side.
 
 #include <walkthread/dispatch/dispatcher.hpp>
 
@@ -100,7 +101,7 @@
         known.pace_in_flight = true;
         const std::int32_t percent = view.filler_pace;
         m_hooks.pace(pace_task_order{address_of(view.id), run, percent},
-                     [this, alive = m_alive, worker = view.id, run, percent](const order_answer& answer)
+                     [this, alive = m_alive, worker = view.id, run = run, percent](const order_answer& answer)
                      {
                          worker_view* later = *alive ? view_of(worker) : nullptr;
                          const auto found = later == nullptr ? std::map<run_ref, run_view>::iterator{}
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -234,7 +234,8 @@
         const auto pending = m_recording.find(end.run.task.step.submission);
         if (pending != m_recording.end() && --pending->second.entries == 0)
         {
-            std::move(pending->second.waiting.begin(), pending->second.waiting.end(), std::back_inserter(ready));
+            std::move(pending->second.waiting.begin(), pending->second.waiting.end(),
+                      std::back_inserter(ready));
             m_recording.erase(pending);
         }
     }
@@ -286,7 +287,8 @@
             const double seen = std::clamp(expected / static_cast<double>(std::max<std::int64_t>(took_ms, 1)),
                                            least_speed, most_speed);
             view.speed +=
-                step.gang ? 0.0 : speed_weight * sound * (seen - view.speed); // a gang runs as its slowest member
+                step.gang ? 0.0
+                          : speed_weight * sound * (seen - view.speed); // a gang runs as its slowest member
         }
     }
     else if (end.how == run_end::failed && !step.lasting && view.last_failed != owner->id)
--- a/src/fabric/advice_desk.cpp
+++ b/src/fabric/advice_desk.cpp
@@ -10,7 +10,7 @@
 {
 constexpr duration asker_lasts = seconds(2); // processes report every 0.4 s
 constexpr duration pause_after_failure =
-    seconds(1);                            // a process that got no answer is passed over for a while
+    seconds(1);                   // a process that got no answer is passed over for a while
 constexpr double idle_part = 0.4; // of the processes without a question: then even what is late may ask
 constexpr std::size_t kept_for_urgent = 2; // of the processes, where there are at least twice as many
 } // namespace
@@ -57,13 +57,13 @@
 
 bool advice_desk::mostly_idle(monotonic_time now) const
 {
-    const auto idle = std::count_if(m_askers.begin(), m_askers.end(),
-                                    [now](const auto& item)
-                                    {
-                                        const asker_state& state = item.second;
-                                        return !state.busy && now - state.seen < asker_lasts &&
-                                               now >= state.avoid_until;
-                                    });
+    const auto idle =
+        std::count_if(m_askers.begin(), m_askers.end(),
+                      [now](const auto& item)
+                      {
+                          const asker_state& state = item.second;
+                          return !state.busy && now - state.seen < asker_lasts && now >= state.avoid_until;
+                      });
     return static_cast<double>(idle) >= idle_part * static_cast<double>(live_askers(now));
 }
 
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -292,13 +292,14 @@
                           const std::function<void(const advice_answer&)>& handler)
     {
         const monotonic_time asked = monotonic_now();
-        m_desk.put(question, urgent,
-                   [this, asked, handler](const advice_answer& answer)
-                   {
-                       m_advice_times.observe({answer.answered ? "yes" : "no"}, monotonic_now() - asked);
-                       handler(answer);
-                   },
-                   asked);
+        m_desk.put(
+            question, urgent,
+            [this, asked, handler](const advice_answer& answer)
+            {
+                m_advice_times.observe({answer.answered ? "yes" : "no"}, monotonic_now() - asked);
+                handler(answer);
+            },
+            asked);
     };
     hooks.advisors_free = [this]
     {
@@ -377,7 +378,8 @@
           m_state.submissions().size());
     gauge("walkthread_steps_ready", "Steps with tasks that wait for a host.", m_state.ready().size());
     gauge("walkthread_workers", "Workers' lives in the replicated state.", m_state.workers().size());
-    page.add_count("walkthread_log_syncs_total", "Syncs of the log.", static_cast<double>(m_replica->syncs()));
+    page.add_count("walkthread_log_syncs_total", "Syncs of the log.",
+                   static_cast<double>(m_replica->syncs()));
     page.add(m_commit_times.collect());
     fill_leading(page);
 }
--- a/tests/src/pool_stand_in.hpp
+++ b/tests/src/pool_stand_in.hpp
@@ -377,7 +377,8 @@
                    take_stop(order, handler);
                });
         };
-        out.pace = [this](const pace_task_order& order, const std::function<void(const order_answer&)>& handler)
+        out.pace =
+            [this](const pace_task_order& order, const std::function<void(const order_answer&)>& handler)
         {
             at(m_settings.way,
                [this, order, handler]
--- a/tests/src/unit-gangs.cpp
+++ b/tests/src/unit-gangs.cpp
@@ -97,8 +97,8 @@
     BOOST_TEST((pool.phase(late) == submission_phase::completed));
 }
 
-// akp-walk-grown trouble-3: LOST. Late gangs asked about hosts only while fewer than two others held room; with
-// many of them left at the end of the day most of the pool stood idle.
+// akp-walk-grown trouble-3: LOST. Late gangs asked about hosts only while fewer than two others held room;
+// with many of them left at the end of the day most of the pool stood idle.
 BOOST_AUTO_TEST_CASE(late_gangs_start_soon_on_an_idle_pool)
 {
     pool_settings settings = with_workers(60, 0.3);
