A new leader uses those who may ask the advisor at once; questions that waited a second go first

Now whoever begins to lead takes over who asked it before and may ask the advisor; who learns of a new leader asks it at once; a question that has waited for 1 s goes ahead of urgent ones.

Tests: a_new_leader_is_asked_at_once, a_question_that_waited_for_long_goes_ahead_of_urgent_ones.

--- a/include/walkthread/fabric/advice_desk.hpp
+++ b/include/walkthread/fabric/advice_desk.hpp
@@ -27,7 +27,7 @@
 
     /// @brief Tells that a process is there and may ask.
     void note_asker(const std::string& asker, monotonic_time now);
-    /// @brief Puts a question in its queue; urgent ones go first.
+    /// @brief Puts a question in its queue; urgent ones go first, unless another one has waited for long.
     void put(const advice_question& question, bool urgent, answer_handler handler, monotonic_time now);
     /// @brief Forgets all questions, when this process leads no longer.
     void clear();
@@ -52,6 +52,7 @@
     {
         advice_question question;
         answer_handler handler;
+        monotonic_time since{};
     };
     struct asker_state
     {
--- a/include/walkthread/fabric/core_node.hpp
+++ b/include/walkthread/fabric/core_node.hpp
@@ -117,8 +117,13 @@
     monotonic_time m_join_asked{};
     monotonic_time m_last_pass{};
     monotonic_time m_members_reviewed{};
-    std::map<std::string, monotonic_time>
-        m_askers; ///< processes that asked who leads, to tell them of a change
+    /// A process that asked who leads.
+    struct known_asker
+    {
+        monotonic_time asked{};
+        bool can_advise{}; ///< it reaches the placement advisor
+    };
+    std::map<std::string, known_asker> m_askers; ///< by address, to tell them of a change
     std::map<replica_id, monotonic_time> m_behind; ///< when members were last reported as behind
     boost::asio::steady_timer m_pass_timer;
     bool m_pass_due = false;
--- a/src/fabric/advice_desk.cpp
+++ b/src/fabric/advice_desk.cpp
@@ -13,6 +13,8 @@
     seconds(1);                   // a process that got no answer is passed over for a while
 constexpr double idle_part = 0.4; // of the processes without a question: then even what is late may ask
 constexpr std::size_t kept_for_urgent = 2; // of the processes, where there are at least twice as many
+constexpr duration longest_wait = seconds(1); // then a question goes ahead of urgent ones: a lasting task waited
+                                              // 8 s for one behind a burst of urgent work; few wait at a time
 } // namespace
 
 advice_desk::advice_desk(std::function<void(const std::string&, const advice_question&, answer_handler)> ask)
@@ -22,14 +24,15 @@
 
 void advice_desk::note_asker(const std::string& asker, monotonic_time now)
 {
-    m_askers[asker].seen = now;
+    asker_state& state = m_askers[asker];
+    state.seen = std::max(state.seen, now);
     send_next(now);
 }
 
 void advice_desk::put(const advice_question& question, bool urgent, answer_handler handler,
                       monotonic_time now)
 {
-    (urgent ? m_urgent : m_normal).push_back({question, std::move(handler)});
+    (urgent ? m_urgent : m_normal).push_back({question, std::move(handler), now});
     send_next(now);
 }
 
@@ -85,8 +88,9 @@
     {
         const std::size_t live = live_askers(now);
         const std::size_t for_normal = live >= 2 * kept_for_urgent ? live - kept_for_urgent : live;
-        const bool urgent = !m_urgent.empty();
         const bool normal = !m_normal.empty() && m_busy_normal < for_normal;
+        const bool overdue = normal && now - m_normal.front().since > longest_wait;
+        const bool urgent = !m_urgent.empty() && !overdue;
         const std::string asker = urgent || normal ? free_asker(now) : std::string{};
         if (asker.empty())
         {
--- a/src/fabric/core_members.cpp
+++ b/src/fabric/core_members.cpp
@@ -47,7 +47,7 @@
     }
     else if (auto* question = std::get_if<leader_question>(&message))
     {
-        m_askers[from] = now;
+        m_askers[from] = {now, question->can_advise};
         m_mesh.send(from, present_leader(now));
         if (question->can_advise && m_dispatcher)
         {
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -222,6 +222,14 @@
           {"submissions", m_state.submissions().size()}});
     m_dispatcher =
         std::make_unique<dispatcher>(m_state, m_times.dispatch, make_hooks(), m_log, m_led_term, now);
+    // Otherwise the first questions to the advisor would wait until the processes that put them come by.
+    for (const auto& [address, known] : m_askers)
+    {
+        if (known.can_advise)
+        {
+            m_desk.note_asker(address, known.asked);
+        }
+    }
     tell_leadership(now);
 }
 
@@ -229,11 +237,11 @@
 void core_node::tell_leadership(monotonic_time now)
 {
     const leader_note news = present_leader(now);
-    for (const auto& [asker, asked] : m_askers)
+    for (const auto& [address, known] : m_askers)
     {
-        if (now - asked < m_times.asker_known)
+        if (now - known.asked < m_times.asker_known)
         {
-            m_mesh.send(asker, news);
+            m_mesh.send(address, news);
         }
     }
 }
--- a/src/fabric/fabric_node.cpp
+++ b/src/fabric/fabric_node.cpp
@@ -116,7 +116,7 @@
     if (auto* note = std::get_if<leader_note>(&message))
     {
         m_watch.take(from, *note, monotonic_now());
-        m_router.set_leader(m_watch.leader());
+        ask_around(monotonic_now());
     }
     else if (auto* reply = std::get_if<reply_note>(&message))
     {
--- a/src/fabric/leader_watch.cpp
+++ b/src/fabric/leader_watch.cpp
@@ -18,6 +18,10 @@
     m_known.insert(note.replicas.begin(), note.replicas.end());
     if (note.leads && note.term >= m_term)
     {
+        if (m_leader != from)
+        {
+            m_asked = {}; // it learns at once that this process is there
+        }
         m_leader = from;
         m_term = note.term;
         m_heard = now;
--- a/tests/src/unit-fabric.cpp
+++ b/tests/src/unit-fabric.cpp
@@ -61,6 +61,18 @@
     BOOST_TEST(watch.leader() == "b");
 }
 
+// Whoever comes to lead uses the processes that may ask the advisor from their first message on.
+BOOST_AUTO_TEST_CASE(a_new_leader_is_asked_at_once)
+{
+    leader_watch watch({"a", "b"}, {});
+    watch.take("a", {true, "a", 5, {}}, at_ms(0));
+    BOOST_TEST(watch.whom_to_ask(at_ms(400)).size() > 0U);
+    BOOST_TEST(watch.whom_to_ask(at_ms(410)).empty());
+    watch.take("b", {true, "b", 6, {}}, at_ms(420));
+    const std::vector<std::string> asked = watch.whom_to_ask(at_ms(420));
+    BOOST_TEST((std::find(asked.begin(), asked.end(), "b") != asked.end()));
+}
+
 // ---------------------------------------------------------------------------------------------------------
 // Questions to the advisor
 // ---------------------------------------------------------------------------------------------------------
@@ -125,6 +137,22 @@
     BOOST_TEST(asked.size() == 3U);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_question_that_waited_for_long_goes_ahead_of_urgent_ones, desk_fixture)
+{
+    desk.note_asker("a", now);
+    put(true);
+    put(false);
+    for (int i = 0; i < 20 && desk.normal_waiting() > 0; ++i)
+    {
+        put(true); // there is always an urgent one
+        now += milliseconds(100);
+        desk.note_asker("a", now);
+        asked.back().second({true, {}, {}, 0});
+    }
+    BOOST_TEST(desk.normal_waiting() == 0U);
+    BOOST_TEST((now - at_ms(0) > seconds(1)));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_process_without_answer_is_passed_over_for_a_while, desk_fixture)
 {
     desk.note_asker("a", now);
