--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -43,6 +43,7 @@
         std::uint32_t slots;
         bool held;
         bool slow; ///< and that matters: urgent work goes to fast hosts
+        bool keeps_large;
         bool good;
         double weight;
     };
@@ -67,7 +68,7 @@
         }
         const double certainty = seen ? 1.0 : share;
         const double weight = o.slots > 0 ? certainty * o.slots : certainty * o.whole * full_worker_weight;
-        offers.push_back({id, o.slots, o.held, item.urgent() && o.slow, seen, weight});
+        offers.push_back({id, o.slots, o.held, item.urgent() && o.slow, o.keeps_large, seen, weight});
     }
     known.ask_after =
         now + m_settings.advice_gap; // also where there is nothing to ask: little changes until then
@@ -78,8 +79,10 @@
     std::sort(offers.begin(), offers.end(),
               [](const question_item& a, const question_item& b)
               {
-                  return std::make_tuple(b.slots > 0, a.held, a.slow, b.good, b.slots, a.worker) <
-                         std::make_tuple(a.slots > 0, b.held, b.slow, a.good, a.slots, b.worker);
+                  return std::make_tuple(b.slots > 0, a.held, a.slow, !a.keeps_large, b.good, b.slots,
+                                         a.worker) <
+                         std::make_tuple(a.slots > 0, b.held, b.slow, !b.keeps_large, a.good, a.slots,
+                                         b.worker);
               });
     const bool first = known.entries.empty();
     double within_reach = enough;
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -32,6 +32,8 @@
     };
     follow(m_large_task.cpu, item.step->size.cpu);
     follow(m_large_task.memory, item.step->size.memory);
+    // Accelerators differ more between gangs, and a host that lacks one is of no use to the largest.
+    m_large_task.accelerators = std::max(item.step->size.accelerators, m_large_task.accelerators);
 }
 
 bool dispatcher::place_gang(const candidate& item, monotonic_time now)
@@ -128,8 +130,8 @@
               {
                   const auto key = [small](const offer& o)
                   {
-                      return small ? std::make_tuple(-o.speed, std::int64_t{o.worker->id.value()})
-                                   : std::make_tuple(-static_cast<double>(o.slots),
+                      return small ? std::make_tuple(false, -o.speed, std::int64_t{o.worker->id.value()})
+                                   : std::make_tuple(!o.keeps_large, -static_cast<double>(o.slots),
                                                      -std::int64_t{o.worker->id.value()});
                   };
                   return key(a) < key(b);
@@ -248,8 +250,8 @@
     std::sort(offers.begin(), offers.end(),
               [&own](const offer& a, const offer& b)
               {
-                  return std::make_tuple(own(b), b.slots, b.worker->id) <
-                         std::make_tuple(own(a), a.slots, a.worker->id);
+                  return std::make_tuple(own(b), b.keeps_large, b.slots, b.worker->id) <
+                         std::make_tuple(own(a), a.keeps_large, a.slots, a.worker->id);
               });
     gang_hold next;
     next.each = room_of(*item.step);
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -231,6 +231,7 @@
     o.speed = row.view->speed;
     o.slow = o.speed < m_settings.slow_below * m_usual_speed;
     o.held = o.room != row.free;
+    o.keeps_large = keeps_large_slots(o.room, room_of(*item.step));
     o.disturbs = (item.step->fills && row.view->serving > 0) ||
                  (item.step->latency_target_ms > 0 && row.view->filling > 0);
     return o;
@@ -310,11 +311,6 @@
 {
     const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
     std::vector<offer> offers = find_open_offers(item, now);
-    const resources need = room_of(*item.step);
-    for (offer& o : offers)
-    {
-        o.keeps_large = keeps_large_slots(o.room, need);
-    }
     // The rack with the data first; then what leaves whole hosts free for gangs; urgent work on fast hosts
     // and other work on slow ones, which gangs avoid; then from the low end of the list, as gangs fill it
     // from the high end.
