The replica that led last asks for votes at once after a restart

Cause: after a loss of power a quorum of replicas was back for 0.4 s before anyone could lead, as each of them waits until what it may have promised is over. The only lease that may be alive is that of the last leader; a replica stores whom it promised (one record a term, synced before its first answer), and gives its vote to just this one at once. Ruled out: storing when a promise ends (no clock lasts over a loss of power).

Test: the_last_leader_comes_back_at_once.

--- a/include/walkthread/replication/replica.hpp
+++ b/include/walkthread/replication/replica.hpp
@@ -39,8 +39,9 @@
     term_id term{};
     replica_id vote{};
     std::int64_t promise{}; ///< microseconds: the longest it may have promised its leader not to vote
+    replica_id leader{};    ///< whom it promised that last; its own id if it led
     friend bool operator==(const hard_state&, const hard_state&) = default;
-    MSGPACK_DEFINE(term, vote, promise)
+    MSGPACK_DEFINE(term, vote, promise, leader)
 };
 
 /// @brief Timing and bounds of a replica.
--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -38,7 +38,9 @@
     recompute_members();
     // A leader may still rely on what was promised before the restart.
     m_promise = std::clamp(duration{m_state.promise}, m_settings.election_timeout, m_settings.election_most);
-    set_election_timer(m_promise, now);
+    // Whoever led last holds its lease no more once it has restarted, and no one else can: it need not wait.
+    const bool led_last = m_state.leader == m_self;
+    set_election_timer(led_last ? duration{0} : m_promise, now);
 }
 
 // ---------------------------------------------------------------------------------------------------------
@@ -321,7 +323,9 @@
 
 void replica::handle(const replica_id& from, const vote_request& m, monotonic_time now)
 {
-    const bool refused_by_leader = hears_leader(now) && !m.transfer;
+    // One that this replica follows and that asks for votes leads no more.
+    const bool was_leader = m_state.leader == from;
+    const bool refused_by_leader = hears_leader(now) && !m.transfer && !was_leader;
     if (m.pre)
     {
         const bool granted =
@@ -407,12 +411,13 @@
         m_promise = wanted;
         m_promise_term = term;
     }
-    const bool unsynced = m_promise.count() > m_state.promise;
+    const bool changed = m_promise.count() > m_state.promise || m_state.leader != leader;
     become_follower(term, leader, now);
     m_last_leader_contact = now;
-    if (unsynced || (later && m_promise.count() != m_state.promise))
+    if (later || changed)
     {
         m_state.promise = m_promise.count();
+        m_state.leader = leader;
         m_output.state = m_state;
     }
 }
@@ -442,6 +447,8 @@
     m_promise_before = m_promise;
     m_promise_since = now;
     m_promise_term = m_state.term;
+    m_state.leader = m_self;
+    m_output.state = m_state;
     m_transferring = false;
     m_progress.clear();
     refresh_progress(now);
--- a/tests/src/unit-replication.cpp
+++ b/tests/src/unit-replication.cpp
@@ -262,6 +262,33 @@
     }
 }
 
+// The replica that led last asks for votes at once when all come back: no other lease can be alive.
+BOOST_AUTO_TEST_CASE(the_last_leader_comes_back_at_once)
+{
+    std::size_t back = 0;
+    for (std::uint64_t seed = 1; seed <= 50; ++seed)
+    {
+        replica_network net(5, seed, {0.0, 0.0, 0.01, 6}, quick_settings());
+        net.run(seconds(4));
+        const replica_id last = net.find_leader()->self();
+        const std::vector<replica_id> ids = net.ids();
+        for (const replica_id& id : ids)
+        {
+            net.stop(id);
+        }
+        net.run(seconds(1));
+        for (const replica_id& id : ids)
+        {
+            net.start(id);
+        }
+        net.run(milliseconds(250));
+        replica* leader = net.find_leader();
+        back += leader != nullptr && leader->self() == last ? 1 : 0;
+        BOOST_TEST(net.broken() == "");
+    }
+    BOOST_TEST(back >= 45U);
+}
+
 // Answers that take up to 0.4 s, as with disks 30 times slow, lengthen the promise instead of deposing the leader.
 BOOST_AUTO_TEST_CASE(slow_answers_lengthen_the_lease)
 {
