--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -140,7 +140,11 @@
     void tidy(monotonic_time now, wall_ms wall);
     [[nodiscard]] std::vector<candidate> order_candidates(wall_ms wall, bool all);
     [[nodiscard]] bool rate(candidate& item, wall_ms wall) const;
-    [[nodiscard]] static int rank(const candidate& item);
+    [[nodiscard]] int rank(const candidate& item) const;
+    [[nodiscard]] bool uses(mechanism which) const
+    {
+        return m_settings.mechanisms.on(which);
+    }
     void forget_old(wall_ms wall);
     void stop_unwanted(monotonic_time now);
     void propose_starts(const candidate& item, const std::vector<planned_start>& starts,
@@ -179,7 +183,7 @@
     bool place_gang(const candidate& item, monotonic_time now);
     [[nodiscard]] bool start_gang(const candidate& item, monotonic_time now);
     void start_gang_on(const candidate& item, std::vector<offer> offers, monotonic_time now);
-    [[nodiscard]] static std::vector<offer> of_one_speed(const candidate& item, std::vector<offer> offers);
+    [[nodiscard]] std::vector<offer> of_one_speed(const candidate& item, std::vector<offer> offers) const;
     void learn_large_task(const candidate& item);
     void hold_room(const candidate& item, monotonic_time now);
     [[nodiscard]] bool may_gather(const candidate& item) const;
@@ -213,7 +217,7 @@
     void note_look(const worker_view& view, bool lost, monotonic_time now);
     [[nodiscard]] bool looks_get_lost() const
     {
-        return m_lost_looks > m_settings.looks_lost_often;
+        return m_lost_looks > m_settings.looks_lost_often && uses(mechanism::short_looks);
     }
     void take_look(worker_life_id worker, const look_answer& answer, monotonic_time sent, monotonic_time now);
     void take_runs(worker_view& view, const look_answer& answer, monotonic_time now);
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include <walkthread/dispatch/mechanisms.hpp>
 #include <walkthread/dispatch/objective.hpp>
 #include <walkthread/dispatch/orders.hpp>
 #include <walkthread/units/time.hpp>
@@ -20,17 +21,18 @@
 /// @since 0.2
 struct dispatch_settings
 {
+    mechanism_set mechanisms;        ///< which policies are on
     milliseconds lease{4500};        ///< longer than an election, so that a new leader renews in time
     milliseconds lease_cap{6000};    ///< workers cut longer leases to this; from the platform's settings
     double clock_drift = 0.02;       ///< how much slower or faster a worker's clock may run; platform's bound
     milliseconds look_wait{1000};    ///< a look waits that long for an end: well under the lease
     milliseconds look_patience{700}; ///< beyond `look_wait` before a look counts as lost
-    double looks_lost_often = 0.015; ///< part of the looks at workers that live: above, looks are short; a dark
-                                     ///< tenth of the workers stays below
-    milliseconds short_look_wait{200};     ///< then nothing is known of a worker for 0.4 s after a lost look, in
-                                           ///< place of 1.9 s; ends of urgent runs come every 0.15 s
+    double looks_lost_often = 0.015; ///< part of the looks at workers that live: above, looks are short; a
+                                     ///< dark tenth of the workers stays below
+    milliseconds short_look_wait{200}; ///< then nothing is known of a worker for 0.4 s after a lost look, in
+                                       ///< place of 1.9 s; ends of urgent runs come every 0.15 s
     milliseconds short_look_patience{200}; ///< an answer takes a few milliseconds, a lost packet 0.2 s
-    milliseconds look_retry{150};    ///< after an unanswered look
+    milliseconds look_retry{150};          ///< after an unanswered look
     milliseconds start_window{2500}; ///< an order to start that is carried out later is refused by the worker
     milliseconds order_retry{250};   ///< before an unanswered order is sent again
     int start_tries = 3;             ///< unanswered ones before the run is stopped instead
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -23,6 +23,10 @@
     : m_state(state), m_settings(settings), m_hooks(std::move(hooks)), m_log(log), m_fence(fence),
       m_began(now)
 {
+    if (!uses(mechanism::answer_tickets))
+    {
+        m_advice.note_refused_ticket();
+    }
     sync_views(now);
 }
 
@@ -44,8 +48,8 @@
     m_log.write(now, m_wall, event, subject, fields);
 }
 
-// Null also between the commit that drops a life and the next pass, which forgets its view: an answer that comes
-// then is about nobody.
+// Null also between the commit that drops a life and the next pass, which forgets its view: an answer that
+// comes then is about nobody.
 worker_view* dispatcher::view_of(worker_life_id worker)
 {
     const auto found = m_views.find(worker);
@@ -173,12 +177,16 @@
 }
 
 // Lower goes first; within a rank by slack. Urgent work that can be late is still worth more than other work.
-int dispatcher::rank(const candidate& item)
+int dispatcher::rank(const candidate& item) const
 {
     if (item.step->lasting)
     {
         return 0;
     }
+    if (!uses(mechanism::outlook_order))
+    {
+        return item.urgent() ? 1 : 2;
+    }
     if (item.urgent() && !item.missed())
     {
         return 1;
@@ -210,15 +218,15 @@
     }
     const auto lead_ms = static_cast<double>(m_settings.gang_lead.count());
     std::sort(out.begin(), out.end(),
-              [lead_ms](const candidate& a, const candidate& b)
+              [this, lead_ms](const candidate& a, const candidate& b)
               {
                   // What is doubtful becomes more so by waiting: there the better chance goes first. A gang
                   // has to gather room and tickets before it can start.
-                  const auto pressing = [lead_ms](const candidate& c)
+                  const auto pressing = [this, lead_ms](const candidate& c)
                   {
                       const bool prepares = c.step->gang && !c.urgent();
                       const double left = c.slack_ms - (prepares ? lead_ms : 0.0);
-                      return c.chance == outlook::doubtful && !c.urgent() ? -left : left;
+                      return rank(c) == 2 + static_cast<int>(outlook::doubtful) ? -left : left;
                   };
                   return std::make_tuple(rank(a), pressing(a), a.ref) <
                          std::make_tuple(rank(b), pressing(b), b.ref);
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -68,8 +68,13 @@
 
 // A gang runs as its slowest member: hosts of one speed, the fast ones if they have room for all or will
 // have, else the slow ones if they have now, else any.
-std::vector<dispatcher::offer> dispatcher::of_one_speed(const candidate& item, std::vector<offer> offers)
+std::vector<dispatcher::offer> dispatcher::of_one_speed(const candidate& item,
+                                                        std::vector<offer> offers) const
 {
+    if (!uses(mechanism::one_speed_gangs))
+    {
+        return offers;
+    }
     std::uint32_t fast = 0;
     std::uint32_t slow = 0;
     double fast_reach = 0;
@@ -315,9 +320,10 @@
     const advice_terms& terms = item.queue->advice;
     const double question_ms = terms.decision_ms + terms.each_ms * static_cast<double>(hold.tasks.size());
     const step_advice& known = m_advice.of(item.ref);
-    // Where questions wait, those for a part of the hosts would come back when the tickets of the others are over.
-    const duration question = std::max<duration>(
-        known.last_took, milliseconds(static_cast<std::int64_t>(question_ms)));
+    // Where questions wait, those for a part of the hosts would come back when the tickets of the others are
+    // over.
+    const duration question =
+        std::max<duration>(known.last_took, milliseconds(static_cast<std::int64_t>(question_ms)));
     const auto needed = std::chrono::duration_cast<milliseconds>(m_settings.ticket_margin + question);
     std::vector<worker_life_id> hosts;
     for (const auto& [host, count] : hold.tasks)
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -33,8 +33,8 @@
     return worker.facts.size - worker.used - view.planned;
 }
 
-// How many more tasks of the step may go to a host with so much room. Everything that counts places asks this:
-// what is at the step's limit a host has none, however much room is free.
+// How many more tasks of the step may go to a host with so much room. Everything that counts places asks
+// this: what is at the step's limit a host has none, however much room is free.
 std::uint32_t dispatcher::slots(const candidate& item, worker_life_id worker, const resources& room) const
 {
     std::uint32_t limit = item.step->per_host_limit > 0 ? item.step->per_host_limit : item.step->count;
@@ -193,9 +193,9 @@
             failed.insert(task.failed_on);
         }
     }
-    if (failed.empty())
+    if (failed.empty() || !uses(mechanism::failed_hosts))
     {
-        return failed;
+        return {};
     }
     const bool advised = item.queue != nullptr && item.queue->advised;
     const step_advice& known = m_advice.of(item.ref);
@@ -208,9 +208,8 @@
         if (!bad && !failed.contains(id) && allowed(item, row))
         {
             const bool sure = !advised || entry != known.entries.end();
-            others +=
-                (sure ? 1.0 : m_advice.good_share(item.owner->queue)) *
-                slots(item, id, row.worker->facts.size);
+            others += (sure ? 1.0 : m_advice.good_share(item.owner->queue)) *
+                      slots(item, id, row.worker->facts.size);
         }
     }
     const double need = item.step->gang ? item.step->count : 1;
@@ -231,7 +230,7 @@
     o.speed = row.view->speed;
     o.slow = o.speed < m_settings.slow_below * m_usual_speed;
     o.held = o.room != row.free;
-    o.keeps_large = keeps_large_slots(o.room, room_of(*item.step));
+    o.keeps_large = !uses(mechanism::large_slots) || keeps_large_slots(o.room, room_of(*item.step));
     o.disturbs = (item.step->fills && row.view->serving > 0) ||
                  (item.step->latency_target_ms > 0 && row.view->filling > 0);
     return o;
--- a/src/dispatch/dispatcher_preempt.cpp
+++ b/src/dispatch/dispatcher_preempt.cpp
@@ -35,7 +35,8 @@
     const bool pressing =
         item.urgent() ||
         (m_holds.contains(item.ref) && item.slack_ms < static_cast<double>(m_settings.gang_preempt.count()));
-    if (item.missed() || !pressing || now < m_preempted[item.ref] + preempt_gap)
+    if (!uses(mechanism::preemption) || item.missed() || !pressing ||
+        now < m_preempted[item.ref] + preempt_gap)
     {
         return;
     }
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -303,12 +303,13 @@
             const double sound = std::min(1.0, sound_spread / m_objectives.spread(owner->queue));
             const double seen = std::clamp(expected / static_cast<double>(std::max<std::int64_t>(took_ms, 1)),
                                            least_speed, most_speed);
-            view.speed +=
-                step.gang ? 0.0
-                          : speed_weight * sound * (seen - view.speed); // a gang runs as its slowest member
+            const bool learns =
+                !step.gang && uses(mechanism::learned_speeds); // a gang runs as its slowest member
+            view.speed += learns ? speed_weight * sound * (seen - view.speed) : 0.0;
         }
     }
-    else if (end.how == run_end::failed && !step.lasting && view.last_failed != owner->id)
+    else if (end.how == run_end::failed && !step.lasting && view.last_failed != owner->id &&
+             uses(mechanism::quarantine))
     {
         view.last_failed = owner->id;
         if (++view.failures_in_row >= m_settings.quarantine_failures)
--- a/tests/src/pool_stand_in.hpp
+++ b/tests/src/pool_stand_in.hpp
@@ -40,8 +40,9 @@
     double good_share = 0.5;
     duration question = milliseconds(10); // to the advisor, besides 0.2 ms for each worker
     bool tickets_from_question = false;   // they count from then on, not from the answer
-    std::size_t slow_every = 0; // each so manieth worker takes 1.3 times as long; 0 for none
+    std::size_t slow_every = 0;           // each so manieth worker takes 1.3 times as long; 0 for none
     std::uint64_t seed = 1;
+    mechanism_set mechanisms;
     bool log_lines = false;
 };
 
@@ -87,7 +88,9 @@
     {
         m_leader.reset();
         ++m_term;
-        m_leader = std::make_unique<dispatcher>(m_state, dispatch_settings{}, hooks(), m_log, m_term, m_now);
+        dispatch_settings chosen;
+        chosen.mechanisms = m_settings.mechanisms;
+        m_leader = std::make_unique<dispatcher>(m_state, chosen, hooks(), m_log, m_term, m_now);
         for (auto& [life, worker] : m_workers)
         {
             if (!worker.gone && !worker.faults.unheard)
@@ -419,7 +422,8 @@
                    {
                        if (is_good(question.step, life))
                        {
-                           const monotonic_time from = m_settings.tickets_from_question ? m_now - took : m_now;
+                           const monotonic_time from =
+                               m_settings.tickets_from_question ? m_now - took : m_now;
                            m_tickets[{question.step, life}] = from + milliseconds(1500);
                            answer.good.push_back({life, "t"});
                        }
@@ -456,8 +460,9 @@
                                        [&to](const auto& item)
                                        {
                                            const sim_worker& worker = item.second;
-                                           return worker.facts.address == to.address && item.first != to.life &&
-                                                  !worker.gone && !worker.faults.dark;
+                                           return worker.facts.address == to.address &&
+                                                  item.first != to.life && !worker.gone &&
+                                                  !worker.faults.dark;
                                        });
         at(other ? duration(m_settings.way) : patience,
            [handler, other]
--- a/tests/src/unit-dispatch.cpp
+++ b/tests/src/unit-dispatch.cpp
@@ -458,13 +458,15 @@
 
 // Everything at once, from seeds: late orders, refusals, dark and crashing workers, failing ones, changes of
 // leader.
-BOOST_AUTO_TEST_CASE(random_days_start_nothing_twice_and_finish)
+namespace
+{
+void play_random_days(std::uint64_t first, std::uint64_t count, const mechanism_set& mechanisms)
 {
-    const std::uint64_t first = first_seed();
-    for (std::uint64_t seed = first; seed < first + seed_count(60); ++seed)
+    for (std::uint64_t seed = first; seed < first + count; ++seed)
     {
         pool_settings settings = small(10);
         settings.seed = seed;
+        settings.mechanisms = mechanisms;
         settings.good_share = 0.85; // so that each gang has hosts enough that may run it
         pool_stand_in pool(settings);
         std::mt19937_64 random(seed * 977);
@@ -567,3 +569,42 @@
         }
     }
 }
+} // namespace
+
+BOOST_AUTO_TEST_CASE(random_days_start_nothing_twice_and_finish)
+{
+    play_random_days(first_seed(), seed_count(60), {});
+}
+
+// Mechanisms are policies: whatever is off, nothing runs twice and everything ends.
+BOOST_AUTO_TEST_CASE(random_days_hold_with_any_mechanism_off)
+{
+    mechanism_set none;
+    for (std::size_t i = 0; i < mechanism_names.size(); ++i)
+    {
+        mechanism_set without;
+        without.switch_off(static_cast<mechanism>(i));
+        none.switch_off(static_cast<mechanism>(i));
+        BOOST_TEST_CONTEXT("off: " << without.off_names())
+        {
+            play_random_days(first_seed(), seed_count(8), without);
+        }
+    }
+    BOOST_TEST_CONTEXT("off: all")
+    {
+        play_random_days(first_seed(), seed_count(8), none);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(mechanisms_are_known_by_their_names)
+{
+    for (const std::string_view name : mechanism_names)
+    {
+        BOOST_REQUIRE(find_mechanism(name));
+        mechanism_set set;
+        BOOST_TEST(set.on(*find_mechanism(name)));
+        set.switch_off(*find_mechanism(name));
+        BOOST_TEST(set.off_names() == name);
+    }
+    BOOST_TEST(!find_mechanism("no-such"));
+}
