Requests to join are not ordered by their arrival; newcomers that never answer are let go

The same fault as with workers' reports, for the core's own replicas: the request of a replica whose disk was lost again could come after its successor was let in, and then stood in the membership as a newcomer that never catches up, which keeps every standby from voting; a successor still catching up was removed by it. Now a replica of a host that answers is there and the other's request is not taken (logged as join_not_taken); a newcomer that is silent for 10 s is let go and may ask again. The decision is a pure module (replication/newcomers). An incoming connection between processes without a byte for 30 s is closed: one that fell silent for good held its descriptor until the process ended.

--- a/include/walkthread/fabric/core_node.hpp
+++ b/include/walkthread/fabric/core_node.hpp
@@ -12,6 +12,7 @@
 #include <walkthread/fabric/advice_desk.hpp>
 #include <walkthread/fabric/fabric_node.hpp>
 #include <walkthread/fabric/replica_host.hpp>
+#include <walkthread/replication/newcomers.hpp>
 
 namespace walkthread
 {
@@ -32,6 +33,7 @@
     milliseconds report_again{1000};  ///< a member that stays behind is reported that often
     std::uint64_t lag_reported = 500; ///< entries; about two busy seconds
     milliseconds asker_known{5000};   ///< who asked within that time is told of a new leader
+    newcomer_settings newcomers{};
     dispatch_settings dispatch{};
 };
 
@@ -66,6 +68,8 @@
     void ask_to_join(monotonic_time now);
     void review_members(monotonic_time now);
     void promote_standby(monotonic_time now);
+    void forget_silent_newcomer(monotonic_time now);
+    [[nodiscard]] newcomer_hooks make_newcomer_hooks() const;
     void tell_leadership(monotonic_time now);
     [[nodiscard]] replica_id silent_voter(monotonic_time now) const;
     [[nodiscard]] leader_note present_leader(monotonic_time now) const;
@@ -123,7 +127,7 @@
         monotonic_time asked{};
         bool can_advise{}; ///< it reaches the placement advisor
     };
-    std::map<std::string, known_asker> m_askers; ///< by address, to tell them of a change
+    std::map<std::string, known_asker> m_askers;   ///< by address, to tell them of a change
     std::map<replica_id, monotonic_time> m_behind; ///< when members were last reported as behind
     boost::asio::steady_timer m_pass_timer;
     bool m_pass_due = false;
--- a/include/walkthread/replication/replica.hpp
+++ b/include/walkthread/replication/replica.hpp
@@ -49,17 +49,17 @@
 struct replica_settings
 {
     duration heartbeat = milliseconds(150);         ///< leader to follower
-    duration election_timeout = milliseconds(1000); ///< silence of a leader before an election, at least; as long
-                                                    ///< is its lease
-    duration election_most = milliseconds(1000);    ///< the same at most, where a quorum answers slowly
-    duration election_step = milliseconds(30);      ///< between the attempts of two replicas: a question for votes
-                                                    ///< and its answers inside a region
-    duration vote_patience = milliseconds(1000);    ///< after a vote: two syncs of a disk that is 30 times slow
-    double clock_drift = 0.05;                      ///< largest relative difference of two clocks' speeds
-    std::size_t append_bytes = 256U << 10U;         ///< about the largest append_request
-    std::size_t max_uncommitted = 100'000;          ///< entries waiting for a quorum
-    std::uint64_t snapshot_every = 4096;            ///< applied entries between snapshots
-    std::uint64_t keep_entries = 1024;              ///< entries kept behind a snapshot for slow followers
+    duration election_timeout = milliseconds(1000); ///< silence of a leader before an election, at least; as
+                                                    ///< long is its lease
+    duration election_most = milliseconds(1000); ///< the same at most, where a quorum answers slowly
+    duration election_step = milliseconds(30); ///< between the attempts of two replicas: a question for votes
+                                               ///< and its answers inside a region
+    duration vote_patience = milliseconds(1000); ///< after a vote: two syncs of a disk that is 30 times slow
+    double clock_drift = 0.05;                   ///< largest relative difference of two clocks' speeds
+    std::size_t append_bytes = 256U << 10U;      ///< about the largest append_request
+    std::size_t max_uncommitted = 100'000;       ///< entries waiting for a quorum
+    std::uint64_t snapshot_every = 4096;         ///< applied entries between snapshots
+    std::uint64_t keep_entries = 1024;           ///< entries kept behind a snapshot for slow followers
 };
 
 /// @brief What the owner has to do, in this order: sync, send, apply.
@@ -200,6 +200,7 @@
         monotonic_time acked_sent_at{};
         monotonic_time last_sent{};
         bool snapshot_in_flight{};
+        monotonic_time snapshot_sent{};
         bool in_flight{};
         log_index in_flight_to{}; ///< the last entry of those in flight
         monotonic_time in_flight_since{};
@@ -263,11 +264,11 @@
     replica_id m_leader{};
     log_index m_term_start{};
     monotonic_time m_last_leader_contact{};
-    duration m_promise{};               ///< a follower: no vote for that long after its leader's last message; a
-                                        ///< leader: what it asks for
-    duration m_promise_before{};        ///< a leader: what it asked for until `m_promise_since`
+    duration m_promise{};        ///< a follower: no vote for that long after its leader's last message; a
+                                 ///< leader: what it asks for
+    duration m_promise_before{}; ///< a leader: what it asked for until `m_promise_since`
     monotonic_time m_promise_since{};
-    term_id m_promise_term{};           ///< a follower: the term whose leader has the promise
+    term_id m_promise_term{}; ///< a follower: the term whose leader has the promise
     monotonic_time m_election_at{};
     monotonic_time m_leader_since{};
     bool m_transferring = false;
--- a/src/fabric/core_members.cpp
+++ b/src/fabric/core_members.cpp
@@ -90,6 +90,7 @@
         m_members_reviewed = now;
         review_members(now);
         promote_standby(now);
+        forget_silent_newcomer(now);
     }
 }
 
@@ -193,45 +194,65 @@
     }
 }
 
+newcomer_hooks core_node::make_newcomer_hooks() const
+{
+    newcomer_hooks hooks;
+    hooks.same_host = [](const replica_id& a, const replica_id& b)
+    {
+        return detail::ip_part(a) == detail::ip_part(b);
+    };
+    hooks.last_heard = [this](const replica_id& member)
+    {
+        return m_replica->group().core().last_heard(member);
+    };
+    return hooks;
+}
+
 void core_node::take_join(const join_request& request, monotonic_time now)
 {
     replica& core = m_replica->group().core();
-    const membership& members = core.members();
-    if (!leads(now) || members.is_member(request.self))
+    if (!leads(now))
     {
         return;
     }
-    learner newcomer;
-    newcomer.id = request.self;
-    newcomer.promote = members.voters.size() < wanted_voters();
-    for (const learner& item : members.learners)
+    m_times.newcomers.wanted_voters = wanted_voters();
+    const newcomer_decision decided =
+        judge_newcomer(core.members(), request.self, m_times.newcomers, make_newcomer_hooks(), now);
+    const std::string address = peer_address_of(request.self, detail::port_of(m_settings.peer_address));
+    if (decided.present)
     {
-        if (detail::ip_part(item.id) == detail::ip_part(request.self))
-        {
-            static_cast<void>(
-                core.remove_member(item.id, now)); // its disk is gone; asked again if a change is pending
-            m_replica->pump();
-            return;
-        }
+        note("join_not_taken", {},
+             {{"address", address},
+              {"incarnation", request.self.incarnation.value()},
+              {"present", decided.present->incarnation.value()}});
     }
-    for (const replica_id& voter : members.voters)
+    if (decided.remove)
     {
-        if (detail::ip_part(voter) == detail::ip_part(request.self))
-        {
-            newcomer.promote = true; // the disk of that voter is gone for good
-            newcomer.replaces = voter;
-        }
+        static_cast<void>(core.remove_member(*decided.remove, now)); // asked again if a change is pending
+        m_replica->pump();
     }
-    const auto added = core.add_learner(newcomer, now);
-    if (ok(added))
+    if (decided.add && ok(core.add_learner(*decided.add, now)))
     {
         note("replica_joins", {},
-             {{"address", peer_address_of(request.self, detail::port_of(m_settings.peer_address))},
-              {"promote", newcomer.promote},
-              {"replaces", newcomer.replaces.incarnation.value()},
-              {"voters", members.voters.size()}});
+             {{"address", address},
+              {"promote", decided.add->promote},
+              {"replaces", decided.add->replaces.incarnation.value()},
+              {"voters", core.members().voters.size()}});
+        m_replica->pump();
+    }
+}
+
+// A newcomer that will never catch up would keep every other one from voting.
+void core_node::forget_silent_newcomer(monotonic_time now)
+{
+    replica& core = m_replica->group().core();
+    const auto lost = find_forgotten(core.members(), m_times.newcomers, make_newcomer_hooks(), now);
+    if (lost && ok(core.remove_member(*lost, now)))
+    {
+        note("newcomer_forgotten", {},
+             {{"address", peer_address_of(*lost, detail::port_of(m_settings.peer_address))}});
+        m_replica->pump();
     }
-    m_replica->pump();
 }
 
 } // namespace walkthread
--- a/src/fabric/mesh.cpp
+++ b/src/fabric/mesh.cpp
@@ -34,6 +34,9 @@
 constexpr milliseconds answer_patience{
     900}; // a link without an answer for that long is dead, whatever TCP says
 constexpr char answer_byte = '.';
+constexpr auto incoming_idle =
+    std::chrono::seconds(30); // every process sends something each 2 s: a connection
+                              // without is dead, and its sender uses another one
 
 void prepare(tcp::socket& socket)
 {
@@ -259,10 +262,32 @@
 struct mesh::core::incoming : std::enable_shared_from_this<incoming>
 {
     incoming(std::shared_ptr<core> parent, tcp::socket accepted)
-        : owner(std::move(parent)), socket(std::move(accepted)), timer(owner->loop)
+        : owner(std::move(parent)), socket(std::move(accepted)), timer(owner->loop), idle(owner->loop)
     {
     }
 
+    // A connection that fell silent for good would hold a descriptor until this process ends.
+    void watch_idle()
+    {
+        idle.expires_after(incoming_idle);
+        idle.async_wait(
+            [self = shared_from_this()](error_code cancelled)
+            {
+                const bool silent = std::chrono::steady_clock::now() - self->heard >= incoming_idle;
+                if (cancelled || !self->socket.is_open())
+                {
+                    return;
+                }
+                if (!silent)
+                {
+                    self->watch_idle();
+                    return;
+                }
+                error_code ignored; // it may be closed already
+                self->socket.close(ignored);
+            });
+    }
+
     // Tells the sender that the link lives; it cannot trust TCP alone where a cut is one way.
     void answer_soon()
     {
@@ -298,11 +323,13 @@
                                    }
                                    error_code ignored; // it may be closed already
                                    self->socket.close(ignored);
+                                   self->idle.cancel();
                                });
     }
 
     bool take(std::string_view bytes)
     {
+        heard = std::chrono::steady_clock::now();
         answer_soon();
         reader.feed(bytes);
         for (;;)
@@ -337,6 +364,8 @@
     tcp::socket socket;
     std::string buffer;
     asio::steady_timer timer;
+    asio::steady_timer idle;
+    std::chrono::steady_clock::time_point heard = std::chrono::steady_clock::now();
     frame_reader reader;
     std::string from;
     bool answering = false;
@@ -354,7 +383,9 @@
             if (!failed)
             {
                 prepare(socket);
-                std::make_shared<incoming>(self, std::move(socket))->read();
+                const auto connection = std::make_shared<incoming>(self, std::move(socket));
+                connection->read();
+                connection->watch_idle();
             }
             self->accept();
         });
--- a/src/replication/replica_log.cpp
+++ b/src/replication/replica_log.cpp
@@ -173,11 +173,11 @@
     p.last_sent = now;
     if (p.next <= m_log.base_index())
     {
-        const bool recent = p.snapshot_in_flight && now - p.last_reply < snapshot_patience;
+        const bool recent = p.snapshot_in_flight && now - p.snapshot_sent < snapshot_patience;
         if (!recent)
         {
             p.snapshot_in_flight = true;
-            p.last_reply = now;
+            p.snapshot_sent = now;
             const snapshot content{m_snapshot_index, m_snapshot_term, m_snapshot_members, m_snapshot_data};
             send(to, snapshot_request{m_state.term, to_stamp(now), m_promise.count(), content});
         }
