--- a/tests/fakes/platform_cell.py
+++ b/tests/fakes/platform_cell.py
@@ -102,6 +102,7 @@
         self.sequence, self.beat_to, self.live = 0, None, True
         self.hushed_until = 0.0
         self.server = Server(self.handle)
+        self.address = cell.reachable(self.server.address)
         threading.Thread(target=self.beat, daemon=True).start()
 
     def clock(self):
@@ -203,19 +204,22 @@
 
     def beat(self):
         while self.live:
-            self.sequence += 1
-            body = {"service": "pool", "machine": "m-%d" % self.number, "address": self.server.address, "zone": "a",
-                    "version": "v1", "slots": 8, "state": "ready", "room": {"cpu": WORKER_CPU, "mem-mb": 65536, "gpu": 0},
-                    "labels": ["a", "r1-%d" % (self.number % 2)], "clock-ms": self.clock(), "sequence": self.sequence}
-            targets = ([self.beat_to] if self.beat_to else []) + self.cell.operator_addresses()
-            for target in targets:
-                status, answer = call(target, "PUT", "/walkthread/instances/" + self.life, body, timeout=1.0)
-                if status == 200:
-                    self.beat_to = answer.get("heartbeat-addr")
-                    break
-                self.beat_to = None
+            self.report()
             time.sleep(0.7)
 
+    def report(self):
+        self.sequence += 1
+        body = {"service": "pool", "machine": "m-%d" % self.number, "address": self.address, "zone": "a",
+                "version": "v1", "slots": 8, "state": "ready", "room": {"cpu": WORKER_CPU, "mem-mb": 65536, "gpu": 0},
+                "labels": ["a", "r1-%d" % (self.number % 2)], "clock-ms": self.clock(), "sequence": self.sequence}
+        targets = ([self.beat_to] if self.beat_to else []) + self.cell.operator_addresses()
+        for target in targets:
+            status, answer = call(target, "PUT", "/walkthread/instances/" + self.life, body, timeout=1.0)
+            if status == 200:
+                self.beat_to = answer.get("heartbeat-addr")
+                break
+            self.beat_to = None
+
 
 class PlatformCell:
     """Core and edge processes with their settings, workers and an advisor."""
@@ -233,6 +237,10 @@
             self.start(number, founding=True)
         self.workers = [Worker(self, n) for n in range(workers)]
 
+    def reachable(self, address):
+        """Where others find a worker that listens there."""
+        return address
+
     def cpu_of(self, _task):
         """Thousandths of a core that a task takes, where the test knows."""
         return 0
--- a/tests/soak/peer_proxy.py
+++ b/tests/soak/peer_proxy.py
@@ -17,7 +17,7 @@
     def __init__(self):
         self.lock = threading.Lock()
         self.silent, self.delay = set(), {}
-        self.open = {}
+        self.open, self.muted = {}, set()
 
     def set_silent(self, links, on):
         with self.lock:
@@ -28,6 +28,13 @@
             for link in links:
                 self.delay[link] = seconds
 
+    def mute(self, chosen):
+        """The open connections of the links that `chosen` takes swallow what is sent, for ever; new ones work."""
+        with self.lock:
+            for link, pairs in self.open.items():
+                if chosen(link):
+                    self.muted.update(side for pair in pairs for side in pair)
+
     def reset(self, links):
         """Closes the open connections of these links with a reset."""
         with self.lock:
@@ -80,6 +87,7 @@
         back.join()
         with self.faults.lock:
             self.faults.open[link].remove((near, far))
+            self.faults.muted -= {near, far}
         near.close()
         far.close()
 
@@ -87,6 +95,9 @@
         """`link` names who sends and who receives on this way of the connection."""
         try:
             while data or (data := source.recv(65536)):
+                if source in self.faults.muted:
+                    data = b""
+                    continue
                 delay = self.faults.delay.get(link, 0)
                 if delay:
                     time.sleep(delay * random.uniform(0.5, 1.5))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -48,6 +48,13 @@
             self.proxies[number] = PeerProxy(ip, (ip, self.peer), (ip, self.bind[number]), self.faults)
         return ['peer-bind = "%s:%d"' % (loopback(number), self.bind[number])]
 
+    def reachable(self, address):
+        """Workers are met through proxies too."""
+        host, port = address.rsplit(":", 1)
+        listen = ("127.0.0.1", free_ports(1)[0])
+        self.proxies[address] = PeerProxy(address, listen, (host, int(port)), self.faults)
+        return "%s:%d" % listen
+
     def cpu_of(self, task):
         name, _, step, _ = task.split(".")
         return self.sizes[name][int(step)]["cpu"] if name in self.sizes else 0
@@ -245,7 +252,7 @@
 
     def strike(self):
         kind = self.random.choice(["kill", "kill", "stop", "pause", "wipe", "torn", "cut", "cut_one_way", "slow", "reset",
-                                   "worker", "hush", "all"])
+                                   "worker", "hush", "all", "mute", "mute_workers", "late_report"])
         hold = self.random.uniform(0.2, 4.0)
         task = threading.Thread(target=getattr(self, kind), args=(hold,), daemon=True)
         task.start()
@@ -332,8 +339,30 @@
         self.note("reset links of %d" % number)
         self.cell.faults.reset(self.links_of(number, ("in", "out")))
 
-    def worker(self, _hold):
+    def mute(self, _hold):
+        """Open connections of one process go silent for good; only time-outs of the processes show it."""
+        me = loopback(self.random.choice(self.cell.cores + self.cell.edges))
+        self.note("mute the open links of %s" % me)
+        self.cell.faults.mute(lambda link: me in link)
+
+    def mute_workers(self, _hold):
+        addresses = {w.server.address for w in self.random.sample(self.cell.workers, len(self.cell.workers) // 2)}
+        self.note("mute the open connections to %d workers" % len(addresses))
+        self.cell.faults.mute(lambda link: link[1] in addresses)
+
+    def late_report(self, hold):
+        """A worker crashes and its next life is heard first; then a report that was held back arrives."""
         index = self.random.randrange(len(self.cell.workers))
+        old = self.cell.workers[index]
+        self.worker_at(index)
+        time.sleep(hold)
+        self.note("late report of worker %s" % old.life)
+        old.report()
+
+    def worker(self, _hold):
+        self.worker_at(self.random.randrange(len(self.cell.workers)))
+
+    def worker_at(self, index):
         self.lives += 1
         self.note("crash worker %s" % self.cell.workers[index].life)
         self.cell.workers[index] = self.cell.workers[index].crash("i-%08x" % (0x1000 + self.lives))
