walkthreadctl losses: which submissions were late or unserved, and why, from logs alone

Grouped by cause (refused, no leader, lost host, failed by itself, waiting for advice, for room, never began), by queue and by second, as a table or JSON; cut and foreign lines are counted and left out; without a log it is exit code 2. Tests: unit-losses, six, on lines in the processes' form.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -16,6 +16,7 @@
 #include <walkthread/node/access.hpp>
 
 #include "http_client.hpp"
+#include "losses_command.hpp"
 #include "output.hpp"
 #include "replay_command.hpp"
 #include "story_command.hpp"
@@ -58,6 +59,7 @@
   status                            whether this process is ready
   replay TRACE [POLICY...]          replay a trace through the decisions; needs no cell
   story ID LOG...                   what logs say about a submission on the users' platform; needs no cell
+  losses LOG...                     submissions that were late or unserved, by cause, from logs; needs no cell
   hash                              print the SHA-256 of a token read from standard input
 FILE may be - for standard input.)";
 
@@ -389,6 +391,12 @@
           {
               return run_story({g.command.begin() + 1, g.command.end()}, g.table);
           }}},
+        {"losses",
+         {1,
+          [](o g)
+          {
+              return run_losses({g.command.begin() + 1, g.command.end()}, g.table);
+          }}},
     };
     return commands;
 }
--- /dev/null
+++ b/tests/src/unit-losses.cpp
@@ -0,0 +1,143 @@
+#define BOOST_TEST_MODULE losses
+#include <boost/test/unit_test.hpp>
+
+#include <sstream>
+
+#include <walkthread/observe/losses.hpp>
+
+using namespace walkthread;
+
+namespace
+{
+// Lines as processes write them; times are milliseconds from 1,000,000 on.
+class log_text
+{
+  public:
+    log_text& line(std::int64_t at, const std::string& process, const std::string& event,
+                   const std::string& id, const std::string& fields = {})
+    {
+        m_text += "  1.23 " + process + " {\"t\":" + std::to_string(1'000'000 + at) + ",\"process\":\"" +
+                  process + "\",\"event\":\"" + event + "\",\"id\":\"" + id + "\"" +
+                  (fields.empty() ? "" : "," + fields) + "}\n";
+        return *this;
+    }
+    log_text& raw(const std::string& text)
+    {
+        m_text += text + '\n';
+        return *this;
+    }
+    [[nodiscard]] loss_report report() const
+    {
+        loss_reader reader;
+        std::istringstream in(m_text);
+        reader.read(in);
+        return reader.conclude();
+    }
+
+  private:
+    std::string m_text;
+};
+
+const std::string first = "6a6ced0a302f6003";
+const std::string second = "7b6ced0a302f6003";
+
+log_text begun()
+{
+    log_text out;
+    out.line(0, "core-1", "leading", "", "\"term\":1");
+    return out;
+}
+log_text& taken(log_text& log, std::int64_t at, const std::string& id, const std::string& process = "core-1")
+{
+    return log.line(at, process, "submission_taken", id, "\"queue\":\"loans\"");
+}
+log_text& planned(log_text& log, std::int64_t at, const std::string& id, std::int64_t slack,
+                  const std::string& process = "core-1")
+{
+    return log.line(at, process, "starts_planned", id + ".0.0", "\"slack_ms\":" + std::to_string(slack));
+}
+} // namespace
+
+BOOST_AUTO_TEST_CASE(what_is_on_time_is_no_loss)
+{
+    log_text log = begun();
+    taken(log, 100, first);
+    planned(log, 130, first, 800);
+    BOOST_TEST(log.report().submissions == 1U);
+    BOOST_TEST(log.report().losses.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_wait_for_advice_or_room_is_told_apart)
+{
+    log_text log = begun();
+    taken(log, 100, first);
+    log.line(110, "core-1", "advice_asked", first + ".0.0")
+        .line(1900, "core-1", "advice_taken", first + ".0.0");
+    planned(log, 2000, first, -50);
+    taken(log, 100, second);
+    log.line(110, "core-1", "advice_asked", second + ".0.0")
+        .line(300, "core-1", "advice_taken", second + ".0.0");
+    planned(log, 2000, second, -50);
+    const loss_report report = log.report();
+    BOOST_REQUIRE(report.losses.size() == 2U);
+    BOOST_TEST((report.losses[0].cause == loss_cause::advice));
+    BOOST_TEST((report.losses[1].cause == loss_cause::room));
+    BOOST_TEST(report.losses[0].queue == "loans");
+    BOOST_TEST(report.losses[0].second == 0);
+}
+
+BOOST_AUTO_TEST_CASE(seconds_without_a_leader_are_found)
+{
+    log_text log = begun();
+    taken(log, 900, first);
+    log.line(3000, "core-2", "leading", "", "\"term\":2");
+    planned(log, 3050, first, -400, "core-2");
+    const loss_report report = log.report();
+    BOOST_REQUIRE(report.losses.size() == 1U);
+    BOOST_TEST((report.losses.front().cause == loss_cause::no_leader));
+}
+
+BOOST_AUTO_TEST_CASE(lost_hosts_and_failures_count_before_the_wait_behind_them)
+{
+    log_text log = begun();
+    taken(log, 100, first);
+    planned(log, 120, first, 900);
+    log.line(5000, "core-1", "run_ended", first + ".0.0.0/1", "\"how\":\"lapsed\"");
+    planned(log, 5010, first, -3000);
+    taken(log, 6000, second);
+    planned(log, 6020, second, 900);
+    log.line(7000, "core-1", "run_ended", second + ".0.0.0/1", "\"how\":\"failed\"");
+    planned(log, 7010, second, -10);
+    const loss_report report = log.report();
+    BOOST_REQUIRE(report.losses.size() == 2U);
+    BOOST_TEST((report.losses[0].cause == loss_cause::lost_host));
+    BOOST_TEST((report.losses[1].cause == loss_cause::failed_run));
+    BOOST_TEST(report.losses[1].second == 6);
+}
+
+BOOST_AUTO_TEST_CASE(what_was_refused_and_never_taken_is_unserved)
+{
+    log_text log = begun();
+    log.line(500, "edge-1", "request_not_served", first, "\"status\":503,\"order\":true");
+    log.line(600, "edge-1", "request_not_served", second, "\"status\":503,\"order\":true");
+    taken(log, 700, second);
+    planned(log, 710, second, 300);
+    log.line(800, "edge-1", "request_not_served", "ffff111122223333", "\"status\":410,\"order\":false");
+    const loss_report report = log.report();
+    BOOST_REQUIRE(report.losses.size() == 1U);
+    BOOST_TEST(report.losses.front().id == first);
+    BOOST_TEST((report.losses.front().cause == loss_cause::refused));
+    BOOST_TEST(report.submissions == 2U);
+}
+
+// A log that was cut, with lines of somebody else's, is read on.
+BOOST_AUTO_TEST_CASE(cut_and_foreign_lines_are_counted_and_left_out)
+{
+    log_text log = begun();
+    log.raw("a line without anything").raw("  2.0 core-1 {\"t\":12,\"event\":").raw("{\"t\":\"x\"}").raw("");
+    taken(log, 100, first);
+    const loss_report report = log.report();
+    BOOST_TEST(report.unreadable == 3U);
+    BOOST_REQUIRE(report.losses.size() == 1U);
+    BOOST_TEST((report.losses.front().cause == loss_cause::never_began));
+}
