--- a/include/walkthread/replication/newcomers.hpp
+++ b/include/walkthread/replication/newcomers.hpp
@@ -24,7 +24,7 @@
     std::size_t wanted_voters = 3;        ///< below that, a newcomer votes as soon as it has caught up
     duration present = milliseconds(400); ///< heard within that time: it is there; four heartbeats
     duration forgotten = seconds(10);     ///< a newcomer that is silent for so long is let go; above the few
-                                      ///< seconds that loading a snapshot takes on a busy small host
+                                          ///< seconds that loading a snapshot takes on a busy small host
 };
 
 /// @brief What is known of replicas outside the membership itself.
--- a/include/walkthread/replication/replica.hpp
+++ b/include/walkthread/replication/replica.hpp
@@ -51,7 +51,7 @@
     duration heartbeat = milliseconds(150);         ///< leader to follower
     duration election_timeout = milliseconds(1000); ///< silence of a leader before an election, at least; as
                                                     ///< long is its lease
-    duration election_most = milliseconds(1000); ///< the same at most, where a quorum answers slowly
+    duration election_most = milliseconds(1000);    ///< the same at most, where a quorum answers slowly
     duration election_step = milliseconds(30); ///< between the attempts of two replicas: a question for votes
                                                ///< and its answers inside a region
     duration vote_patience = milliseconds(1000); ///< after a vote: two syncs of a disk that is 30 times slow
--- a/src/dispatch/advice_book.cpp
+++ b/src/dispatch/advice_book.cpp
@@ -33,8 +33,8 @@
 
 void advice_book::take(const step_ref& step, const std::string& queue,
                        const std::vector<worker_life_id>& asked,
-                       const std::map<worker_life_id, std::string>& tickets,
-                       const advice_times& times, milliseconds validity)
+                       const std::map<worker_life_id, std::string>& tickets, const advice_times& times,
+                       milliseconds validity)
 {
     step_advice& known = m_steps[step];
     known.last_took = times.answered - times.asked;
--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -76,14 +76,13 @@
     {
         return;
     }
-    std::sort(offers.begin(), offers.end(),
-              [](const question_item& a, const question_item& b)
-              {
-                  return std::make_tuple(b.slots > 0, a.held, a.slow, !a.keeps_large, b.good, b.slots,
-                                         a.worker) <
-                         std::make_tuple(a.slots > 0, b.held, b.slow, !b.keeps_large, a.good, a.slots,
-                                         b.worker);
-              });
+    std::sort(
+        offers.begin(), offers.end(),
+        [](const question_item& a, const question_item& b)
+        {
+            return std::make_tuple(b.slots > 0, a.held, a.slow, !a.keeps_large, b.good, b.slots, a.worker) <
+                   std::make_tuple(a.slots > 0, b.held, b.slow, !b.keeps_large, a.good, a.slots, b.worker);
+        });
     const bool first = known.entries.empty();
     double within_reach = enough;
     for (const question_item& o : offers)
@@ -165,7 +164,8 @@
                 tickets[worker->id] = grant.ticket;
             }
         }
-        const duration on_the_way = std::max<duration>(answer.took - milliseconds(answer.took_ms), duration{0});
+        const duration on_the_way =
+            std::max<duration>(answer.took - milliseconds(answer.took_ms), duration{0});
         m_advice.take(ref, queue, workers, tickets, {now - answer.took, now - on_the_way}, validity);
     }
     note(now, "advice_taken", name_of(ref),
--- a/src/fabric/advice_desk.cpp
+++ b/src/fabric/advice_desk.cpp
@@ -13,8 +13,9 @@
     seconds(1);                   // a process that got no answer is passed over for a while
 constexpr double idle_part = 0.4; // of the processes without a question: then even what is late may ask
 constexpr std::size_t kept_for_urgent = 2; // of the processes, where there are at least twice as many
-constexpr duration longest_wait = seconds(1); // then a question goes ahead of urgent ones: a lasting task waited
-                                              // 8 s for one behind a burst of urgent work; few wait at a time
+constexpr duration longest_wait =
+    seconds(1); // then a question goes ahead of urgent ones: a lasting task waited
+                // 8 s for one behind a burst of urgent work; few wait at a time
 } // namespace
 
 advice_desk::advice_desk(std::function<void(const std::string&, const advice_question&, answer_handler)> ask)
--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -399,8 +399,9 @@
     set_election_timer(m_promise, now);
 }
 
-// Takes a message of the leader as a sign of life. A longer promise is synced before it is answered for, so that
-// it holds over a restart; the leader of a later term starts with its own, as every earlier lease is over then.
+// Takes a message of the leader as a sign of life. A longer promise is synced before it is answered for, so
+// that it holds over a restart; the leader of a later term starts with its own, as every earlier lease is
+// over then.
 void replica::heed_leader(term_id term, const replica_id& leader, std::int64_t asked, monotonic_time now)
 {
     const duration wanted =
@@ -422,8 +423,8 @@
     }
 }
 
-// Where a quorum answers slowly, as its disks are slow, a short lease would run out between two answers, and the
-// leader would lose its place over and over.
+// Where a quorum answers slowly, as its disks are slow, a short lease would run out between two answers, and
+// the leader would lose its place over and over.
 void replica::adapt_promise(monotonic_time now)
 {
     const duration silence = now - std::max(quorum_contact(now), m_leader_since);
@@ -468,13 +469,15 @@
     }
 }
 
-// The replicas stand one after the other, each a step later than the one before it, and the term decides who comes
-// first: two that stand at once would split the votes. The half step lets all of them notice the silence first.
+// The replicas stand one after the other, each a step later than the one before it, and the term decides who
+// comes first: two that stand at once would split the votes. The half step lets all of them notice the
+// silence first.
 void replica::set_election_timer(duration wait, monotonic_time now)
 {
     const auto rank = static_cast<std::int64_t>(own_rank());
     const duration step = m_settings.election_step;
-    const auto jitter = static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(step.count() / 4 + 1));
+    const auto jitter =
+        static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(step.count() / 4 + 1));
     m_election_at = now + wait + step / 2 + step * rank + duration{jitter};
 }
 
--- a/tests/src/replica_network.hpp
+++ b/tests/src/replica_network.hpp
@@ -20,7 +20,7 @@
 {
     double loss = 0.0;
     double repeat = 0.0;
-    double drift = 0.04; // largest difference of a clock's speed from true time
+    double drift = 0.04;         // largest difference of a clock's speed from true time
     std::uint64_t delay_ms = 60; // longest way of a message
 };
 
--- a/tests/src/unit-gangs.cpp
+++ b/tests/src/unit-gangs.cpp
@@ -146,7 +146,8 @@
 }
 
 // Callers ask right after their last task has ended; what is known then is told once it is committed.
-// Tickets are taken to count from the answer on, until a worker refuses one; then nothing is lost but that start.
+// Tickets are taken to count from the answer on, until a worker refuses one; then nothing is lost but that
+// start.
 BOOST_AUTO_TEST_CASE(tickets_that_count_from_the_question_are_learned)
 {
     for (const bool from_question : {false, true})
@@ -168,7 +169,8 @@
         {
             for (const submission_id id : gangs)
             {
-                BOOST_TEST((pool.phase(id) == submission_phase::completed), name_of(id) << ' ' << name_of(pool.phase(id)));
+                BOOST_TEST((pool.phase(id) == submission_phase::completed),
+                           name_of(id) << ' ' << name_of(pool.phase(id)));
             }
             BOOST_TEST(pool.broken().empty());
             const std::uint64_t refused = pool.leader().counters().refused_starts;
--- a/tests/src/unit-replication.cpp
+++ b/tests/src/unit-replication.cpp
@@ -235,8 +235,8 @@
     }
 }
 
-// Replicas that lost power together have a leader soon after a quorum of them is back, although each waits until
-// what it may have promised is over.
+// Replicas that lost power together have a leader soon after a quorum of them is back, although each waits
+// until what it may have promised is over.
 BOOST_AUTO_TEST_CASE(a_quorum_that_comes_back_elects_soon)
 {
     for (std::uint64_t seed = 1; seed <= 50; ++seed)
@@ -289,7 +289,8 @@
     BOOST_TEST(back >= 45U);
 }
 
-// Answers that take up to 0.4 s, as with disks 30 times slow, lengthen the promise instead of deposing the leader.
+// Answers that take up to 0.4 s, as with disks 30 times slow, lengthen the promise instead of deposing the
+// leader.
 BOOST_AUTO_TEST_CASE(slow_answers_lengthen_the_lease)
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed)
