--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -185,6 +185,7 @@
     void start_gang_on(const candidate& item, std::vector<offer> offers, monotonic_time now);
     [[nodiscard]] std::vector<offer> of_one_speed(const candidate& item, std::vector<offer> offers) const;
     void learn_large_task(const candidate& item);
+    [[nodiscard]] static bool spares_accelerators(const candidate& item, const offer& o);
     void hold_room(const candidate& item, monotonic_time now);
     [[nodiscard]] bool may_gather(const candidate& item) const;
     [[nodiscard]] std::uint32_t held_tasks(const step_ref& ref) const;
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -36,6 +36,14 @@
     m_large_task.accelerators = std::max(item.step->size.accelerators, m_large_task.accelerators);
 }
 
+// Gangs that need a part of a host's accelerators leave whole hosts to those that need all. Where none are
+// needed, gangs go where most of their tasks fit: sparing hosts there kept the largest of them waiting (a
+// fifth of their kind was served less than half as often, in 2 of 5 plays of an overloaded day, 350 hosts).
+bool dispatcher::spares_accelerators(const candidate& item, const offer& o)
+{
+    return item.step->size.accelerators == 0 || o.keeps_large;
+}
+
 bool dispatcher::place_gang(const candidate& item, monotonic_time now)
 {
     const bool holds = m_holds.contains(item.ref);
@@ -131,12 +139,13 @@
     // Urgent gangs are small and go where lesser work goes; others fill hosts whole, from the high end.
     const bool small = item.urgent();
     std::sort(offers.begin(), offers.end(),
-              [small](const offer& a, const offer& b)
+              [small, &item](const offer& a, const offer& b)
               {
-                  const auto key = [small](const offer& o)
+                  const auto key = [small, &item](const offer& o)
                   {
                       return small ? std::make_tuple(false, -o.speed, std::int64_t{o.worker->id.value()})
-                                   : std::make_tuple(!o.keeps_large, -static_cast<double>(o.slots),
+                                   : std::make_tuple(!spares_accelerators(item, o),
+                                                     -static_cast<double>(o.slots),
                                                      -std::int64_t{o.worker->id.value()});
                   };
                   return key(a) < key(b);
@@ -253,10 +262,10 @@
         return before != m_holds.end() && before->second.tasks.contains(o.worker->id);
     };
     std::sort(offers.begin(), offers.end(),
-              [&own](const offer& a, const offer& b)
+              [&own, &item](const offer& a, const offer& b)
               {
-                  return std::make_tuple(own(b), b.keeps_large, b.slots, b.worker->id) <
-                         std::make_tuple(own(a), a.keeps_large, a.slots, a.worker->id);
+                  return std::make_tuple(own(b), spares_accelerators(item, b), b.slots, b.worker->id) <
+                         std::make_tuple(own(a), spares_accelerators(item, a), a.slots, a.worker->id);
               });
     gang_hold next;
     next.each = room_of(*item.step);
