--- a/tests/src/pool_stand_in.hpp
+++ b/tests/src/pool_stand_in.hpp
@@ -156,7 +156,8 @@
     void fail_one(const std::string& life)
     {
         sim_worker& worker = m_workers[life];
-        end(worker, worker.running.begin()->first, run_end::failed);
+        const run_ref run = worker.running.begin()->first; // a copy: the end erases it
+        end(worker, run, run_end::failed);
     }
     submission_id submit(const std::string& queue, std::vector<step_spec> steps)
     {
