--- a/include/walkthread/dispatch/advice_book.hpp
+++ b/include/walkthread/dispatch/advice_book.hpp
@@ -77,8 +77,9 @@
   private:
     std::map<step_ref, step_advice> m_steps;
     std::map<std::string, double> m_shares;
-    /// Workers take tickets for their whole validity from the answer on, which for a gang's questions is a
-    /// second more than from the question on: no ticket was refused in 4,000 starts.
+    /// Workers take tickets for their whole validity from the answer on, which for a gang's questions is up
+    /// to a second more than from the question on: none was refused in 61,000 starts (two days, 48 and 350
+    /// hosts).
     bool m_from_answer = true;
 };
 
--- a/src/dispatch/dispatcher_reports.cpp
+++ b/src/dispatch/dispatcher_reports.cpp
@@ -52,8 +52,8 @@
 
 // A report that a cut held back may come after its life has ended and another one has begun on the host: its
 // arrival does not make it the newer one. So the address is asked who lives there, before the work of the
-// life that is present is given up. Without it, work ran twice on 12 of 40 days on which workers crashed
-// behind a cut, at 48 hosts, and on 99 runs of such days at 350.
+// life that is present is given up. Without it, work ran twice on 13 of 16 days on which workers crashed
+// behind a cut (48 hosts, different seeds), with it on none of 48.
 void dispatcher::ask_who_lives_there(const worker_report& report, worker_life_id present,
                                      const std::function<void(bool)>& done)
 {
