Process tests wait until every node serves a new service

A node that has not heard of a configuration yet answers 404 ("No such service."): the tests waited for one node to serve it and then asked the others. With the answer printed, 10 of 48 runs (eight at a time) failed, each with 404 of a node that lagged. Ruled out: a lost claim, a timeout of the claim, a node that had died (no such line in any log).

The promise is that a configuration is in force everywhere within seconds, so the tests wait for just that, with the same bound as before, and then assert as before; the assertion prints the answer. The other tests that asked several nodes after a wait for one do the same now.

--- a/tests/process/common.py
+++ b/tests/process/common.py
@@ -41,6 +41,13 @@
     return body
 
 
+def served_everywhere(cell, who, service, keyed=False):
+    """Waits until each node serves calls to a service: a new one is in force everywhere only within seconds."""
+    def served(node):
+        return cell.call(who, service, "x", uuid7() if keyed else None, node=node)[0] == "completed"
+    wait_for(lambda: all(served(node) for node in cell.nodes))
+
+
 def ended(cell, who, jobs):
     """Waits until jobs have ended and gives their outcomes."""
     def over():
--- a/tests/process/test_bad_endpoints.py
+++ b/tests/process/test_bad_endpoints.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from common import accepted, templates, uuid7, wait_for, with_cell
+from common import accepted, served_everywhere, templates, uuid7, with_cell
 
 
 def callers_get_their_own_whole_answers(cell):
@@ -10,8 +10,8 @@
     templates(cell)
     accepted(cell.submit("aarhus", "balance", "balance-lookup", tasks=6))
     accepted(cell.submit("cruzadas", "solve", "solve-verify", tasks=6))
-    wait_for(lambda: cell.call("aarhus", "balance", "x")[0] == "completed")
-    wait_for(lambda: cell.call("cruzadas", "solve", "x", uuid7())[0] == "completed")
+    served_everywhere(cell, "aarhus", "balance")
+    served_everywhere(cell, "cruzadas", "solve", keyed=True)
     results, lock = [], threading.Lock()
 
     def call(number):
@@ -39,13 +39,14 @@
     cell.add_workers(3)
     templates(cell)
     accepted(cell.submit("cruzadas", "solve", "solve-verify", tasks=4))
-    wait_for(lambda: cell.call("cruzadas", "solve", "x", uuid7())[0] == "completed")
+    served_everywhere(cell, "cruzadas", "solve", keyed=True)
     for what in ("close", "short", "wrong", "late"):
         key, body = uuid7(), "solve " + what
         outcome, status, _ = cell.call("cruzadas", "solve", body, key)
         assert (outcome, status) == ("unknown", 504), (what, outcome, status)
         for node in cell.nodes:
-            assert cell.call("cruzadas", "solve", body, key, node=node)[0] == "unknown"
+            again = cell.call("cruzadas", "solve", body, key, node=node)
+            assert again[0] == "unknown", (what, node.number, again)
         assert len(cell.records.find("exchange", body=body)) == 1
 
 
@@ -53,7 +54,7 @@
     cell.add_workers(3)
     templates(cell)
     accepted(cell.submit("cruzadas", "solve", "solve-verify", tasks=4))
-    wait_for(lambda: cell.call("cruzadas", "solve", "x", uuid7())[0] == "completed")
+    served_everywhere(cell, "cruzadas", "solve", keyed=True)
     for i in range(10):
         key, body, outcomes = uuid7(), "solve slow %d" % i, []
         threads = [threading.Thread(target=lambda n=n: outcomes.append(cell.call("cruzadas", "solve", body, key, node=n)))
--- a/tests/process/test_bad_input.py
+++ b/tests/process/test_bad_input.py
@@ -8,7 +8,7 @@
 import sys
 import time
 
-from common import SMALL, TOKENS, accepted, templates, uuid7, wait_for, with_cell
+from common import SMALL, TOKENS, accepted, served_everywhere, templates, uuid7, wait_for, with_cell
 
 
 def raw(port, data, wait=1.0):
@@ -68,7 +68,7 @@
     cell.add_workers(2)
     templates(cell)
     accepted(cell.submit("cruzadas", "solve", "solve-verify"))
-    wait_for(lambda: cell.call("cruzadas", "solve", "x", uuid7())[0] == "completed")
+    served_everywhere(cell, "cruzadas", "solve", keyed=True)
 
     def code(*arguments):
         _, status, text = cell.call(*arguments)
--- a/tests/process/test_planned_stop.py
+++ b/tests/process/test_planned_stop.py
@@ -4,14 +4,15 @@
 import threading
 import time
 
-from common import Callers, accepted, check_exchanges, check_records, ended, templates, wait_for, with_cell
+from common import (Callers, accepted, check_exchanges, check_records, ended, served_everywhere, templates, wait_for,
+                    with_cell)
 
 
 def sigterm_under_load(cell):
     cell.add_workers(3)
     templates(cell)
     accepted(cell.submit("aarhus", "balance", "balance-lookup", tasks=4))
-    wait_for(lambda: all(cell.call("aarhus", "balance", "x", node=n)[0] == "completed" for n in cell.nodes))
+    served_everywhere(cell, "aarhus", "balance")
     victim = cell.leader(0)
     stopping = threading.Event()
     results = []
@@ -48,7 +49,7 @@
     accepted(cell.submit("aarhus", "balance", "balance-lookup", tasks=8))
     job = accepted(cell.submit("aarhus", "annual", "recalculation", run_seconds=6, tasks=4))["jobs"]
     wait_for(lambda: len(cell.records.find("start")) == 12)
-    wait_for(lambda: cell.call("aarhus", "balance", "balance x")[0] == "completed")
+    served_everywhere(cell, "aarhus", "balance")
     callers = Callers(cell, "aarhus", "balance", 400, pause=0.02)
     leaving = cell.workers[0]
     began = time.monotonic()
--- a/tests/process/test_silent_cut.py
+++ b/tests/process/test_silent_cut.py
@@ -2,7 +2,7 @@
 
 import time
 
-from common import accepted, templates, uuid7, wait_for, with_cell
+from common import accepted, served_everywhere, templates, uuid7, wait_for, with_cell
 
 
 def set_cut(cell, node, cut):
@@ -16,7 +16,7 @@
     cell.add_workers(3)
     templates(cell)
     accepted(cell.submit("aarhus", "balance", "balance-lookup", tasks=4))
-    wait_for(lambda: all(cell.call("aarhus", "balance", "x", node=n)[0] == "completed" for n in cell.nodes))
+    served_everywhere(cell, "aarhus", "balance")
     lonely = cell.leader(0)
     rest = [n for n in cell.nodes if n is not lonely]
     set_cut(cell, lonely, True)
