Hosts are kept for tasks that need most of one

Whatever ended on a busy host made room for small tasks first, so these waited up to 54 s with slack at their coming (submission log: 15 of 52 started 10 to 50 s after it). Held room was for gangs only, and only for places that were free already.

A question about a reserved host goes out when its answer will be in time. Where no known host may run the task, others are asked about whatever room they have. Small tasks leave whole hosts alone for such tasks too.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -96,14 +96,15 @@
             return urgent() || step->lasting;
         }
     };
-    /// Room kept for a gang until all of its tasks can start together.
+    /// Room kept for a gang until all of its tasks can start together, or for large tasks until it is free.
     struct gang_hold
     {
-        std::map<worker_life_id, std::uint32_t> tasks; ///< how many each host has room for
+        std::map<worker_life_id, std::uint32_t> tasks; ///< how many on each host
         std::uint32_t total{};                         ///< the sum of `tasks`
         resources each{};                              ///< what one task takes
         bool missed{};                                 ///< the gang was late when it began to hold
         monotonic_time grew{};                         ///< when `total` last rose
+        bool gathers = true;                           ///< a gang's; false: hosts kept for large tasks
     };
     /// A worker during one pass.
     struct host_row
@@ -197,6 +198,16 @@
     [[nodiscard]] std::vector<worker_life_id> hosts_without_ticket(const candidate& item,
                                                                    const gang_hold& hold, monotonic_time now);
 
+    // dispatcher_reserve.cpp: hosts kept for large tasks
+    void reserve_hosts(const candidate& item, std::uint32_t left, monotonic_time now);
+    void learn_large_hosts(const candidate& item, monotonic_time now);
+    [[nodiscard]] std::size_t reserved_hosts(const candidate& item) const;
+    [[nodiscard]] std::size_t most_reserved(const candidate& item) const;
+    [[nodiscard]] std::vector<worker_life_id> hosts_soon_free(const candidate& item, const gang_hold& hold,
+                                                              monotonic_time now);
+    [[nodiscard]] std::optional<double> time_until_room_on(const candidate& item, const offer& o) const;
+    [[nodiscard]] std::optional<double> expected_left_ms(const run_ref& run, const run_view& known) const;
+
     // dispatcher_advice.cpp
     void ask_advice(const candidate& item, std::uint32_t need, monotonic_time now);
     [[nodiscard]] bool may_ask(const candidate& item, bool pressing, monotonic_time now);
--- a/include/walkthread/dispatch/mechanisms.hpp
+++ b/include/walkthread/dispatch/mechanisms.hpp
@@ -29,12 +29,13 @@
     large_slots,     ///< small tasks go where they leave room for tasks of gangs
     short_looks,     ///< looks are short while many of them get lost
     answer_tickets,  ///< tickets count from the advisor's answer; off: from the question
+    reservations,    ///< hosts are kept for tasks that need most of one until they are free
 };
 
 /// @brief The names of all mechanisms as settings and logs have them, in the order of `mechanism`.
-inline constexpr std::array<std::string_view, 9> mechanism_names{
+inline constexpr std::array<std::string_view, 10> mechanism_names{
     "outlook-order", "preemption",  "learned-speeds", "one-speed-gangs", "quarantine",
-    "failed-hosts",  "large-slots", "short-looks",    "answer-tickets"};
+    "failed-hosts",  "large-slots", "short-looks",    "answer-tickets",  "reservations"};
 
 /// @brief The mechanism of that name; no value if there is none. Complexity: linear in the names.
 [[nodiscard]] inline std::optional<mechanism> find_mechanism(std::string_view name)
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -193,7 +193,7 @@
     {
         const step_spec* step = m_state.find(ref);
         const bool before = item.missed() || !hold.missed; // those that are late leave room for others
-        gathering += before && step != nullptr && hold.total < step->count ? 1 : 0;
+        gathering += hold.gathers && before && step != nullptr && hold.total < step->count ? 1 : 0;
     }
     return gathering < m_settings.most_gathering;
 }
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -354,6 +354,7 @@
     }
     if (left > 0)
     {
+        reserve_hosts(item, left, now);
         ask_advice(item, left, now);
         preempt_for(item, left, now);
     }
--- /dev/null
+++ b/src/dispatch/dispatcher_reserve.cpp
@@ -0,0 +1,197 @@
+// The part of dispatcher that keeps hosts for large tasks until enough of what runs there has ended.
+
+#include <walkthread/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+
+#include <walkthread/dispatch/room_forecast.hpp>
+#include <walkthread/workload/names.hpp>
+
+namespace walkthread
+{
+
+namespace
+{
+constexpr std::uint32_t most_large_per_host = 2; // of a large task; smaller ones find room as others end
+constexpr std::size_t most_reserved_late = 1;    // hosts at a time for tasks that are late in any case
+} // namespace
+
+// How much longer a run may take, by its estimate and the progress that the host told.
+std::optional<double> dispatcher::expected_left_ms(const run_ref& run, const run_view& known) const
+{
+    const submission* owner = m_state.find(run.task.step.submission);
+    const step_spec* step = m_state.find(run.task.step);
+    if (owner == nullptr || step == nullptr || step->lasting)
+    {
+        return std::nullopt;
+    }
+    return m_objectives.expected_ms(owner->queue, *step) * (100.0 - known.percent) / 100.0;
+}
+
+std::optional<double> dispatcher::time_until_room_on(const candidate& item, const offer& o) const
+{
+    const worker_view& view = m_views.at(o.worker->id);
+    std::vector<run_forecast> runs;
+    for (const auto& [run, room] : o.worker->occupied)
+    {
+        const auto known = view.runs.find(run);
+        runs.push_back(
+            {room, known == view.runs.end() ? std::nullopt : expected_left_ms(run, known->second)});
+    }
+    return time_until_room(o.room, std::move(runs), room_of(*item.step));
+}
+
+// Hosts that are kept for tasks which compete with those of a step. Work that is late does not count for work
+// that can be on time.
+std::size_t dispatcher::reserved_hosts(const candidate& item) const
+{
+    std::size_t count = 0;
+    for (const auto& [ref, hold] : m_holds)
+    {
+        const bool other = !(ref == item.ref);
+        const bool competes = !hold.gathers && (item.missed() || !hold.missed);
+        count += other && competes ? hold.tasks.size() : 0;
+    }
+    return count;
+}
+
+std::size_t dispatcher::most_reserved(const candidate& item) const
+{
+    if (item.missed())
+    {
+        return most_reserved_late;
+    }
+    const auto pool = std::count_if(m_rows.begin(), m_rows.end(),
+                                    [this, &item](const host_row& row)
+                                    {
+                                        return allowed(item, row);
+                                    });
+    return std::max<std::size_t>(
+        1, static_cast<std::size_t>(static_cast<double>(pool) * m_settings.reserved_share));
+}
+
+// Without this, a task that needs most of a host never starts on a busy pool: whatever ends there makes room
+// for smaller tasks first.
+void dispatcher::reserve_hosts(const candidate& item, std::uint32_t left, monotonic_time now)
+{
+    if (!uses(mechanism::reservations) || item.urgent() || item.step->lasting)
+    {
+        return;
+    }
+    struct place
+    {
+        offer at;
+        bool kept;
+        double wait_ms;
+    };
+    const auto before = m_holds.find(item.ref);
+    const std::size_t most = most_reserved(item);
+    const std::size_t others = reserved_hosts(item);
+    if (others >= most && before == m_holds.end())
+    {
+        return;
+    }
+    std::vector<place> places;
+    for (const offer& o : find_good_offers(item, now))
+    {
+        if (o.whole == 0 || o.whole > most_large_per_host)
+        {
+            continue;
+        }
+        const bool kept = before != m_holds.end() && before->second.tasks.contains(o.worker->id);
+        const std::optional<double> wait = time_until_room_on(item, o);
+        if (wait)
+        {
+            places.push_back({o, kept, *wait});
+        }
+    }
+    std::sort(places.begin(), places.end(),
+              [](const place& a, const place& b)
+              {
+                  return std::make_tuple(!a.kept, a.wait_ms, a.at.worker->id) <
+                         std::make_tuple(!b.kept, b.wait_ms, b.at.worker->id);
+              });
+    const std::size_t wanted = std::min<std::size_t>({left, places.size(), most - std::min(most, others)});
+    gang_hold next;
+    next.each = room_of(*item.step);
+    next.missed = item.missed();
+    next.gathers = false;
+    next.grew = now;
+    for (std::size_t i = 0; i < wanted; ++i)
+    {
+        next.tasks[places[i].at.worker->id] = 1;
+        ++next.total;
+    }
+    if (next.total == 0)
+    {
+        drop_hold(item.ref);
+        learn_large_hosts(item, now);
+        return;
+    }
+    learn_large_task(item);
+    if (before == m_holds.end())
+    {
+        note(now, "hosts_reserved", name_of(item.ref),
+             {{"hosts", next.total},
+              {"left", left},
+              {"others", others},
+              {"slack_ms", static_cast<std::int64_t>(item.slack_ms)},
+              {"wait_ms", static_cast<std::int64_t>(places.front().wait_ms)}});
+    }
+    std::vector<worker_life_id> soon = hosts_soon_free(item, next, now);
+    set_hold(item, std::move(next));
+    if (may_ask(item, true, now))
+    {
+        ask(item, soon, true, now);
+    }
+}
+
+// Reserved hosts whose room comes about when a question about them is answered, and that have no ticket which
+// counts then.
+std::vector<worker_life_id> dispatcher::hosts_soon_free(const candidate& item, const gang_hold& hold,
+                                                        monotonic_time now)
+{
+    std::vector<worker_life_id> soon;
+    if (item.queue == nullptr || !item.queue->advised)
+    {
+        return soon;
+    }
+    const advice_terms& terms = item.queue->advice;
+    const double question_ms = terms.decision_ms + terms.each_ms;
+    const auto lasts = milliseconds(static_cast<std::int64_t>(question_ms)) + m_settings.ticket_margin;
+    const step_advice& known = m_advice.of(item.ref);
+    for (const offer& o : find_good_offers(item, now))
+    {
+        const auto entry = known.entries.find(o.worker->id);
+        const bool has = entry != known.entries.end() && m_advice.usable(entry->second, now, lasts);
+        const std::optional<double> wait =
+            hold.tasks.contains(o.worker->id) && !has ? time_until_room_on(item, o) : std::nullopt;
+        if (wait && *wait <= question_ms)
+        {
+            soon.push_back(o.worker->id);
+        }
+    }
+    return soon;
+}
+
+// No host with an answer may run it: asks about others, whatever room they have now.
+void dispatcher::learn_large_hosts(const candidate& item, monotonic_time now)
+{
+    if (item.queue == nullptr || !item.queue->advised || !may_ask(item, false, now))
+    {
+        return;
+    }
+    const step_advice& known = m_advice.of(item.ref);
+    std::vector<worker_life_id> unknown;
+    for (const offer& o : find_offers(item, now))
+    {
+        const bool large = o.whole > 0 && o.whole <= most_large_per_host;
+        if (large && !known.entries.contains(o.worker->id) && unknown.size() < most_asked)
+        {
+            unknown.push_back(o.worker->id);
+        }
+    }
+    ask(item, unknown, false, now);
+}
+
+} // namespace walkthread
