--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -184,7 +184,6 @@
     bool place_gang(const candidate& item, monotonic_time now);
     [[nodiscard]] bool start_gang(const candidate& item, monotonic_time now);
     void start_gang_on(const candidate& item, std::vector<offer> offers, monotonic_time now);
-    [[nodiscard]] std::vector<offer> of_one_speed(const candidate& item, std::vector<offer> offers) const;
     void learn_large_task(const candidate& item);
     [[nodiscard]] static bool spares_accelerators(const candidate& item, const offer& o);
     void hold_room(const candidate& item, monotonic_time now);
--- a/include/walkthread/dispatch/mechanisms.hpp
+++ b/include/walkthread/dispatch/mechanisms.hpp
@@ -20,22 +20,21 @@
 /// @brief A policy that can be switched off; docs/OPERATIONS.md says what each does.
 enum class mechanism : std::uint8_t
 {
-    outlook_order,   ///< work that can still be on time goes first; off: by urgency and age alone
-    preemption,      ///< lesser runs with checkpoints are stopped for urgent work and for gangs
-    learned_speeds,  ///< hosts' speeds are learned from run times
-    one_speed_gangs, ///< gangs take hosts of one speed
-    quarantine,      ///< hosts that fail work of several submissions in a row are avoided for a while
-    failed_hosts,    ///< a task is not tried again where it failed, if there are others
-    large_slots,     ///< small tasks go where they leave room for tasks of gangs
-    short_looks,     ///< looks are short while many of them get lost
-    answer_tickets,  ///< tickets count from the advisor's answer; off: from the question
-    reservations,    ///< hosts are kept for tasks that need most of one until they are free
+    outlook_order,  ///< work that can still be on time goes first; off: by urgency and age alone
+    preemption,     ///< lesser runs with checkpoints are stopped for urgent work and for gangs
+    learned_speeds, ///< hosts' speeds are learned from run times
+    quarantine,     ///< hosts that fail work of several submissions in a row are avoided for a while
+    failed_hosts,   ///< a task is not tried again where it failed, if there are others
+    large_slots,    ///< small tasks go where they leave room for tasks of gangs
+    short_looks,    ///< looks are short while many of them get lost
+    answer_tickets, ///< tickets count from the advisor's answer; off: from the question
+    reservations,   ///< hosts are kept for tasks that need most of one until they are free
 };
 
 /// @brief The names of all mechanisms as settings and logs have them, in the order of `mechanism`.
-inline constexpr std::array<std::string_view, 10> mechanism_names{
-    "outlook-order", "preemption",  "learned-speeds", "one-speed-gangs", "quarantine",
-    "failed-hosts",  "large-slots", "short-looks",    "answer-tickets",  "reservations"};
+inline constexpr std::array<std::string_view, 9> mechanism_names{
+    "outlook-order", "preemption",  "learned-speeds", "quarantine",  "failed-hosts",
+    "large-slots",   "short-looks", "answer-tickets", "reservations"};
 
 /// @brief The mechanism of that name; no value if there is none. Complexity: linear in the names.
 [[nodiscard]] inline std::optional<mechanism> find_mechanism(std::string_view name)
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -60,8 +60,8 @@
     std::size_t most_gathering = 2; ///< gangs that gather room at a time: the advisor allows each of them
                                     ///< about a third of the hosts; three and more hold each other up
     milliseconds gang_lead{4000}; ///< from first look to start: two questions and the gathering between them
-    double slow_below = 0.88;     ///< of the usual speed: such hosts are kept from gangs, which run as their
-                                  ///< slowest member; between the users' hosts, which differ by 1 to 1.3
+    double slow_below = 0.88;     ///< of the usual speed: urgent work goes to such hosts last; between the
+                                  ///< users' hosts, which differ by 1 to 1.3
     double gang_reach = 5.0; ///< a gang wants to know of hosts with room for so many times its tasks when
                              ///< nothing runs there: about a third of it is free at a time
     milliseconds hold_lasts{4000};   ///< room held for a gang that gained none for that long is given up
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -16,7 +16,6 @@
 constexpr std::size_t learning_question = 64; // workers: about as long again as a question takes at least
 constexpr duration gang_retry =
     milliseconds(120);                 // without room held; many wait, and each looks at its hosts
-constexpr double enough_reach = 1.5;   // times its tasks, on empty hosts: below, a gang takes any host
 constexpr std::size_t least_asked = 8; // a question costs most for being asked at all
 } // namespace
 
@@ -74,38 +73,10 @@
     return false;
 }
 
-// A gang runs as its slowest member: hosts of one speed, the fast ones if they have room for all or will
-// have, else the slow ones if they have now, else any.
-std::vector<dispatcher::offer> dispatcher::of_one_speed(const candidate& item,
-                                                        std::vector<offer> offers) const
-{
-    if (!uses(mechanism::one_speed_gangs))
-    {
-        return offers;
-    }
-    std::uint32_t fast = 0;
-    std::uint32_t slow = 0;
-    double fast_reach = 0;
-    for (const offer& o : offers)
-    {
-        (o.slow ? slow : fast) += o.slots;
-        fast_reach += o.slow ? 0 : o.whole;
-    }
-    const std::uint32_t need = item.step->count;
-    const bool only_slow = fast < need && slow >= need;
-    const bool only_fast = fast >= need || (!only_slow && fast_reach >= enough_reach * need);
-    std::erase_if(offers,
-                  [only_fast, only_slow](const offer& o)
-                  {
-                      return (only_fast && o.slow) || (only_slow && !o.slow);
-                  });
-    return offers;
-}
-
 // Starts a gang if all of its tasks have room and a ticket now.
 bool dispatcher::start_gang(const candidate& item, monotonic_time now)
 {
-    std::vector<offer> offers = of_one_speed(item, find_open_offers(item, now));
+    std::vector<offer> offers = find_open_offers(item, now);
     std::uint32_t sum = 0;
     for (const offer& o : offers)
     {
@@ -245,7 +216,7 @@
 {
     const auto before = m_holds.find(item.ref);
     const std::uint32_t had = before == m_holds.end() ? 0 : before->second.total;
-    std::vector<offer> offers = of_one_speed(item, find_good_offers(item, now));
+    std::vector<offer> offers = find_good_offers(item, now);
     std::uint32_t sum = 0;
     for (const offer& o : offers)
     {
@@ -399,8 +370,8 @@
     std::sort(unknown.begin(), unknown.end(),
               [](const offer& a, const offer& b)
               {
-                  return std::make_tuple(a.slow, b.slots, b.whole, b.worker->id) <
-                         std::make_tuple(b.slow, a.slots, a.whole, a.worker->id);
+                  return std::make_tuple(b.slots, b.whole, b.worker->id) <
+                         std::make_tuple(a.slots, a.whole, a.worker->id);
               });
     double now_free = 0;
     for (const offer& o : unknown)
