Callers are refused at once when no leader has been known for long, with a time to come back

The caller had one try left, which was held again until its budget was over.

Change: leader_outage, a pure class, says whether there is hope: for 2 s after a leader was given up calls wait as before; then what was never sent gets its final answer at once, and so does what comes. Retry-After follows how long the outage has lasted, up to 5 s, spread by a random draw, and not beyond what the caller would still wait. Calls that were sent to a leader wait on, as their fate is open. Operators' and workers' calls are held as before.

Tests: unit-fabric, three cases; a call that was sent is never told that it has not run.

--- a/include/walkthread/fabric/call_router.hpp
+++ b/include/walkthread/fabric/call_router.hpp
@@ -8,12 +8,15 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <walkthread/fabric/leader_outage.hpp>
 #include <walkthread/fabric/mesh.hpp>
+#include <walkthread/observe/figure_page.hpp>
 #include <walkthread/units/time.hpp>
 
 namespace walkthread
@@ -35,7 +38,8 @@
     call_router(const call_router&) = delete;
     call_router& operator=(const call_router&) = delete;
 
-    /// @brief Sends a call to the leader, again after a change of leader or a silence.
+    /// @brief Sends a call to the leader, again after a change of leader or a silence. While no leader has
+    /// been known for a while, callers' calls that were not sent are answered `unavailable` at once.
     /// @param patience after it the answer is `unknown`, or `unavailable` if it was never sent
     void call(service_call body, milliseconds patience, call_handler handler);
     /// @brief Sends a call to one peer, once.
@@ -53,6 +57,16 @@
     {
         return m_calls.size();
     }
+    /// @brief How long there has been no leader; zero if there is one.
+    [[nodiscard]] duration leaderless_for(monotonic_time now) const
+    {
+        return m_outage.age(now);
+    }
+    /// @brief How long leaders were unknown, one observation an outage.
+    [[nodiscard]] const time_histograms& outages() const
+    {
+        return m_outages;
+    }
 
   private:
     struct waiting_call
@@ -63,9 +77,12 @@
         monotonic_time give_up{};
         monotonic_time sent{};
         bool ever_sent{};
+        bool of_caller{}; ///< given up, if it was not sent, once an outage is hopeless
         bool to_leader{};
     };
 
+    [[nodiscard]] service_reply refuse_without_leader(milliseconds patience, monotonic_time now);
+    void give_up_hopeless(monotonic_time now);
     void send(std::uint64_t number, waiting_call& item, const std::string& to);
     void finish(std::uint64_t number, service_reply reply);
     void arm();
@@ -76,6 +93,10 @@
     boost::asio::steady_timer m_timer;
     bool m_armed = false;
     std::string m_leader;
+    leader_outage m_outage;
+    time_histograms m_outages{
+        "walkthread_leaderless_seconds", "How long no leader was known, by outage.", {}};
+    std::minstd_rand m_random{std::random_device{}()};
     std::uint64_t m_next = 1;
     std::map<std::uint64_t, waiting_call> m_calls;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/include/walkthread/fabric/fabric_node.hpp
+++ b/include/walkthread/fabric/fabric_node.hpp
@@ -68,6 +68,11 @@
     void call(service_call body, milliseconds patience, call_handler handler);
     /// @brief Whether a leader is known and answers.
     [[nodiscard]] bool connected() const;
+    /// @brief How long there has been no leader; zero if one is known.
+    [[nodiscard]] duration leaderless_for(monotonic_time now) const
+    {
+        return m_router.leaderless_for(now);
+    }
     /// @brief Takes seeds from changed settings.
     void add_seeds(const std::vector<std::string>& seeds);
     /// @brief Hands over what others rely on, before a planned stop.
--- a/src/fabric/call_router.cpp
+++ b/src/fabric/call_router.cpp
@@ -13,11 +13,18 @@
 {
 constexpr milliseconds look_every{50};    // give-ups and repeats are at most that late
 constexpr milliseconds repeat_after{450}; // an answer usually comes within 30 ms; above a slow disk's sync
+
+// Operators and workers turn to other processes by themselves; their calls wait as long as they may.
+bool is_of_caller(const service_call& body)
+{
+    return std::holds_alternative<submit_call>(body) || std::holds_alternative<state_call>(body) ||
+           std::holds_alternative<cancel_call>(body) || std::holds_alternative<pending_call>(body);
+}
 } // namespace
 
 call_router::call_router(boost::asio::io_context& loop, mesh& peers,
                          std::function<bool(const service_call&, const call_handler&)> local)
-    : m_mesh(peers), m_local(std::move(local)), m_timer(loop)
+    : m_mesh(peers), m_local(std::move(local)), m_timer(loop), m_outage(monotonic_now())
 {
 }
 
@@ -29,16 +36,54 @@
 void call_router::call(service_call body, milliseconds patience, call_handler handler)
 {
     const monotonic_time now = monotonic_now();
+    const bool of_caller = is_of_caller(body);
+    if (of_caller && m_outage.hopeless(now))
+    {
+        handler(refuse_without_leader(patience, now));
+        return;
+    }
     const std::uint64_t number = m_next++;
     waiting_call& item = m_calls[number];
     item.body = std::move(body);
     item.handler = std::move(handler);
     item.give_up = now + patience;
+    item.of_caller = of_caller;
     item.to_leader = true;
     arm();
     send(number, item, m_leader);
 }
 
+service_reply call_router::refuse_without_leader(milliseconds patience, monotonic_time now)
+{
+    service_reply reply = make_reply(reply_kind::unavailable, "No leader is known.");
+    const double draw = std::uniform_real_distribution<double>(0.0, 1.0)(m_random);
+    reply.number = static_cast<std::uint64_t>(m_outage.come_back_s(now, draw, patience));
+    return reply;
+}
+
+// Calls that wait for a leader and were sent to none get their final answer; what became of those that were
+// sent is open, they wait on.
+void call_router::give_up_hopeless(monotonic_time now)
+{
+    if (!m_outage.hopeless(now))
+    {
+        return;
+    }
+    std::vector<std::uint64_t> numbers;
+    for (const auto& [number, item] : m_calls)
+    {
+        if (item.of_caller && !item.ever_sent)
+        {
+            numbers.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : numbers)
+    {
+        const auto left = std::chrono::duration_cast<milliseconds>(m_calls.at(number).give_up - now);
+        finish(number, refuse_without_leader(left, now));
+    }
+}
+
 void call_router::call_peer(const std::string& peer, service_call body, milliseconds patience,
                             call_handler handler)
 {
@@ -115,6 +160,10 @@
         return;
     }
     m_leader = leader;
+    if (const std::optional<duration> lasted = m_outage.note_leader(!leader.empty(), monotonic_now()))
+    {
+        m_outages.observe({}, *lasted);
+    }
     std::vector<std::uint64_t> numbers;
     for (const auto& [number, item] : m_calls)
     {
@@ -155,6 +204,7 @@
 void call_router::look_at_all()
 {
     const monotonic_time now = monotonic_now();
+    give_up_hopeless(now);
     std::vector<std::uint64_t> over;
     std::vector<std::uint64_t> again;
     for (const auto& [number, item] : m_calls)
--- a/src/fabric/fabric_node.cpp
+++ b/src/fabric/fabric_node.cpp
@@ -80,6 +80,7 @@
     page.add_count("walkthread_log_lines_dropped_total", "Log lines dropped for their rate.",
                    static_cast<double>(m_log.dropped()));
     page.add_gauge("walkthread_leader_known", "1 if a leader is known and answers.", connected() ? 1 : 0);
+    page.add(m_router.outages().collect());
 }
 
 void fabric_node::tick()
--- /dev/null
+++ b/src/fabric/leader_outage.cpp
@@ -0,0 +1,47 @@
+#include <walkthread/fabric/leader_outage.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace walkthread
+{
+
+leader_outage::leader_outage(monotonic_time now, leader_outage_settings settings)
+    : m_settings(settings), m_since(now)
+{
+}
+
+std::optional<duration> leader_outage::note_leader(bool known, monotonic_time now)
+{
+    if (!known)
+    {
+        m_since = m_since.value_or(now);
+        return std::nullopt;
+    }
+    const std::optional<duration> lasted = m_since ? std::optional<duration>(now - *m_since) : std::nullopt;
+    m_since.reset();
+    return lasted;
+}
+
+duration leader_outage::age(monotonic_time now) const
+{
+    return m_since ? now - *m_since : duration{0};
+}
+
+bool leader_outage::hopeless(monotonic_time now) const
+{
+    return m_since && age(now) >= m_settings.hold_for;
+}
+
+std::int64_t leader_outage::come_back_s(monotonic_time now, double draw, milliseconds patience) const
+{
+    const double age_s = std::chrono::duration<double>(age(now)).count();
+    const double patience_s = std::chrono::duration<double>(patience).count();
+    const auto longest = std::min({static_cast<std::int64_t>(std::ceil(age_s)),
+                                   static_cast<std::int64_t>(patience_s), m_settings.longest_come_back_s});
+    const double spread = draw * static_cast<double>(std::max<std::int64_t>(longest, 1));
+    return std::clamp<std::int64_t>(1 + static_cast<std::int64_t>(spread), 1,
+                                    std::max<std::int64_t>(longest, 1));
+}
+
+} // namespace walkthread
--- a/tests/src/unit-fabric.cpp
+++ b/tests/src/unit-fabric.cpp
@@ -5,6 +5,7 @@
 
 #include <walkthread/fabric/advice_desk.hpp>
 #include <walkthread/fabric/core_node.hpp>
+#include <walkthread/fabric/leader_outage.hpp>
 #include <walkthread/fabric/leader_watch.hpp>
 #include <walkthread/fabric/mesh.hpp>
 #include <walkthread/fabric/web_client.hpp>
@@ -73,6 +74,75 @@
     BOOST_TEST((std::find(asked.begin(), asked.end(), "b") != asked.end()));
 }
 
+// A core without power for seven seconds: callers were held until shortly before their time budgets ended.
+BOOST_AUTO_TEST_CASE(calls_are_held_while_an_election_may_bring_a_leader_and_refused_later)
+{
+    leader_outage outage(at_ms(0));
+    BOOST_TEST((outage.note_leader(true, at_ms(100)) == std::optional<duration>(milliseconds(100))));
+    BOOST_TEST((outage.age(at_ms(5000)) == duration{0}));
+    BOOST_TEST(!outage.hopeless(at_ms(5000)));
+    BOOST_TEST(!outage.note_leader(false, at_ms(5000)).has_value());
+    BOOST_TEST(!outage.note_leader(false, at_ms(5600)).has_value()); // still the same outage
+    BOOST_TEST(!outage.hopeless(at_ms(6950)));
+    BOOST_TEST(outage.hopeless(at_ms(7000)));
+    BOOST_TEST((outage.note_leader(true, at_ms(12000)) == std::optional<duration>(seconds(7))));
+    BOOST_TEST(!outage.hopeless(at_ms(12100)));
+}
+
+BOOST_AUTO_TEST_CASE(callers_come_back_later_the_longer_there_is_no_leader_and_not_all_at_once)
+{
+    leader_outage outage(at_ms(0));
+    const milliseconds patient{10'000};
+    BOOST_TEST(outage.come_back_s(at_ms(700), 0.99, patient) == 1);
+    BOOST_TEST(outage.come_back_s(at_ms(3500), 0.0, patient) == 1);
+    BOOST_TEST(outage.come_back_s(at_ms(3500), 0.99, patient) == 4);
+    BOOST_TEST(outage.come_back_s(at_ms(60'000), 1.0, patient) == 5);
+    BOOST_TEST(outage.come_back_s(at_ms(60'000), 0.99, milliseconds(2600)) == 2); // while it would still wait
+    BOOST_TEST(outage.come_back_s(at_ms(60'000), 0.99, milliseconds(100)) == 1);
+}
+
+// What was sent to a leader may have been kept: it is never told "not run".
+BOOST_AUTO_TEST_CASE(only_calls_that_were_not_sent_are_refused_without_a_leader)
+{
+    asio::io_context loop;
+    mesh peers(
+        loop, peer_greeting{loopback(free_port()), "edge", false}, [](const std::string&, mesh_message) {},
+        [](const std::string&, bool, const std::string&) {});
+    call_router router(loop, peers,
+                       [](const service_call&, const call_handler&)
+                       {
+                           return false;
+                       });
+    std::vector<std::string> told;
+    const auto listen = [&told](const std::string& name)
+    {
+        return [&told, name](const service_reply& reply)
+        {
+            told.push_back(name + (reply.what() == reply_kind::unavailable ? " not run" : " open"));
+        };
+    };
+    router.set_leader(loopback(free_port()));
+    router.call(submit_call{}, milliseconds(4500), listen("sent"));
+    router.set_leader("");
+    router.call(submit_call{}, milliseconds(60'000), listen("held"));
+    router.call(get_catalogue_call{}, milliseconds(60'000), listen("operator"));
+    BOOST_TEST(told.empty());
+    const auto run_until = [&](std::size_t count) // the time is only a bound for a hanging test
+    {
+        for (int i = 0; i < 400 && told.size() < count; ++i)
+        {
+            loop.run_for(milliseconds(50));
+        }
+    };
+    run_until(1);
+    BOOST_TEST((told == std::vector<std::string>{"held not run"}));
+    router.call(state_call{}, milliseconds(60'000), listen("late")); // answered before `call` returns
+    BOOST_TEST((told == std::vector<std::string>{"held not run", "late not run"}));
+    run_until(3);
+    BOOST_TEST((told == std::vector<std::string>{"held not run", "late not run", "sent open"}));
+    BOOST_TEST(router.waiting() == 1U);
+}
+
 // ---------------------------------------------------------------------------------------------------------
 // Questions to the advisor
 // ---------------------------------------------------------------------------------------------------------
