Up to 0.35 of a pool's hosts are kept for large tasks

Now that tasks keep tickets, a reserved host starts its task as soon as it is free, so more of them cost less.

--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -65,7 +65,7 @@
     double gang_reach = 5.0; ///< a gang wants to know of hosts with room for so many times its tasks when
                              ///< nothing runs there: about a third of it is free at a time
     milliseconds hold_lasts{4000};   ///< room held for a gang that gained none for that long is given up
-    double reserved_share = 0.15;    ///< of a pool's hosts kept for large tasks at a time, but one at least
+    double reserved_share = 0.35;    ///< of a pool's hosts kept for large tasks at a time, but one at least
     milliseconds gang_preempt{4500}; ///< below that, lesser runs with checkpoints are stopped for it
 };
 
