--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -97,7 +97,7 @@
         }
     };
     /// Room kept for a gang until all of its tasks can start together, or for large tasks until it is free.
-    struct gang_hold
+    struct room_hold
     {
         std::map<worker_life_id, std::uint32_t> tasks; ///< how many on each host
         std::uint32_t total{};                         ///< the sum of `tasks`
@@ -189,20 +189,20 @@
     void hold_room(const candidate& item, monotonic_time now);
     [[nodiscard]] bool may_gather(const candidate& item) const;
     [[nodiscard]] std::uint32_t held_tasks(const step_ref& ref) const;
-    void set_hold(const candidate& item, gang_hold next);
+    void set_hold(const candidate& item, room_hold next);
     void drop_hold(const step_ref& ref);
     void review_holds(monotonic_time now);
     bool learn_hosts(const candidate& item, monotonic_time now);
     void ask_for_gang(const candidate& item, monotonic_time now);
     [[nodiscard]] std::vector<worker_life_id> hosts_without_ticket(const candidate& item,
-                                                                   const gang_hold& hold, monotonic_time now);
+                                                                   const room_hold& hold, monotonic_time now);
 
     // dispatcher_reserve.cpp: hosts kept for large tasks
     void reserve_hosts(const candidate& item, std::uint32_t left, monotonic_time now);
     void learn_large_hosts(const candidate& item, monotonic_time now);
     [[nodiscard]] std::size_t reserved_hosts(const candidate& item) const;
     [[nodiscard]] std::size_t most_reserved(const candidate& item) const;
-    [[nodiscard]] std::vector<worker_life_id> hosts_soon_free(const candidate& item, const gang_hold& hold,
+    [[nodiscard]] std::vector<worker_life_id> hosts_soon_free(const candidate& item, const room_hold& hold,
                                                               monotonic_time now);
     [[nodiscard]] std::optional<double> time_until_room_on(const candidate& item, const offer& o) const;
     [[nodiscard]] std::optional<double> expected_left_ms(const run_ref& run, const run_view& known) const;
@@ -283,7 +283,7 @@
     std::map<task_ref, worker_life_id> m_planned; ///< starts that wait for their commit
     advice_book m_advice;
     objective_book m_objectives;
-    std::map<step_ref, gang_hold> m_holds;                ///< room kept for gangs
+    std::map<step_ref, room_hold> m_holds;                ///< room kept for gangs
     std::unordered_map<worker_life_id, resources> m_held; ///< the same by host
     std::map<step_ref, monotonic_time> m_hold_after;      ///< gangs that gathered in vain wait until then
     std::map<step_ref, monotonic_time> m_gang_retry;      ///< gangs without room held are looked at then
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -169,7 +169,7 @@
     return gathering < m_settings.most_gathering;
 }
 
-void dispatcher::set_hold(const candidate& item, gang_hold next)
+void dispatcher::set_hold(const candidate& item, room_hold next)
 {
     drop_hold(item.ref);
     if (next.total == 0)
@@ -238,7 +238,7 @@
                   return std::make_tuple(own(b), spares_accelerators(item, b), b.slots, b.worker->id) <
                          std::make_tuple(own(a), spares_accelerators(item, a), a.slots, a.worker->id);
               });
-    gang_hold next;
+    room_hold next;
     next.each = room_of(*item.step);
     next.missed = item.missed();
     for (const offer& o : offers)
@@ -294,7 +294,7 @@
 // ---------------------------------------------------------------------------------------------------------
 
 // Those of its hosts whose tickets would be over before a question about all of them is answered.
-std::vector<worker_life_id> dispatcher::hosts_without_ticket(const candidate& item, const gang_hold& hold,
+std::vector<worker_life_id> dispatcher::hosts_without_ticket(const candidate& item, const room_hold& hold,
                                                              monotonic_time now)
 {
     const advice_terms& terms = item.queue->advice;
--- a/src/dispatch/dispatcher_reserve.cpp
+++ b/src/dispatch/dispatcher_reserve.cpp
@@ -112,7 +112,7 @@
                          std::make_tuple(!b.kept, b.wait_ms, b.at.worker->id);
               });
     const std::size_t wanted = std::min<std::size_t>({left, places.size(), most - std::min(most, others)});
-    gang_hold next;
+    room_hold next;
     next.each = room_of(*item.step);
     next.missed = item.missed();
     next.gathers = false;
@@ -148,7 +148,7 @@
 
 // Reserved hosts whose room comes about when a question about them is answered, and that have no ticket which
 // counts then.
-std::vector<worker_life_id> dispatcher::hosts_soon_free(const candidate& item, const gang_hold& hold,
+std::vector<worker_life_id> dispatcher::hosts_soon_free(const candidate& item, const room_hold& hold,
                                                         monotonic_time now)
 {
     std::vector<worker_life_id> soon;
--- /dev/null
+++ b/src/replication/replica_election.cpp
@@ -0,0 +1,275 @@
+// The part of replica that elects leaders and keeps their leases.
+
+#include <walkthread/replication/replica.hpp>
+
+#include <algorithm>
+
+namespace walkthread
+{
+
+namespace
+{
+// A leader asks for a longer promise once its quorum's answers are that part of it old, and for so much more.
+constexpr double slow_part = 0.6;
+constexpr double longer_factor = 1.5;
+} // namespace
+
+// ---------------------------------------------------------------------------------------------------------
+// Elections
+// ---------------------------------------------------------------------------------------------------------
+
+void replica::start_election(bool pre, bool transfer, monotonic_time now)
+{
+    m_role = pre ? replica_role::pre_candidate : replica_role::candidate;
+    m_leader = {};
+    m_votes = {m_self};
+    if (!pre)
+    {
+        m_state.term = term_id{m_state.term.value() + 1};
+        m_state.vote = m_self;
+        m_output.state = m_state;
+    }
+    // A question is asked again soon, each replica in its turn; votes may wait for slow disks.
+    const duration round = m_settings.election_step * static_cast<std::int64_t>(m_members.voters.size());
+    set_election_timer(pre ? round : m_settings.vote_patience, now);
+    if (m_members.quorum() == 1)
+    {
+        pre ? start_election(false, transfer, now) : become_leader(now);
+        return;
+    }
+    const term_id asked = pre ? term_id{m_state.term.value() + 1} : m_state.term;
+    for (const replica_id& voter : m_members.voters)
+    {
+        if (voter != m_self)
+        {
+            send(voter, vote_request{asked, m_log.last_index(), m_log.last_term(), pre, transfer});
+        }
+    }
+}
+
+void replica::handle(const replica_id& from, const vote_request& m, monotonic_time now)
+{
+    // One that this replica follows and that asks for votes leads no more.
+    const bool was_leader = m_state.leader == from;
+    const bool refused_by_leader = hears_leader(now) && !m.transfer && !was_leader;
+    if (m.pre)
+    {
+        const bool granted =
+            m.term > m_state.term && !refused_by_leader && log_is_current(m.last_index, m.last_term);
+        send(from, vote_reply{granted ? m.term : m_state.term, granted, true});
+        return;
+    }
+    if (m.term < m_state.term || (m.term > m_state.term && refused_by_leader))
+    {
+        send(from, vote_reply{m_state.term, false, false});
+        return;
+    }
+    if (m.term > m_state.term)
+    {
+        become_follower(m.term, {}, now);
+    }
+    const bool free_to_vote = m_state.vote == replica_id{} || m_state.vote == from;
+    const bool granted =
+        free_to_vote && m_role == replica_role::follower && log_is_current(m.last_index, m.last_term);
+    if (granted)
+    {
+        m_state.vote = from;
+        m_output.state = m_state;
+        set_election_timer(m_settings.vote_patience, now);
+    }
+    send(from, vote_reply{m_state.term, granted, false});
+}
+
+void replica::handle(const replica_id& from, const vote_reply& m, monotonic_time now)
+{
+    if (!m.granted && m.term > m_state.term)
+    {
+        become_follower(m.term, {}, now);
+        return;
+    }
+    const bool expected =
+        m.pre ? m_role == replica_role::pre_candidate && m.term.value() == m_state.term.value() + 1
+              : m_role == replica_role::candidate && m.term == m_state.term;
+    if (!expected || !m.granted || !m_members.is_voter(from))
+    {
+        return;
+    }
+    m_votes.insert(from);
+    if (m_votes.size() >= m_members.quorum())
+    {
+        m.pre ? start_election(false, false, now) : become_leader(now);
+    }
+}
+
+void replica::handle(const replica_id& /*from*/, const election_order& m, monotonic_time now)
+{
+    const bool may_stand = m_members.is_voter(m_self) && !m_declines;
+    if (m.term == m_state.term && m_role == replica_role::follower && may_stand)
+    {
+        start_election(false, true, now);
+    }
+}
+
+void replica::become_follower(term_id term, replica_id leader, monotonic_time now)
+{
+    if (term > m_state.term)
+    {
+        m_state.term = term;
+        m_state.vote = {};
+        m_output.state = m_state;
+    }
+    m_role = replica_role::follower;
+    m_leader = leader;
+    m_transferring = false;
+    m_progress.clear();
+    set_election_timer(m_promise, now);
+}
+
+// Takes a message of the leader as a sign of life. A longer promise is synced before it is answered for, so
+// that it holds over a restart; the leader of a later term starts with its own, as every earlier lease is
+// over then.
+void replica::heed_leader(term_id term, const replica_id& leader, std::int64_t asked, monotonic_time now)
+{
+    const duration wanted =
+        std::clamp(duration{asked}, m_settings.election_timeout, m_settings.election_most);
+    const bool later = term > m_promise_term;
+    if (later || wanted > m_promise)
+    {
+        m_promise = wanted;
+        m_promise_term = term;
+    }
+    const bool changed = m_promise.count() > m_state.promise || m_state.leader != leader;
+    become_follower(term, leader, now);
+    m_last_leader_contact = now;
+    if (later || changed)
+    {
+        m_state.promise = m_promise.count();
+        m_state.leader = leader;
+        m_output.state = m_state;
+    }
+}
+
+// Where a quorum answers slowly, as its disks are slow, a short lease would run out between two answers, and
+// the leader would lose its place over and over.
+void replica::adapt_promise(monotonic_time now)
+{
+    const duration silence = now - std::max(quorum_contact(now), m_leader_since);
+    const auto slow = std::chrono::duration_cast<duration>(m_promise * slow_part);
+    if (silence < slow || m_promise >= m_settings.election_most)
+    {
+        return;
+    }
+    m_promise_before = m_promise;
+    m_promise_since = now;
+    const auto longer = std::chrono::duration_cast<duration>(m_promise * longer_factor);
+    m_promise = std::min(longer, m_settings.election_most);
+}
+
+void replica::become_leader(monotonic_time now)
+{
+    m_role = replica_role::leader;
+    m_leader = m_self;
+    m_leader_since = now;
+    m_promise = m_settings.election_timeout;
+    m_promise_before = m_promise;
+    m_promise_since = now;
+    m_promise_term = m_state.term;
+    m_state.leader = m_self;
+    m_output.state = m_state;
+    m_transferring = false;
+    m_progress.clear();
+    refresh_progress(now);
+    m_term_start = log_index{m_log.last_index().value() + 1};
+    append_local(entry_kind::no_op, {});
+}
+
+void replica::step_down_if_alone(monotonic_time now)
+{
+    const monotonic_time contact = std::max(quorum_contact(now), m_leader_since);
+    const bool alone = now - contact > m_promise;
+    const bool order_ran_out = m_transferring && now - m_transfer_started > m_promise;
+    const bool removed = !m_members.is_voter(m_self) && m_members_index <= m_commit;
+    if (alone || order_ran_out || removed)
+    {
+        become_follower(m_state.term, {}, now);
+    }
+}
+
+// The replicas stand one after the other, each a step later than the one before it, and the term decides who
+// comes first: two that stand at once would split the votes. The half step lets all of them notice the
+// silence first.
+void replica::set_election_timer(duration wait, monotonic_time now)
+{
+    const auto rank = static_cast<std::int64_t>(own_rank());
+    const duration step = m_settings.election_step;
+    const auto jitter =
+        static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(step.count() / 4 + 1));
+    m_election_at = now + wait + step / 2 + step * rank + duration{jitter};
+}
+
+std::size_t replica::own_rank() const
+{
+    const auto& voters = m_members.voters;
+    const auto self = std::find(voters.begin(), voters.end(), m_self);
+    if (self == voters.end())
+    {
+        return 0;
+    }
+    return (static_cast<std::size_t>(self - voters.begin()) + m_state.term.value()) % voters.size();
+}
+
+bool replica::log_is_current(log_index last_index, term_id last_term) const
+{
+    const term_id own = m_log.last_term();
+    return last_term > own || (last_term == own && last_index >= m_log.last_index());
+}
+
+bool replica::hears_leader(monotonic_time now) const
+{
+    return m_role == replica_role::leader ? quorum_contact(now) + m_promise > now
+                                          : m_last_leader_contact + m_promise > now;
+}
+
+// When each voter last surely heard this leader: the times at which the messages were sent that it answered.
+std::vector<monotonic_time> replica::voters_contact(monotonic_time now) const
+{
+    std::vector<monotonic_time> times;
+    for (const replica_id& voter : m_members.voters)
+    {
+        const auto found = m_progress.find(voter);
+        const bool known = found != m_progress.end();
+        times.push_back(voter == m_self ? now : known ? found->second.acked_sent_at : monotonic_time{});
+    }
+    return times;
+}
+
+monotonic_time replica::quorum_contact(monotonic_time now) const
+{
+    std::vector<monotonic_time> times = voters_contact(now);
+    if (times.empty())
+    {
+        return monotonic_time{};
+    }
+    std::sort(times.begin(), times.end(), std::greater<>());
+    return times[m_members.quorum() - 1];
+}
+
+// Until when a quorum surely gives its votes to nobody else, whatever the drift of two clocks.
+monotonic_time replica::lease_end(monotonic_time now) const
+{
+    const double safe_part = 1.0 - 2.0 * m_settings.clock_drift;
+    std::vector<monotonic_time> ends;
+    for (const monotonic_time contact : voters_contact(now))
+    {
+        const duration promised = contact >= m_promise_since ? m_promise : m_promise_before;
+        ends.push_back(contact + std::chrono::duration_cast<duration>(promised * safe_part));
+    }
+    if (ends.empty())
+    {
+        return monotonic_time{};
+    }
+    std::sort(ends.begin(), ends.end(), std::greater<>());
+    return ends[m_members.quorum() - 1];
+}
+
+} // namespace walkthread
--- a/tests/src/unit-dispatch.cpp
+++ b/tests/src/unit-dispatch.cpp
@@ -3,29 +3,13 @@
 
 #include <cstdlib>
 
-#include "pool_stand_in.hpp"
+#include "small_pool.hpp"
 
 using namespace walkthread;
 using namespace walkthread::test;
 
 namespace
 {
-pool_settings small(std::size_t workers = 8)
-{
-    pool_settings settings;
-    settings.workers = workers;
-    return settings;
-}
-
-void check_unbroken(const pool_stand_in& pool)
-{
-    for (const std::string& line : pool.broken())
-    {
-        BOOST_TEST_MESSAGE(line);
-    }
-    BOOST_TEST(pool.broken().empty());
-}
-
 // How many seeds the random days take: few in CI, as many as asked for by hand.
 std::uint64_t seed_count(std::uint64_t usual)
 {
@@ -364,98 +348,6 @@
     check_unbroken(pool);
 }
 
-// ---------------------------------------------------------------------------------------------------------
-// Reports that come late
-// ---------------------------------------------------------------------------------------------------------
-
-namespace
-{
-// Four tasks of 2.5 s, all on that host of two.
-submission_id occupy(pool_stand_in& pool, const std::string& life)
-{
-    pool.report("w1", true);
-    const submission_id id = pool.submit("plain", {make_step(4, 4000, 2500)});
-    pool.run(milliseconds(200));
-    BOOST_TEST(pool.running_on(life) == 4U);
-    pool.report("w1", false);
-    return id;
-}
-
-void check_started_once(pool_stand_in& pool, submission_id id)
-{
-    BOOST_TEST((pool.phase(id) == submission_phase::completed));
-    for (std::uint32_t i = 0; i < 4; ++i)
-    {
-        BOOST_TEST(pool.starts_of({{id, round_id{0}, 0}, i}) == 1U);
-    }
-    check_unbroken(pool);
-}
-} // namespace
-
-// The leader first learns from the address itself that another life is there, then from that life, then hears
-// the one that is over.
-BOOST_AUTO_TEST_CASE(a_late_report_of_a_life_that_ended_unheard_changes_nothing)
-{
-    pool_stand_in pool(small(2));
-    pool.lead();
-    pool.run(seconds(1));
-    pool.crash("w0", "w0-again", false);
-    pool.run(seconds(4));
-    pool.faults("w0-again").unheard = false;
-    pool.report("w0-again", false);
-    pool.run(seconds(1));
-    const submission_id id = occupy(pool, "w0-again");
-    pool.report("w0", false);
-    pool.run(seconds(6));
-    check_started_once(pool, id);
-}
-
-BOOST_AUTO_TEST_CASE(a_late_report_changes_nothing_under_the_next_leader_either)
-{
-    pool_stand_in pool(small(2));
-    pool.lead();
-    pool.run(seconds(1));
-    pool.crash("w0", "w0-again", false);
-    pool.run(seconds(4));
-    pool.faults("w0-again").unheard = false;
-    pool.report("w0-again", false);
-    pool.run(seconds(1));
-    const submission_id id = occupy(pool, "w0-again");
-    pool.lead();
-    pool.report("w0", false);
-    pool.run(seconds(6));
-    check_started_once(pool, id);
-}
-
-// The first report of a life that is over comes only after the life behind it has work.
-BOOST_AUTO_TEST_CASE(a_first_report_that_comes_late_changes_nothing)
-{
-    pool_stand_in pool(small(2));
-    pool.lead();
-    pool.run(seconds(1));
-    pool.crash("w0", "w0-unheard", false);
-    pool.crash("w0-unheard", "w0-again");
-    pool.run(seconds(1));
-    const submission_id id = occupy(pool, "w0-again");
-    pool.report("w0-unheard", false);
-    pool.run(seconds(6));
-    check_started_once(pool, id);
-}
-
-// A life whose address does not answer yet is not taken for the one that lives there.
-BOOST_AUTO_TEST_CASE(a_life_that_does_not_answer_replaces_nobody)
-{
-    pool_stand_in pool(small(2));
-    pool.lead();
-    pool.run(seconds(1));
-    const submission_id id = occupy(pool, "w0");
-    pool.add_worker("w0-silent", "h0", false);
-    pool.faults("w0-silent").dark = true;
-    pool.report("w0-silent", false);
-    pool.run(seconds(6));
-    check_started_once(pool, id);
-}
-
 // Everything at once, from seeds: late orders, refusals, dark and crashing workers, failing ones, changes of
 // leader.
 namespace
