Cells of tests that run side by side take ports that no other takes

Change: both stand-ins take ports from one place: below that range, a block for each test process, free at every address.

--- a/tests/fakes/cell.py
+++ b/tests/fakes/cell.py
@@ -7,7 +7,6 @@
 import random
 import shutil
 import signal
-import socket
 import subprocess
 import tempfile
 import threading
@@ -15,6 +14,7 @@
 import uuid
 
 from host_list import Platform
+from ports import free_port
 from records import Records
 from relay import Relay
 from worker import Worker
@@ -28,25 +28,6 @@
                "request_ms": 3000}
 
 
-# Ports below the range from which the system takes those of outgoing connections; each test process has its own block.
-FIRST_PORT, BLOCK, BLOCKS = 10000, 100, 220
-next_port = 0
-
-
-def free_port():
-    global next_port
-    while True:
-        port = FIRST_PORT + os.getpid() % BLOCKS * BLOCK + next_port % BLOCK
-        next_port += 1
-        with socket.socket() as s:
-            s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                s.bind(("127.0.0.1", port))
-                return port
-            except OSError:
-                continue
-
-
 def sha256(text):
     return hashlib.sha256(text.encode()).hexdigest()
 
--- a/tests/fakes/platform_cell.py
+++ b/tests/fakes/platform_cell.py
@@ -9,28 +9,18 @@
 import os
 import random
 import signal
-import socket
 import subprocess
 import tempfile
 import threading
 import time
 
+from ports import free_port
+
 HOST, PREFIX = "example.test", "/q/"
 WORKER_CPU = 16000  # thousandths of a core
 LATE_S = (2.0, 4.0)  # after which an order that got no answer is carried out; the platform's are 2 to 12
 
 
-def free_ports(count):
-    """Ports that are free now; all are held until all are known."""
-    held = [socket.socket() for _ in range(count)]
-    for s in held:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in held]
-    for s in held:
-        s.close()
-    return ports
-
-
 def loopback(number):
     """Each process has an address of its own, as machines do; all are of the loopback."""
     return "127.0.0.%d" % (10 + number)
@@ -230,7 +220,7 @@
         self.run_seconds = run_seconds
         self.starts, self.done, self.noted, self.violations, self.tickets, self.workers = [], [], [], [], {}, []
         self.processes, self.logs = {}, {}
-        self.peer, self.control, self.front, self.ready = free_ports(4)
+        self.peer, self.control, self.front, self.ready = (free_port() for _ in range(4))
         self.cores, self.edges = list(range(1, cores + 1)), list(range(cores + 1, cores + edges + 1))
         self.advisor = Server(self.advise)
         for number in self.cores + self.edges:
--- /dev/null
+++ b/tests/process/test_ports.py
@@ -0,0 +1,25 @@
+"""Cells that run side by side: a process that is down does not lose its port to another cell or to a connection."""
+
+import os
+import socket
+import sys
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "fakes"))
+from ports import free_port  # noqa: E402
+
+
+def ports_lie_below_those_of_outgoing_connections():
+    with open("/proc/sys/net/ipv4/ip_local_port_range") as kernel:
+        lowest = int(kernel.read().split()[0])
+    assert all(free_port() < lowest for _ in range(20))
+
+
+def a_port_in_use_at_another_address_is_not_free():
+    following = free_port() + 1
+    with socket.create_server(("127.0.0.11", following)):
+        assert free_port() != following
+
+
+ports_lie_below_those_of_outgoing_connections()
+a_port_in_use_at_another_address_is_not_free()
+print("ports passed.")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,7 +22,8 @@
 sys.path[:0] = [HERE, os.path.join(HERE, "..", "fakes")]
 import platform_cell  # noqa: E402
 from peer_proxy import Faults, PeerProxy  # noqa: E402
-from platform_cell import HOST, PREFIX, PlatformCell, call, free_ports, loopback, wait_for  # noqa: E402
+from platform_cell import HOST, PREFIX, PlatformCell, call, loopback, wait_for  # noqa: E402
+from ports import free_port  # noqa: E402
 
 SMALL = {"cpu": 1500, "mem-mb": 200, "estimate-ms": 300}
 KINDS = [[dict(SMALL, count=2)], [dict(SMALL, count=4), dict(SMALL, count=2, **{"after-rev": [0]})],
@@ -43,7 +44,7 @@
 
     def own_settings(self, number):
         if number not in self.proxies:
-            self.bind[number] = free_ports(1)[0]
+            self.bind[number] = free_port()
             ip = loopback(number)
             self.proxies[number] = PeerProxy(ip, (ip, self.peer), (ip, self.bind[number]), self.faults)
         return ['peer-bind = "%s:%d"' % (loopback(number), self.bind[number])]
@@ -51,7 +52,7 @@
     def reachable(self, address):
         """Workers are met through proxies too."""
         host, port = address.rsplit(":", 1)
-        listen = ("127.0.0.1", free_ports(1)[0])
+        listen = ("127.0.0.1", free_port())
         self.proxies[address] = PeerProxy(address, listen, (host, int(port)), self.faults)
         return "%s:%d" % listen
 
