That a worker leaves is replicated before it is acknowledged

From the logs: i-6483d48d1f said that it leaves at 20.00 s and was acknowledged by core-stgo-b-1, which lost power at 24.6 s; core-rancagua-a-1 led from 25.04 s and heard of it at 27.98 s, as the worker's reports still went to the former leader; until then it started tasks there. What a worker said was known to its leader alone.

Change: mark_leaving is committed before the report is acknowledged; a new leader starts with it. Of two reports the one with the higher sequence counts, also under another leader.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -155,6 +155,8 @@
 
     // dispatcher_reports.cpp: which lives there are
     void take_known_report(worker_view& view, const worker_report& report, monotonic_time now);
+    void record_leaving(const worker_life& known, const worker_report& report,
+                        const std::function<void(bool)>& done);
     void ask_who_lives_there(const worker_report& report, worker_life_id present,
                              const std::function<void(bool)>& done);
     void admit(const worker_report& report, const std::function<void(bool)>& done);
--- a/include/walkthread/fabric/messages.hpp
+++ b/include/walkthread/fabric/messages.hpp
@@ -133,10 +133,10 @@
     std::int32_t code{};    ///< a workload_code where refused
     std::uint64_t number{}; ///< a count, a version or a submission_phase; unavailable: seconds until the
                             ///< caller should come back, 0 for the usual time
-    std::string text;     ///< a document or a reason
-    std::string leader;   ///< where not leading: who does, as far as known
-    std::string redirect; ///< reports: where to send later ones; empty for anywhere
-    advice_answer advice; ///< advise_call only
+    std::string text;       ///< a document or a reason
+    std::string leader;     ///< where not leading: who does, as far as known
+    std::string redirect;   ///< reports: where to send later ones; empty for anywhere
+    advice_answer advice;   ///< advise_call only
     MSGPACK_DEFINE(kind, code, number, text, leader, redirect, advice)
 
     [[nodiscard]] reply_kind what() const
--- a/include/walkthread/workload/commands.hpp
+++ b/include/walkthread/workload/commands.hpp
@@ -84,6 +84,16 @@
     MSGPACK_DEFINE(worker, for_good)
 };
 
+/// @brief A worker said that it is about to leave, or that it stays after all. Of two, the one with the
+/// higher sequence counts.
+struct mark_leaving
+{
+    worker_life_id worker{};
+    std::uint64_t sequence{}; ///< of the report
+    bool leaving{};
+    MSGPACK_DEFINE(worker, sequence, leaving)
+};
+
 /// @brief One start to be made.
 struct planned_start
 {
@@ -155,7 +165,7 @@
 
 using workload_command =
     std::variant<replace_catalogue, keep_submission, cancel_submission, admit_worker, drop_worker,
-                 record_starts, record_ends, forget_submissions, begin_wave, advance_upkeep>;
+                 record_starts, record_ends, forget_submissions, begin_wave, advance_upkeep, mark_leaving>;
 
 /// @brief What applying a command gave: 0, or a workload_code.
 struct workload_result
--- a/include/walkthread/workload/workload_state.hpp
+++ b/include/walkthread/workload/workload_state.hpp
@@ -28,7 +28,9 @@
     std::uint64_t listed_up_to{};          ///< ends that it numbered up to this are recorded
     std::map<run_ref, resources> occupied; ///< runs that may exist there, and what they take
     resources used{};                      ///< the sum of `occupied`
-    MSGPACK_DEFINE(id, facts, listed_up_to, occupied, used)
+    bool leaving{};                        ///< it said so: nothing new goes there
+    std::uint64_t leaving_sequence{};      ///< of the report that `leaving` follows
+    MSGPACK_DEFINE(id, facts, listed_up_to, occupied, used, leaving, leaving_sequence)
 };
 
 /// @brief A wave of upkeep as replicated.
@@ -128,6 +130,7 @@
     workload_result handle(wall_ms at, const cancel_submission& command);
     workload_result handle(wall_ms at, const admit_worker& command);
     workload_result handle(wall_ms at, const drop_worker& command);
+    workload_result handle(wall_ms at, const mark_leaving& command);
     workload_result handle(wall_ms at, const record_starts& command);
     workload_result handle(wall_ms at, const record_ends& command);
     workload_result handle(wall_ms at, const forget_submissions& command);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -87,6 +87,9 @@
         view.id = id;
         view.heard = now;
         view.next_quarantine = m_settings.quarantine;
+        view.draining = worker.leaving;
+        view.sequence = worker.leaving_sequence;     // an older report that comes late changes nothing
+        view.leaves_at = now + m_settings.lease_cap; // unknown until it reports here, which takes seconds
         const double longest =
             static_cast<double>(m_settings.lease_cap.count()) * (1.0 + 2 * m_settings.clock_drift);
         const bool inherited = now == m_began || !worker.occupied.empty();
--- a/src/dispatch/dispatcher_reports.cpp
+++ b/src/dispatch/dispatcher_reports.cpp
@@ -13,7 +13,7 @@
     {
         sync_views(now);
         take_known_report(m_views[known->id], report, now);
-        done(true);
+        record_leaving(*known, report, done);
         return;
     }
     if (!m_joining.insert(report.facts.host).second)
@@ -50,6 +50,20 @@
     m_hooks.wake();
 }
 
+// Whether a worker leaves is acknowledged once the next leader would know it as well: it hears the worker
+// seconds after it began to lead, as reports went to the former one (a start 7.7 s after the acknowledgement
+// was seen).
+void dispatcher::record_leaving(const worker_life& known, const worker_report& report,
+                                const std::function<void(bool)>& done)
+{
+    if (report.draining == known.leaving || report.sequence <= known.leaving_sequence)
+    {
+        done(true);
+        return;
+    }
+    m_hooks.propose(mark_leaving{known.id, report.sequence, report.draining}, done);
+}
+
 // A report that a cut held back may come after its life has ended and another one has begun on the host: its
 // arrival does not make it the newer one. So the address is asked who lives there, before the work of the
 // life that is present is given up. Without it, work ran twice on 13 of 16 days on which workers crashed
--- a/src/workload/workload_state.cpp
+++ b/src/workload/workload_state.cpp
@@ -303,6 +303,17 @@
     return {};
 }
 
+workload_result workload_state::handle(wall_ms /*at*/, const mark_leaving& command)
+{
+    const auto found = m_workers.find(command.worker);
+    if (found != m_workers.end() && command.sequence > found->second.leaving_sequence)
+    {
+        found->second.leaving = command.leaving;
+        found->second.leaving_sequence = command.sequence;
+    }
+    return {};
+}
+
 workload_result workload_state::handle(wall_ms /*at*/, const record_starts& command)
 {
     if (command.starts.empty())
--- a/tests/src/unit-lives.cpp
+++ b/tests/src/unit-lives.cpp
@@ -95,3 +95,47 @@
     pool.run(seconds(6));
     check_started_once(pool, id);
 }
+
+// ---------------------------------------------------------------------------------------------------------
+// Workers that leave
+// ---------------------------------------------------------------------------------------------------------
+
+// cruzadas-prod, mix --seed 767010107367: a worker that had said to the last leader that it leaves got new
+// tasks from the next one, until it reported there too.
+BOOST_AUTO_TEST_CASE(a_worker_that_leaves_gets_nothing_new_from_the_next_leader)
+{
+    pool_stand_in pool(small(3));
+    pool.lead();
+    pool.run(seconds(1));
+    pool.report("w0", true, 60'000);
+    pool.run(milliseconds(50));
+    pool.faults("w0").unheard = true; // the next leader has not heard it yet
+    pool.lead();
+    const std::size_t before = pool.starts_on("w0");
+    for (int i = 0; i < 10; ++i)
+    {
+        pool.submit("plain", {make_step(4, 1000, 300)});
+    }
+    pool.run(seconds(5));
+    BOOST_TEST(pool.starts_on("w0") == before);
+    BOOST_TEST(pool.starts_on("w1") + pool.starts_on("w2") == 40U);
+}
+
+// That it leaves is acknowledged once the next leader would know it; an older report does not take it back.
+BOOST_AUTO_TEST_CASE(that_a_worker_leaves_is_replicated)
+{
+    pool_stand_in pool(small(2));
+    pool.lead();
+    pool.run(seconds(1));
+    const worker_life& life = *pool.state().find_life("w0");
+    pool.report("w0", true, 60'000);
+    BOOST_TEST(!life.leaving); // not committed yet
+    pool.run(milliseconds(50));
+    BOOST_TEST(life.leaving);
+    pool.state().apply(0, mark_leaving{life.id, 0, false});
+    BOOST_TEST(life.leaving);
+    pool.run(seconds(2));
+    pool.report("w0", false);
+    pool.run(milliseconds(50));
+    BOOST_TEST(!life.leaving);
+}
