--- a/tests/fakes/ports.py
+++ b/tests/fakes/ports.py
@@ -1,19 +1,38 @@
 """Ports for cells that run side by side."""
 
+import fcntl
 import os
 import socket
+import tempfile
 
 # Below the range from which the system takes those of outgoing connections, so that a process that was stopped finds its
-# port free when it starts again; each test process has a block of its own.
+# port free when it starts again; each test process has a block of its own while it lives.
 FIRST_PORT, BLOCK, BLOCKS = 10000, 100, 220
+held_lock = None
+own_block = 0
 next_port = 0
 
 
+def lock_block(start):
+    """The first block from `start` on that no other test process holds, and the lock that holds it."""
+    for number in range(start, start + BLOCKS):
+        block = number % BLOCKS
+        lock = open(os.path.join(tempfile.gettempdir(), "walkthread-ports-%d.lock" % block), "w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            return block, lock
+        except OSError:
+            lock.close()
+    raise RuntimeError("All blocks of ports are in use.")
+
+
 def free_port():
     """A port that nobody uses now at any address of this machine."""
-    global next_port
+    global held_lock, own_block, next_port
+    if held_lock is None:
+        own_block, held_lock = lock_block(os.getpid())
     while True:
-        port = FIRST_PORT + os.getpid() % BLOCKS * BLOCK + next_port % BLOCK
+        port = FIRST_PORT + own_block * BLOCK + next_port % BLOCK
         next_port += 1
         with socket.socket() as s:
             s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/tests/process/test_ports.py
+++ b/tests/process/test_ports.py
@@ -5,7 +5,7 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "fakes"))
-from ports import free_port  # noqa: E402
+from ports import free_port, lock_block  # noqa: E402
 
 
 def ports_lie_below_those_of_outgoing_connections():
@@ -20,6 +20,15 @@
         assert free_port() != following
 
 
+def no_two_processes_have_one_block():
+    first, first_lock = lock_block(7)
+    second, second_lock = lock_block(7)
+    assert first != second
+    first_lock.close()
+    second_lock.close()
+
+
 ports_lie_below_those_of_outgoing_connections()
+no_two_processes_have_one_block()
 a_port_in_use_at_another_address_is_not_free()
 print("ports passed.")
