Logs and metrics tell who leads, and what a leader knew of a worker that leaves

Cause: of the record of the incident nobody can tell who led when, nor what the leader that started a task knew of its worker: a process that stays in touch with one leader after the other writes nothing, and no line names the source of what is believed of a worker.

Counters walkthread_leader_changes_total and walkthread_task_starts_before_report_total.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -34,6 +34,7 @@
     std::uint64_t lost_workers{};
     std::uint64_t questions{};
     std::uint64_t preemptions{};
+    std::uint64_t starts_before_report{}; ///< on workers that had not reported to this leader yet
 };
 
 /// @brief The leader's decisions. One object lives as long as one term of leadership.
@@ -243,6 +244,7 @@
     void drop_replaced(worker_view& view, monotonic_time now);
     void drop_worker_life(worker_view& view, std::string_view reason, bool for_good, monotonic_time now);
     void send_start(worker_life_id worker, const run_ref& run, monotonic_time now);
+    void note_start(worker_view& view, const run_ref& run, monotonic_time now);
     void take_start(worker_life_id worker, const run_ref& run, const order_answer& answer,
                     monotonic_time now);
     void send_stop(worker_view& view, const run_ref& run, monotonic_time now);
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -121,6 +121,8 @@
     double speed = 1.0;       ///< learned from run times against what was expected
     resources planned{};      ///< room of starts that wait for their commit
     std::uint64_t sequence{}; ///< of the newest report
+    bool reported{};          ///< to this leader; before that only the log tells whether it leaves
+    bool start_noted{};       ///< a start before its first report here was written to the log
     std::map<run_ref, run_view> runs;
 
     /// @brief Notes the worker's clock as read by it no later than `now`.
--- a/include/walkthread/fabric/core_node.hpp
+++ b/include/walkthread/fabric/core_node.hpp
@@ -57,6 +57,11 @@
     void take(const std::string& from, mesh_message message) override;
     bool handle_locally(const service_call& body, const call_handler& handler) override;
     void ask_around(monotonic_time now) override;
+    [[nodiscard]] std::uint64_t known_term() const override
+    {
+        const replica& core = m_replica->group().core();
+        return core.leader().node.value() != 0 ? core.term().value() : m_watch.term();
+    }
 
   private:
     // core_node.cpp: the replica, leadership; core_members.cpp: peers, membership
--- a/include/walkthread/fabric/fabric_node.hpp
+++ b/include/walkthread/fabric/fabric_node.hpp
@@ -66,6 +66,11 @@
     virtual std::string start();
     /// @brief Sends a call to the leader; see `call_router::call`.
     void call(service_call body, milliseconds patience, call_handler handler);
+    /// @brief The address of the leader that this process follows; empty for unknown.
+    [[nodiscard]] const std::string& leader() const
+    {
+        return m_router.leader();
+    }
     /// @brief Whether a leader is known and answers.
     [[nodiscard]] bool connected() const;
     /// @brief How long there has been no leader; zero if one is known.
@@ -88,6 +93,14 @@
     virtual void ask_around(monotonic_time now);
     void note(std::string_view event, std::string_view subject, std::initializer_list<log_field> fields);
     void answer_call(const std::string& from, const call_note& note);
+    /// @brief Sends calls to this leader from now on; empty for unknown. Each change of the leader or of its
+    /// term is written to the log, also where this process was never without one.
+    void follow(const std::string& leader);
+    /// @brief The newest term this process knows of.
+    [[nodiscard]] virtual std::uint64_t known_term() const
+    {
+        return m_watch.term();
+    }
 
     boost::asio::io_context& m_loop;
     fabric_settings m_settings;
@@ -101,7 +114,9 @@
 
   private:
     void tick();
-    bool m_was_connected = false;
+    std::string m_followed;            ///< the leader in the last line of the log about it
+    std::uint64_t m_followed_term = 0; ///< its term there
+    std::uint64_t m_leader_changes = 0;
 };
 
 } // namespace walkthread
--- a/include/walkthread/fabric/leader_watch.hpp
+++ b/include/walkthread/fabric/leader_watch.hpp
@@ -43,6 +43,11 @@
     {
         return m_leader;
     }
+    /// @brief The newest term that a leader was known in.
+    [[nodiscard]] std::uint64_t term() const
+    {
+        return m_term;
+    }
     [[nodiscard]] const std::set<std::string>& known() const
     {
         return m_known;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -90,6 +90,13 @@
         view.draining = worker.leaving;
         view.sequence = worker.leaving_sequence;     // an older report that comes late changes nothing
         view.leaves_at = now + m_settings.lease_cap; // unknown until it reports here, which takes seconds
+        if (worker.leaving)
+        {
+            note(now, "worker_draining", worker.facts.life,
+                 {{"from", "log"},
+                  {"sequence", worker.leaving_sequence},
+                  {"runs", worker.occupied.size()}});
+        }
         const double longest =
             static_cast<double>(m_settings.lease_cap.count()) * (1.0 + 2 * m_settings.clock_drift);
         const bool inherited = now == m_began || !worker.occupied.empty();
--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -36,6 +36,7 @@
     order.checkpoint = task->checkpoint;
     order.ticket = known.ticket == "-" ? std::string{} : known.ticket;
     order.until_ms = view.grant(now, std::min(m_settings.start_window, m_settings.lease_cap));
+    note_start(view, run, now);
     known.sent = now;
     known.order_in_flight = true;
     ++known.tries;
@@ -50,6 +51,24 @@
                   });
 }
 
+// What is known of a worker that gets work before it has reported to this leader is only what the log says.
+// One line for each such worker, so that a start there can be explained.
+void dispatcher::note_start(worker_view& view, const run_ref& run, monotonic_time now)
+{
+    m_counters.starts_before_report += view.reported ? 0 : 1;
+    if (view.reported || view.start_noted)
+    {
+        return;
+    }
+    view.start_noted = true;
+    const worker_life& worker = *m_state.find(view.id);
+    note(now, "start_before_report", name_of(run),
+         {{"worker", worker.facts.life},
+          {"leaving", worker.leaving},
+          {"sequence", worker.leaving_sequence},
+          {"led_for_ms", now - m_began}});
+}
+
 void dispatcher::take_start(worker_life_id worker, const run_ref& run, const order_answer& answer,
                             monotonic_time now)
 {
--- a/src/dispatch/dispatcher_reports.cpp
+++ b/src/dispatch/dispatcher_reports.cpp
@@ -32,13 +32,17 @@
 
 void dispatcher::take_known_report(worker_view& view, const worker_report& report, monotonic_time now)
 {
+    view.reported = true;
     if (report.sequence >= view.sequence)
     {
         view.sequence = report.sequence;
         if (report.draining != view.draining)
         {
             note(now, report.draining ? "worker_draining" : "worker_ready", report.facts.life,
-                 {{"remaining_ms", report.remaining_ms}, {"runs", m_state.find(view.id)->occupied.size()}});
+                 {{"from", "report"},
+                  {"sequence", report.sequence},
+                  {"remaining_ms", report.remaining_ms},
+                  {"runs", m_state.find(view.id)->occupied.size()}});
         }
         view.draining = report.draining;
         view.leaves_at = now + milliseconds(report.remaining_ms);
@@ -61,7 +65,22 @@
         done(true);
         return;
     }
-    m_hooks.propose(mark_leaving{known.id, report.sequence, report.draining}, done);
+    m_hooks.propose(
+        mark_leaving{known.id, report.sequence, report.draining},
+        [this, alive = m_alive, life = known.facts.life, leaving = report.draining,
+         sequence = report.sequence, proposed = m_hooks.now(), done](bool committed)
+        {
+            if (*alive)
+            {
+                const monotonic_time now = m_hooks.now();
+                note(now, "leaving_recorded", life,
+                     {{"leaving", leaving},
+                      {"sequence", sequence},
+                      {"committed", committed},
+                      {"took_ms", now - proposed}});
+            }
+            done(committed);
+        });
 }
 
 // A report that a cut held back may come after its life has ended and another one has begun on the host: its
--- a/src/fabric/core_members.cpp
+++ b/src/fabric/core_members.cpp
@@ -82,7 +82,7 @@
     const bool hears_leader = core.leader().node.value() != 0;
     if (!hears_leader && !m_watch.leader().empty())
     {
-        m_router.set_leader(m_watch.leader());
+        follow(m_watch.leader());
     }
     ask_to_join(now);
     if (leads(now) && now - m_members_reviewed >= m_times.review_every)
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -201,11 +201,11 @@
     }
     if (leader && core.holds_lease(now))
     {
-        m_router.set_leader(m_settings.peer_address);
+        follow(m_settings.peer_address);
     }
     else if (core.leader().node.value() != 0 && core.leader() != core.self())
     {
-        m_router.set_leader(peer_address_of(core.leader(), detail::port_of(m_settings.peer_address)));
+        follow(peer_address_of(core.leader(), detail::port_of(m_settings.peer_address)));
     }
     if (m_dispatcher)
     {
@@ -411,6 +411,8 @@
     count("walkthread_workers_lost_total", "Workers' lives that were dropped.", c.lost_workers);
     count("walkthread_advice_questions_total", "Questions to the placement advisor.", c.questions);
     count("walkthread_preemptions_total", "Runs stopped for other work.", c.preemptions);
+    count("walkthread_task_starts_before_report_total",
+          "Orders to workers that had not reported to this leader yet.", c.starts_before_report);
 }
 
 } // namespace walkthread
--- a/src/fabric/fabric_node.cpp
+++ b/src/fabric/fabric_node.cpp
@@ -79,6 +79,8 @@
                    static_cast<double>(m_mesh.messages_dropped()));
     page.add_count("walkthread_log_lines_dropped_total", "Log lines dropped for their rate.",
                    static_cast<double>(m_log.dropped()));
+    page.add_count("walkthread_leader_changes_total", "Leaders and terms that this process came to follow.",
+                   static_cast<double>(m_leader_changes));
     page.add_gauge("walkthread_leader_known", "1 if a leader is known and answers.", connected() ? 1 : 0);
     page.add(m_router.outages().collect());
 }
@@ -86,12 +88,6 @@
 void fabric_node::tick()
 {
     ask_around(monotonic_now());
-    const bool now_connected = connected();
-    if (now_connected != m_was_connected)
-    {
-        note(now_connected ? "leader_found" : "leader_lost", {}, {{"leader", m_router.leader()}});
-        m_was_connected = now_connected;
-    }
     m_timer.expires_after(watch_tick);
     m_timer.async_wait(
         [this, alive = m_alive](boost::system::error_code cancelled)
@@ -109,7 +105,25 @@
     {
         m_mesh.send(peer, leader_question{static_cast<bool>(m_outside.ask_advisor)});
     }
-    m_router.set_leader(m_watch.leader());
+    follow(m_watch.leader());
+}
+
+void fabric_node::follow(const std::string& leader)
+{
+    m_router.set_leader(leader);
+    const std::uint64_t term = known_term();
+    if (leader == m_followed && (leader.empty() || term == m_followed_term))
+    {
+        return;
+    }
+    const std::string_view event = leader.empty()       ? "leader_lost"
+                                   : m_followed.empty() ? "leader_found"
+                                                        : "leader_changed";
+    note(event, {},
+         {{"leader", leader}, {"before", m_followed}, {"term", term}, {"term_before", m_followed_term}});
+    m_followed = leader;
+    m_followed_term = term;
+    m_leader_changes += leader.empty() ? 0 : 1;
 }
 
 void fabric_node::take(const std::string& from, mesh_message message)
