--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -93,9 +93,7 @@
         if (worker.leaving)
         {
             note(now, "worker_draining", worker.facts.life,
-                 {{"from", "log"},
-                  {"sequence", worker.leaving_sequence},
-                  {"runs", worker.occupied.size()}});
+                 {{"from", "log"}, {"sequence", worker.leaving_sequence}, {"runs", worker.occupied.size()}});
         }
         const double longest =
             static_cast<double>(m_settings.lease_cap.count()) * (1.0 + 2 * m_settings.clock_drift);
--- a/src/dispatch/dispatcher_reports.cpp
+++ b/src/dispatch/dispatcher_reports.cpp
@@ -65,22 +65,21 @@
         done(true);
         return;
     }
-    m_hooks.propose(
-        mark_leaving{known.id, report.sequence, report.draining},
-        [this, alive = m_alive, life = known.facts.life, leaving = report.draining,
-         sequence = report.sequence, proposed = m_hooks.now(), done](bool committed)
-        {
-            if (*alive)
-            {
-                const monotonic_time now = m_hooks.now();
-                note(now, "leaving_recorded", life,
-                     {{"leaving", leaving},
-                      {"sequence", sequence},
-                      {"committed", committed},
-                      {"took_ms", now - proposed}});
-            }
-            done(committed);
-        });
+    m_hooks.propose(mark_leaving{known.id, report.sequence, report.draining},
+                    [this, alive = m_alive, life = known.facts.life, leaving = report.draining,
+                     sequence = report.sequence, proposed = m_hooks.now(), done](bool committed)
+                    {
+                        if (*alive)
+                        {
+                            const monotonic_time now = m_hooks.now();
+                            note(now, "leaving_recorded", life,
+                                 {{"leaving", leaving},
+                                  {"sequence", sequence},
+                                  {"committed", committed},
+                                  {"took_ms", now - proposed}});
+                        }
+                        done(committed);
+                    });
 }
 
 // A report that a cut held back may come after its life has ended and another one has begun on the host: its
--- a/tests/src/pool_stand_in.hpp
+++ b/tests/src/pool_stand_in.hpp
@@ -3,9 +3,11 @@
 // A small stand-in of workers, of the placement advisor and of the replicated log, in virtual time, for the
 // real dispatcher and the real replicated state. Invariants are checked at every start.
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -23,6 +25,7 @@
 {
     bool dark = false;         // answers nothing; what runs goes on until its lease ends
     double late = 0.0;         // share of starts that get no answer and are carried out 2 to 12 s later
+    double late_stops = 0.0;   // the same of stops
     double deaf = 0.0;         // share of looks that get no answer
     double refuse = 0.0;       // share of starts that are refused, nothing done
     bool unheard = false;      // its own reports do not arrive
@@ -41,6 +44,7 @@
     duration question = milliseconds(10); // to the advisor, besides 0.2 ms for each worker
     bool tickets_from_question = false;   // they count from then on, not from the answer
     std::size_t slow_every = 0;           // each so manieth worker takes 1.3 times as long; 0 for none
+    duration upkeep = milliseconds(0);    // a host is down for that long; 0: the order has no effect
     std::uint64_t seed = 1;
     mechanism_set mechanisms;
     bool log_lines = false;
@@ -118,6 +122,11 @@
         m_now = end;
     }
     void report(const std::string& life, bool draining, std::int64_t remaining_ms = 3000)
+    {
+        deliver(write_report(life, draining, remaining_ms));
+    }
+    // A report as the worker sends it; it may be delivered later, behind newer ones.
+    worker_report write_report(const std::string& life, bool draining, std::int64_t remaining_ms = 3000)
     {
         sim_worker& worker = m_workers[life];
         worker.draining = draining;
@@ -127,7 +136,35 @@
         out.remaining_ms = remaining_ms;
         out.clock_ms = clock_of(worker);
         out.sequence = ++worker.sequence;
-        m_leader->take_report(out, m_now, [](bool /*counted*/) {});
+        return out;
+    }
+    // `then` is called when the report is acknowledged.
+    void deliver(
+        const worker_report& report, const std::function<void()>& then = [] {})
+    {
+        m_leader->take_report(report, m_now,
+                              [this, report, then](bool counted)
+                              {
+                                  if (counted)
+                                  {
+                                      note_acknowledged(report);
+                                      then();
+                                  }
+                              });
+    }
+    // A worker says that it ends now; `then` is called when that is acknowledged.
+    void leave(const std::string& life, const std::function<void()>& then)
+    {
+        m_workers[life].gone = true;
+        m_workers[life].running.clear();
+        m_leader->take_leave(life,
+                             [then](bool counted)
+                             {
+                                 if (counted)
+                                 {
+                                     then();
+                                 }
+                             });
     }
     void add_worker(const std::string& life, const std::string& host, bool reports = true)
     {
@@ -179,6 +216,7 @@
     {
         const submission* known = m_state.find(id);
         commit(cancel_submission{id, known->queue});
+        m_cancelled.emplace(id, m_now);
         wake();
     }
     [[nodiscard]] submission_phase phase(submission_id id) const
@@ -234,6 +272,15 @@
     {
         return m_passes;
     }
+    // The longest that a run was seen on a worker after its submission's cancel was committed.
+    [[nodiscard]] duration longest_after_cancel() const
+    {
+        return m_longest_after_cancel;
+    }
+    [[nodiscard]] std::size_t most_down() const
+    {
+        return m_most_down;
+    }
     std::set<submission_id> always_fails; // runs of these fail
 
   private:
@@ -281,7 +328,50 @@
         std::function<void(const look_answer&)> waiting_look;
         std::uint64_t look_number = 0;
         std::size_t starts = 0;
+        std::optional<monotonic_time> leaving_acknowledged;
+        std::uint64_t acknowledged_sequence = 0; // of the newest report that was acknowledged
     };
+    // New work stops half of the platform's shortest bound after the acknowledgement.
+    static constexpr milliseconds leaving_bound{1000};
+
+    void note_acknowledged(const worker_report& report)
+    {
+        sim_worker& worker = m_workers[report.facts.life];
+        if (report.sequence < worker.acknowledged_sequence)
+        {
+            return;
+        }
+        worker.acknowledged_sequence = report.sequence;
+        if (!report.draining)
+        {
+            worker.leaving_acknowledged.reset();
+        }
+        else if (!worker.leaving_acknowledged)
+        {
+            worker.leaving_acknowledged = m_now;
+        }
+    }
+    void take_down(const std::string& host)
+    {
+        const auto here = std::find_if(m_workers.begin(), m_workers.end(),
+                                       [&host](const auto& item)
+                                       {
+                                           return item.second.facts.host == host && !item.second.gone;
+                                       });
+        if (here == m_workers.end() || m_settings.upkeep == duration{0})
+        {
+            return;
+        }
+        here->second.gone = true;
+        here->second.running.clear();
+        m_most_down = std::max(m_most_down, ++m_down);
+        at(m_settings.upkeep,
+           [this, host, next = here->first + "+"]
+           {
+               --m_down;
+               add_worker(next, host);
+           });
+    }
     struct event
     {
         monotonic_time at{};
@@ -427,9 +517,10 @@
                    handler(answer);
                });
         };
-        out.order_upkeep = [](const std::string&, std::uint64_t, std::uint64_t,
-                              const std::function<void(const order_answer&)>& handler)
+        out.order_upkeep = [this](const std::string& host, std::uint64_t, std::uint64_t,
+                                  const std::function<void(const order_answer&)>& handler)
         {
+            take_down(host);
             handler({order_outcome::accepted, {}, false});
         };
         return out;
@@ -505,9 +596,9 @@
                });
             return;
         }
-        answer_later(handler, {do_start(*worker, order), clock_of(*worker), false});
+        answer_later(handler, {do_start(*worker, order, late), clock_of(*worker), false});
     }
-    order_outcome do_start(sim_worker& worker, const start_task_order& order)
+    order_outcome do_start(sim_worker& worker, const start_task_order& order, bool late = false)
     {
         if (order.to.fence < worker.fence)
         {
@@ -545,6 +636,13 @@
         {
             return order_outcome::bad_ticket;
         }
+        const bool leaves =
+            worker.leaving_acknowledged && m_now - *worker.leaving_acknowledged > leaving_bound;
+        if (leaves && !late)
+        {
+            m_broken.push_back("started on a worker that leaves: " + name_of(order.run) + " on " +
+                               worker.facts.life);
+        }
         begin(worker, order, *owner);
         return order_outcome::accepted;
     }
@@ -658,6 +756,12 @@
     }
     void end(sim_worker& worker, const run_ref& run, run_end how)
     {
+        const auto cancelled = m_cancelled.find(run.task.step.submission);
+        if (cancelled != m_cancelled.end())
+        {
+            const monotonic_time from = std::max(cancelled->second, worker.running[run].began);
+            m_longest_after_cancel = std::max<duration>(m_longest_after_cancel, m_now - from);
+        }
         worker.running.erase(run);
         std::uint32_t& highest = worker.highest[run.task];
         highest = std::max(highest, run.run);
@@ -672,7 +776,8 @@
         answer_look(worker);
     }
 
-    void take_stop(const stop_task_order& order, const std::function<void(const order_answer&)>& handler)
+    void take_stop(const stop_task_order& order, const std::function<void(const order_answer&)>& handler,
+                   bool late = false)
     {
         sim_worker* worker = find(order.to.life);
         if (worker == nullptr)
@@ -685,6 +790,21 @@
             answer_later(handler, {order_outcome::fenced, clock_of(*worker), false});
             return;
         }
+        if (!late && unit() < worker->faults.late_stops)
+        {
+            at(order_patience,
+               [handler]
+               {
+                   handler({order_outcome::unanswered, {}, false});
+               });
+            at(milliseconds(2000 + static_cast<int>(unit() * 10000)),
+               [this, order]
+               {
+                   take_stop(
+                       order, [](const order_answer&) {}, true);
+               });
+            return;
+        }
         worker->fence = order.to.fence;
         std::uint32_t& highest = worker->highest[order.run.task];
         highest = std::max(highest, order.run.run);
@@ -867,6 +987,10 @@
     std::set<task_ref> m_noted; // and the leader said that it knows
     std::map<task_ref, monotonic_time> m_last_start;
     std::map<task_ref, std::size_t> m_starts;
+    std::map<submission_id, monotonic_time> m_cancelled;
+    duration m_longest_after_cancel{};
+    std::size_t m_down = 0; // hosts down for their upkeep
+    std::size_t m_most_down = 0;
     std::vector<std::string> m_broken;
 };
 
