--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -19,7 +19,8 @@
 // Starts
 // ---------------------------------------------------------------------------------------------------------
 
-// A worker may have said that it leaves since the start was planned, and a submission may have been cancelled.
+// A worker may have said that it leaves since the start was planned, and a submission may have been
+// cancelled.
 bool dispatcher::may_still_start(const worker_view& view, const run_ref& run) const
 {
     return !view.draining && !view.gone && m_state.wants(run);
--- a/tests/src/unit-acknowledged.cpp
+++ b/tests/src/unit-acknowledged.cpp
@@ -307,6 +307,34 @@
     }
 }
 
+// ---------------------------------------------------------------------------------------------------------
+// Upkeep
+// ---------------------------------------------------------------------------------------------------------
+
+// The platform took the order for a host's upkeep, and the leader was lost before it had recorded that. The
+// next one sent the order again and heard that it was done, behind the host's return, which it had not
+// connected with the wave: the wave stayed open for good, and with it the place of a host that is down (10 of
+// 3,000 seeds of the calm days above). A host that answers after its upkeep was taken is through with it.
+BOOST_AUTO_TEST_CASE(a_wave_ends_although_the_leader_is_lost_right_after_an_upkeep_began)
+{
+    pool_settings settings = small(3);
+    settings.upkeep = seconds(2);
+    pool_stand_in pool(settings);
+    pool.lead();
+    pool.run(seconds(1));
+    pool.begin_upkeep({"h0", "h1"}, 30, 1);
+    while (pool.most_down() == 0)
+    {
+        pool.run(milliseconds(1));
+    }
+    pool.unlead();
+    pool.run(milliseconds(400));
+    pool.lead();
+    pool.run(seconds(20));
+    BOOST_TEST(pool.state().waves().at(1).complete());
+    BOOST_TEST(pool.most_down() == 1U);
+}
+
 // ---------------------------------------------------------------------------------------------------------
 // Cancelled work that begins late
 // ---------------------------------------------------------------------------------------------------------
