--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -17,6 +17,7 @@
 #include <walkthread/dispatch/advice_book.hpp>
 #include <walkthread/dispatch/objective.hpp>
 #include <walkthread/dispatch/orders.hpp>
+#include <walkthread/dispatch/unconfirmed_work.hpp>
 #include <walkthread/dispatch/worker_view.hpp>
 #include <walkthread/observe/decision_log.hpp>
 #include <walkthread/workload/workload_state.hpp>
@@ -242,6 +243,7 @@
     void take_look(worker_life_id worker, const look_answer& answer, monotonic_time sent, monotonic_time now);
     void take_runs(worker_view& view, const look_answer& answer, monotonic_time now);
     void take_ends(worker_view& view, const look_answer& answer, monotonic_time sent, monotonic_time now);
+    void note_absent(const std::set<run_ref>& absent);
     void begin_recording(const record_ends& command);
     void end_recording(const record_ends& command);
     void judge_end(worker_view& view, const listed_end& end, monotonic_time now);
@@ -294,6 +296,7 @@
     double m_usual_speed = 1.0;                   ///< of the faster half of the hosts
     bool m_full_wanted = false;                   ///< some of them wait
     std::map<task_ref, worker_life_id> m_planned; ///< starts that wait for their commit
+    unconfirmed_work m_unconfirmed;
     advice_book m_advice;
     objective_book m_objectives;
     std::map<step_ref, room_hold> m_holds;                ///< room kept for gangs
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -158,6 +158,7 @@
     watch_runs(now);
     advance_waves(now, wall);
     review_holds(now);
+    m_unconfirmed.prune(m_state);
     learn_usual_speed();
     forget_old(wall);
 }
@@ -337,13 +338,20 @@
           {"slack_ms", static_cast<std::int64_t>(item.slack_ms)},
           {"missed", item.missed()},
           {"gang", item.step->gang}});
+    // Until a worker says that it began, it is told as waiting.
+    const bool first = item.owner->state() == submission_phase::queued;
     m_hooks.propose(record_starts{starts},
-                    [this, alive = m_alive, starts, tickets, room](bool committed)
+                    [this, alive = m_alive, starts, tickets, room, first, id = item.owner->id,
+                     queue = item.owner->queue](bool committed)
                     {
                         if (!*alive)
                         {
                             return;
                         }
+                        if (first && committed)
+                        {
+                            m_unconfirmed.add(id, queue);
+                        }
                         for (const planned_start& planned : starts)
                         {
                             m_planned.erase(planned.task);
--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -127,6 +127,7 @@
     }
     if (answer.outcome == order_outcome::accepted)
     {
+        m_unconfirmed.confirm(run.task.step.submission);
         known.settled = now;
         known.progressed = now;
         return;
@@ -189,7 +190,7 @@
 
 std::uint32_t dispatcher::pending(const std::string& queue) const
 {
-    return m_state.queued(queue);
+    return m_state.queued(queue) + m_unconfirmed.count(queue, m_state);
 }
 
 // ---------------------------------------------------------------------------------------------------------
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -141,6 +141,7 @@
         }
         run_view& known = found->second;
         known.listed = true;
+        m_unconfirmed.confirm(listed.run.task.step.submission);
         if (!known.settled)
         {
             known.settled = now;
@@ -173,11 +174,13 @@
     record_ends command;
     command.worker = view.id;
     std::set<run_ref> ended;
+    std::set<run_ref> absent; // recorded by an earlier leader, and not there
     for (const listed_end& end : answer.ended)
     {
         command.listed_up_to = std::max(command.listed_up_to, end.number);
         if (end.number > worker.listed_up_to)
         {
+            m_unconfirmed.confirm(end.run.task.step.submission);
             judge_end(view, end, now);
             command.ends.push_back({end.run, static_cast<std::uint8_t>(end.how), end.checkpoint});
             ended.insert(end.run);
@@ -199,6 +202,10 @@
             note(now, "run_absent", name_of(run),
                  {{"worker", worker.facts.life}, {"inherited", known.inherited}});
             command.ends.push_back({run, static_cast<std::uint8_t>(run_end::never_began), known.checkpoint});
+            if (known.inherited)
+            {
+                absent.insert(run);
+            }
         }
     }
     if (command.ends.empty())
@@ -209,10 +216,11 @@
     m_counters.ends += command.ends.size();
     begin_recording(command);
     m_hooks.propose(command,
-                    [this, alive = m_alive, command](bool committed)
+                    [this, alive = m_alive, command, absent](bool committed)
                     {
                         if (*alive)
                         {
+                            note_absent(absent);
                             end_recording(command);
                         }
                         worker_view* later = *alive ? view_of(command.worker) : nullptr;
@@ -236,6 +244,19 @@
                     });
 }
 
+// Starts that an earlier leader recorded and nobody carried out.
+void dispatcher::note_absent(const std::set<run_ref>& absent)
+{
+    for (const run_ref& run : absent)
+    {
+        const submission* owner = m_state.find(run.task.step.submission);
+        if (owner != nullptr && shows_no_beginning(*owner))
+        {
+            m_unconfirmed.add(owner->id, owner->queue);
+        }
+    }
+}
+
 void dispatcher::begin_recording(const record_ends& command)
 {
     for (const observed_end& end : command.ends)
