A leader counts its lease only by promises that were given

Cause: a leader whose quorum falls silent asks for longer promises, 350 to 1,000 ms, and remembered the last two of them only: an answer from before both lengthenings counted with the second last, so that a leader that was cut off extended its lease to 0.75 s by itself while the others elect after 0.41 s. Beside the next leader it answered reads with old content and could give orders. Change: the leader keeps what it asked for and since when (four entries at most) and counts each answer with the promise that its message carried. Ruled out: the promise of the followers (kept and synced before it is answered for), drift (0.96 of it is counted).

--- a/include/walkthread/replication/replica.hpp
+++ b/include/walkthread/replication/replica.hpp
@@ -238,6 +238,7 @@
     [[nodiscard]] std::vector<monotonic_time> voters_contact(monotonic_time now) const;
     [[nodiscard]] monotonic_time quorum_contact(monotonic_time now) const;
     [[nodiscard]] monotonic_time lease_end(monotonic_time now) const;
+    [[nodiscard]] duration promise_asked_at(monotonic_time sent) const;
     [[nodiscard]] std::size_t own_rank() const;
     [[nodiscard]] log_index find_conflict_hint(log_index previous) const;
 
@@ -264,11 +265,16 @@
     replica_id m_leader{};
     log_index m_term_start{};
     monotonic_time m_last_leader_contact{};
-    duration m_promise{};        ///< a follower: no vote for that long after its leader's last message; a
-                                 ///< leader: what it asks for
-    duration m_promise_before{}; ///< a leader: what it asked for until `m_promise_since`
-    monotonic_time m_promise_since{};
-    term_id m_promise_term{}; ///< a follower: the term whose leader has the promise
+    duration m_promise{}; ///< a follower: no vote for that long after its leader's last message; a
+                          ///< leader: what it asks for
+    /// A promise that this leader asks for.
+    struct asked_promise
+    {
+        monotonic_time since{};
+        duration promise{};
+    };
+    std::vector<asked_promise> m_asked; ///< in this term, oldest first; they only grow, four at most
+    term_id m_promise_term{};           ///< a follower: the term whose leader has the promise
     monotonic_time m_election_at{};
     monotonic_time m_leader_since{};
     bool m_transferring = false;
--- a/src/replication/replica_election.cpp
+++ b/src/replication/replica_election.cpp
@@ -159,10 +159,20 @@
     {
         return;
     }
-    m_promise_before = m_promise;
-    m_promise_since = now;
     const auto longer = std::chrono::duration_cast<duration>(m_promise * longer_factor);
     m_promise = std::min(longer, m_settings.election_most);
+    m_asked.push_back({now, m_promise});
+}
+
+// What a message of this leader asked for that was sent at that time.
+duration replica::promise_asked_at(monotonic_time sent) const
+{
+    duration asked = m_asked.front().promise;
+    for (const asked_promise& item : m_asked)
+    {
+        asked = item.since < sent ? item.promise : asked;
+    }
+    return asked;
 }
 
 void replica::become_leader(monotonic_time now)
@@ -171,8 +181,7 @@
     m_leader = m_self;
     m_leader_since = now;
     m_promise = m_settings.election_timeout;
-    m_promise_before = m_promise;
-    m_promise_since = now;
+    m_asked = {{now, m_promise}};
     m_promise_term = m_state.term;
     m_state.leader = m_self;
     m_output.state = m_state;
@@ -254,14 +263,16 @@
     return times[m_members.quorum() - 1];
 }
 
-// Until when a quorum surely gives its votes to nobody else, whatever the drift of two clocks.
+// Until when a quorum surely gives its votes to nobody else, whatever the drift of two clocks. Only what was
+// asked for in a message that was answered counts: a leader that is cut off asks for ever longer promises in
+// vain, and held its lease 0.75 s in place of 0.34 s with them, beside the next leader.
 monotonic_time replica::lease_end(monotonic_time now) const
 {
     const double safe_part = 1.0 - 2.0 * m_settings.clock_drift;
     std::vector<monotonic_time> ends;
     for (const monotonic_time contact : voters_contact(now))
     {
-        const duration promised = contact >= m_promise_since ? m_promise : m_promise_before;
+        const duration promised = promise_asked_at(contact);
         ends.push_back(contact + std::chrono::duration_cast<duration>(promised * safe_part));
     }
     if (ends.empty())
