--- /dev/null
+++ b/tests/src/pool_settings.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+// What a pool of stand-ins for workers is like, and what is wrong with one of them.
+
+#include <cstdint>
+
+#include <walkthread/dispatch/mechanisms.hpp>
+#include <walkthread/units/amounts.hpp>
+#include <walkthread/units/time.hpp>
+
+namespace walkthread::test
+{
+
+// What a worker does wrong.
+struct worker_faults
+{
+    bool dark = false;         // answers nothing; what runs goes on until its lease ends
+    double late = 0.0;         // share of starts that get no answer and are carried out 2 to 12 s later
+    double late_stops = 0.0;   // the same of stops
+    double deaf = 0.0;         // share of looks that get no answer
+    double refuse = 0.0;       // share of starts that are refused, nothing done
+    bool unheard = false;      // its own reports do not arrive
+    bool fails_all = false;    // every run fails after 100 ms
+    bool stands_still = false; // runs never end
+    bool resets = false; // starts are carried out, the connection breaks, and the channel sends them again
+};
+
+struct pool_settings
+{
+    std::size_t workers = 8;
+    resources size{16000, 65536, 0, 0};
+    duration commit = milliseconds(10);
+    duration way = milliseconds(1);
+    double good_share = 0.5;
+    duration question = milliseconds(10); // to the advisor, besides 0.2 ms for each worker
+    bool tickets_from_question = false;   // they count from then on, not from the answer
+    std::size_t slow_every = 0;           // each so manieth worker takes 1.3 times as long; 0 for none
+    duration upkeep = milliseconds(0);    // a host is down for that long; 0: the order has no effect
+    std::uint64_t seed = 1;
+    mechanism_set mechanisms;
+    bool log_lines = false;
+};
+
+} // namespace walkthread::test
--- /dev/null
+++ b/tests/src/worker_records.hpp
@@ -0,0 +1,178 @@
+#pragma once
+
+// What is known of stand-ins of workers: their runs, ends and leases, and what went wrong there.
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <walkthread/dispatch/orders.hpp>
+#include <walkthread/workload/names.hpp>
+#include <walkthread/workload/workload_state.hpp>
+
+#include "pool_settings.hpp"
+#include "virtual_events.hpp"
+
+namespace walkthread::test
+{
+
+class worker_records : public virtual_events
+{
+  public:
+    explicit worker_records(pool_settings settings) : m_settings(settings), m_random(settings.seed)
+    {
+    }
+
+    worker_faults& faults(const std::string& life)
+    {
+        return m_workers[life].faults;
+    }
+    workload_state& state()
+    {
+        return m_state;
+    }
+    [[nodiscard]] const std::vector<std::string>& broken() const
+    {
+        return m_broken;
+    }
+    [[nodiscard]] std::size_t starts_of(const task_ref& task) const
+    {
+        const auto found = m_starts.find(task);
+        return found == m_starts.end() ? 0 : found->second;
+    }
+    [[nodiscard]] std::size_t starts_on(const std::string& life) const
+    {
+        const auto found = m_workers.find(life);
+        return found == m_workers.end() ? 0 : found->second.starts;
+    }
+    [[nodiscard]] std::size_t running_on(const std::string& life) const
+    {
+        return m_workers.at(life).running.size();
+    }
+    [[nodiscard]] std::int64_t tail_on(const std::string& life) const
+    {
+        return tail_on(m_workers.at(life));
+    } // The longest that a run was seen on a worker after its submission's cancel was committed.
+    [[nodiscard]] duration longest_after_cancel() const
+    {
+        return m_longest_after_cancel;
+    }
+    [[nodiscard]] std::size_t most_down() const
+    {
+        return m_most_down;
+    }
+    std::set<submission_id> always_fails; // runs of these fail
+
+  protected:
+    struct sim_run
+    {
+        monotonic_time ends{};
+        bool fails{};
+        std::int64_t length_ms{};
+        monotonic_time began{};
+        std::int32_t pace = 100;
+    };
+    struct sim_worker
+    {
+        worker_facts facts;
+        worker_faults faults;
+        bool gone = false;
+        bool draining = false;
+        double slowness = 1.0;
+        std::uint64_t fence = 0;
+        std::uint64_t sequence = 0;
+        std::uint64_t next_end = 1;
+        std::int64_t lease_until = 0;
+        std::map<run_ref, sim_run> running;
+        std::map<task_ref, std::uint32_t> highest; // runs stopped or ended there
+        std::vector<listed_end> ended;
+        std::map<std::uint64_t, monotonic_time> ended_at;
+        monotonic_time lapsed_at{};
+        std::function<void(const look_answer&)> waiting_look;
+        std::uint64_t look_number = 0;
+        std::size_t starts = 0;
+        std::optional<monotonic_time> leaving_acknowledged;
+        std::uint64_t acknowledged_sequence = 0; // of the newest report that was acknowledged
+    };
+    // New work stops half of the platform's shortest bound after the acknowledgement.
+    static constexpr milliseconds leaving_bound{1000};
+
+    void note_acknowledged(const worker_report& report)
+    {
+        sim_worker& worker = m_workers[report.facts.life];
+        if (report.sequence < worker.acknowledged_sequence)
+        {
+            return;
+        }
+        worker.acknowledged_sequence = report.sequence;
+        if (!report.draining)
+        {
+            worker.leaving_acknowledged.reset();
+        }
+        else if (!worker.leaving_acknowledged)
+        {
+            worker.leaving_acknowledged = m_now;
+        }
+    }
+    workload_result commit(const workload_command& command)
+    {
+        return m_state.apply(wall(), command);
+    }
+    [[nodiscard]] wall_ms wall() const
+    {
+        return 1'700'000'000'000 + std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count();
+    }
+    [[nodiscard]] std::int64_t clock_of(const sim_worker& /*worker*/) const
+    {
+        return 5000 + std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count();
+    }
+    [[nodiscard]] bool lease_holds(const sim_worker& worker) const
+    {
+        return worker.lease_until >= clock_of(worker);
+    }
+    // The tail of serving tasks, in milliseconds: 60, and one for each percent at which a filler works.
+    [[nodiscard]] std::int64_t tail_on(const sim_worker& worker) const
+    {
+        std::int64_t tail = 60;
+        for (const auto& [run, state] : worker.running)
+        {
+            const step_spec* spec = m_state.find(run.task.step);
+            tail += spec != nullptr && spec->fills ? state.pace : 0;
+        }
+        return tail;
+    }
+    // Null for a worker that does not answer.
+    sim_worker* find(const std::string& life)
+    {
+        const auto found = m_workers.find(life);
+        const bool silent = found == m_workers.end() || found->second.gone || found->second.faults.dark;
+        return silent ? nullptr : &found->second;
+    }
+    double unit()
+    {
+        return std::uniform_real_distribution<double>(0.0, 1.0)(m_random);
+    }
+
+    pool_settings m_settings;
+    std::mt19937_64 m_random;
+    workload_state m_state;
+    std::map<std::string, sim_worker> m_workers;
+    std::map<std::pair<step_ref, std::string>, monotonic_time> m_tickets;
+    std::set<task_ref> m_done;  // some run of it ended so
+    std::set<task_ref> m_noted; // and the leader said that it knows
+    std::map<task_ref, monotonic_time> m_last_start;
+    std::map<task_ref, std::size_t> m_starts;
+    std::map<submission_id, monotonic_time> m_cancelled;
+    duration m_longest_after_cancel{};
+    std::set<std::string> m_upkept;   // hosts whose upkeep began
+    std::set<std::string> m_down_now; // those of them that are down
+    std::size_t m_most_down = 0;
+    std::vector<std::string> m_broken;
+};
+
+} // namespace walkthread::test
--- /dev/null
+++ b/tests/src/worker_stand_in.hpp
@@ -0,0 +1,434 @@
+#pragma once
+
+// Stand-ins of workers in virtual time: room, leases, run numbers, fences, late and lost orders, as their
+// protocol tells. Invariants are checked at every start and end.
+
+#include <walkthread/workload/names.hpp>
+
+#include "worker_records.hpp"
+
+namespace walkthread::test
+{
+
+class worker_stand_in : public worker_records
+{
+  protected:
+    using worker_records::worker_records;
+
+    [[nodiscard]] bool is_good(const step_ref& step, const std::string& life) const
+    {
+        const std::size_t mixed = std::hash<std::string>{}(name_of(step) + m_workers.at(life).facts.host);
+        return static_cast<double>(mixed % 1000U) < m_settings.good_share * 1000.0;
+    }
+    void answer_later(const std::function<void(const order_answer&)>& handler, order_answer answer)
+    {
+        at(m_settings.way,
+           [handler, answer]
+           {
+               handler(answer);
+           });
+    }
+    // The life that is meant does not answer: another one that lives at its address says so.
+    void answer_for_other(const worker_address& to, duration patience,
+                          const std::function<void(const order_answer&)>& handler)
+    {
+        const bool other = std::any_of(m_workers.begin(), m_workers.end(),
+                                       [&to](const auto& item)
+                                       {
+                                           const sim_worker& worker = item.second;
+                                           return worker.facts.address == to.address &&
+                                                  item.first != to.life && !worker.gone &&
+                                                  !worker.faults.dark;
+                                       });
+        at(other ? duration(m_settings.way) : patience,
+           [handler, other]
+           {
+               handler({other ? order_outcome::other_life : order_outcome::unanswered, {}, false});
+           });
+    }
+    static constexpr milliseconds order_patience{600};
+
+    void take_start(const start_task_order& order, const std::function<void(const order_answer&)>& handler,
+                    bool late)
+    {
+        sim_worker* worker = find(order.to.life);
+        if (worker == nullptr)
+        {
+            answer_for_other(order.to, order_patience, handler);
+            return;
+        }
+        if (!late && unit() < worker->faults.late)
+        {
+            at(order_patience,
+               [handler]
+               {
+                   handler({order_outcome::unanswered, {}, false});
+               });
+            at(milliseconds(2000 + static_cast<int>(unit() * 10000)),
+               [this, order]
+               {
+                   take_start(
+                       order, [](const order_answer&) {}, true);
+               });
+            return;
+        }
+        if (worker->faults.resets)
+        {
+            do_start(*worker, order);
+            at(milliseconds(210),
+               [this, order, handler]
+               {
+                   sim_worker* again = find(order.to.life);
+                   const order_outcome outcome =
+                       again == nullptr ? order_outcome::unanswered : do_start(*again, order);
+                   handler({outcome, {}, true});
+               });
+            return;
+        }
+        answer_later(handler, {do_start(*worker, order, late), clock_of(*worker), false});
+    }
+    order_outcome do_start(sim_worker& worker, const start_task_order& order, bool late = false)
+    {
+        if (order.to.fence < worker.fence)
+        {
+            return order_outcome::fenced;
+        }
+        worker.fence = order.to.fence;
+        lapse_if_over(worker);
+        worker.lease_until = std::max(worker.lease_until, order.until_ms);
+        if (worker.running.contains(order.run))
+        {
+            return order_outcome::accepted;
+        }
+        const auto highest = worker.highest.find(order.run.task);
+        if (highest != worker.highest.end() && order.run.run <= highest->second)
+        {
+            return order_outcome::outdated;
+        }
+        if (order.until_ms < clock_of(worker))
+        {
+            return order_outcome::late;
+        }
+        if (unit() < worker.faults.refuse)
+        {
+            return order_outcome::unhealthy;
+        }
+        const submission* owner = m_state.find(order.run.task.step.submission);
+        if (m_state.find(order.run.task.step) == nullptr)
+        {
+            m_broken.push_back("started though its submission was over: " + name_of(order.run));
+            return order_outcome::rejected;
+        }
+        const queue_spec* queue = find_queue_by_name(*m_state.held_catalogue(), owner->queue);
+        const auto ticket = m_tickets.find({order.run.task.step, order.to.life});
+        if (queue->advised && (ticket == m_tickets.end() || ticket->second < m_now))
+        {
+            return order_outcome::bad_ticket;
+        }
+        const bool leaves =
+            worker.leaving_acknowledged && m_now - *worker.leaving_acknowledged > leaving_bound;
+        if (leaves && !late)
+        {
+            m_broken.push_back("started on a worker that leaves: " + name_of(order.run) + " on " +
+                               worker.facts.life);
+        }
+        begin(worker, order, *owner);
+        return order_outcome::accepted;
+    }
+    void begin(sim_worker& worker, const start_task_order& order, const submission& owner)
+    {
+        const run_ref run = order.run;
+        const step_spec& step = owner.spec.steps[run.task.step.step];
+        check_start(worker, run, step, owner);
+        ++m_starts[run.task];
+        ++worker.starts;
+        sim_run& made = worker.running[run];
+        made.began = m_now;
+        made.fails = worker.faults.fails_all || always_fails.contains(owner.id);
+        made.length_ms = made.fails ? 100 : step.estimate_ms;
+        const bool ends = !worker.faults.stands_still && !step.lasting;
+        if (ends && !step.gang)
+        {
+            const double length = static_cast<double>(made.length_ms) * worker.slowness;
+            finish_at(worker.facts.life, run, milliseconds(static_cast<std::int64_t>(length)));
+        }
+        if (step.gang)
+        {
+            begin_gang(run, step, made.length_ms);
+        }
+    }
+    // A gang works from when all of one run are present, as its slowest member; then all end together.
+    void begin_gang(const run_ref& run, const step_spec& step, std::int64_t length_ms)
+    {
+        std::vector<std::pair<std::string, run_ref>> members;
+        for (auto& [life, worker] : m_workers)
+        {
+            for (const auto& [other, state] : worker.running)
+            {
+                if (other.task.step == run.task.step && other.run == run.run)
+                {
+                    members.emplace_back(life, other);
+                }
+            }
+        }
+        double slowest = 1.0;
+        for (const auto& [life, member] : members)
+        {
+            slowest = std::max(slowest, m_workers[life].slowness);
+        }
+        const double length = static_cast<double>(length_ms) * slowest;
+        if (members.size() == step.count)
+        {
+            for (const auto& [life, member] : members)
+            {
+                finish_at(life, member, milliseconds(static_cast<std::int64_t>(length)));
+            }
+        }
+    }
+    void finish_at(const std::string& life, const run_ref& run, duration in)
+    {
+        at(in,
+           [this, life, run]
+           {
+               sim_worker& worker = m_workers[life];
+               lapse_if_over(worker);
+               const auto found = worker.running.find(run);
+               if (found != worker.running.end() && !worker.gone)
+               {
+                   end(worker, run, found->second.fails ? run_end::failed : run_end::completed);
+               }
+           });
+    }
+    void check_start(const sim_worker& worker, const run_ref& run, const step_spec& step,
+                     const submission& owner)
+    {
+        for (const auto& [life, other] : m_workers)
+        {
+            for (const auto& [elsewhere, state] : other.running)
+            {
+                if (elsewhere.task == run.task && !other.gone && lease_holds(other))
+                {
+                    m_broken.push_back("two runs at once: " + name_of(run) + " while " + name_of(elsewhere) +
+                                       " runs on " + life);
+                }
+            }
+        }
+        m_last_start[run.task] = m_now;
+        if (m_noted.contains(run.task))
+        {
+            m_broken.push_back("started after it was done: " + name_of(run));
+        }
+        resources used = room_of(step);
+        for (const auto& [other, state] : worker.running)
+        {
+            const step_spec* spec = m_state.find(other.task.step);
+            used += spec == nullptr ? resources{} : room_of(*spec);
+        }
+        if (!fits(used, worker.facts.size))
+        {
+            m_broken.push_back("beyond the room: " + name_of(run) + " on " + worker.facts.life);
+        }
+        for (const std::uint32_t earlier : step.after)
+        {
+            for (std::uint32_t i = 0; i < owner.spec.steps[earlier].count; ++i)
+            {
+                if (!m_done.contains(task_ref{{owner.id, run.task.step.round, earlier}, i}))
+                {
+                    m_broken.push_back("before its dependency: " + name_of(run));
+                }
+            }
+        }
+    }
+    void end(sim_worker& worker, const run_ref& run, run_end how)
+    {
+        const auto cancelled = m_cancelled.find(run.task.step.submission);
+        if (cancelled != m_cancelled.end())
+        {
+            const monotonic_time from = std::max(cancelled->second, worker.running[run].began);
+            m_longest_after_cancel = std::max<duration>(m_longest_after_cancel, m_now - from);
+        }
+        worker.running.erase(run);
+        std::uint32_t& highest = worker.highest[run.task];
+        highest = std::max(highest, run.run);
+        worker.ended.push_back(
+            {worker.next_end++, run, how, how == run_end::completed ? std::string{} : "saved"});
+        worker.ended_at[worker.next_end - 1] = m_now;
+        const step_spec* spec = m_state.find(run.task.step);
+        if (how == run_end::completed && spec != nullptr && !spec->lasting)
+        {
+            m_done.insert(run.task);
+        }
+        answer_look(worker);
+    }
+
+    void take_stop(const stop_task_order& order, const std::function<void(const order_answer&)>& handler,
+                   bool late = false)
+    {
+        sim_worker* worker = find(order.to.life);
+        if (worker == nullptr)
+        {
+            answer_for_other(order.to, order_patience, handler);
+            return;
+        }
+        if (order.to.fence < worker->fence)
+        {
+            answer_later(handler, {order_outcome::fenced, clock_of(*worker), false});
+            return;
+        }
+        if (!late && unit() < worker->faults.late_stops)
+        {
+            at(order_patience,
+               [handler]
+               {
+                   handler({order_outcome::unanswered, {}, false});
+               });
+            at(milliseconds(2000 + static_cast<int>(unit() * 10000)),
+               [this, order]
+               {
+                   take_stop(
+                       order, [](const order_answer&) {}, true);
+               });
+            return;
+        }
+        worker->fence = order.to.fence;
+        std::uint32_t& highest = worker->highest[order.run.task];
+        highest = std::max(highest, order.run.run);
+        if (worker->running.contains(order.run))
+        {
+            at(milliseconds(200),
+               [this, life = order.to.life, run = order.run]
+               {
+                   if (m_workers[life].running.contains(run))
+                   {
+                       end(m_workers[life], run, run_end::stopped);
+                   }
+               });
+        }
+        answer_later(handler, {order_outcome::accepted, clock_of(*worker), false});
+    }
+
+    void take_look(const look_order& order, const std::function<void(const look_answer&)>& handler)
+    {
+        sim_worker* worker = find(order.to.life);
+        const bool lost = worker != nullptr && unit() < worker->faults.deaf;
+        if (lost)
+        {
+            at(order.patience + milliseconds(order.wait_ms),
+               [handler]
+               {
+                   handler({order_outcome::unanswered, 0, {}, {}});
+               });
+            return;
+        }
+        if (worker == nullptr)
+        {
+            answer_for_other(order.to, order.patience + milliseconds(order.wait_ms),
+                             [handler](const order_answer& answer)
+                             {
+                                 handler({answer.outcome, 0, {}, {}});
+                             });
+            return;
+        }
+        if (order.to.fence < worker->fence)
+        {
+            at(m_settings.way,
+               [handler]
+               {
+                   handler({order_outcome::fenced, 0, {}, {}});
+               });
+            return;
+        }
+        worker->fence = order.to.fence;
+        lapse_if_over(*worker);
+        worker->lease_until = std::max(worker->lease_until, order.until_ms.value_or(0));
+        std::erase_if(worker->ended,
+                      [this, &order, worker](const listed_end& item)
+                      {
+                          if (item.number <= order.last_seen)
+                          {
+                              take_note(*worker, item);
+                          }
+                          return item.number <= order.last_seen;
+                      });
+        worker->waiting_look = handler;
+        const std::uint64_t number = ++worker->look_number;
+        if (!worker->ended.empty() || order.wait_ms == 0)
+        {
+            answer_look(*worker);
+            return;
+        }
+        at(milliseconds(order.wait_ms),
+           [this, life = order.to.life, number]
+           {
+               if (m_workers[life].look_number == number)
+               {
+                   answer_look(m_workers[life]);
+               }
+           });
+    }
+    // An end counts once the leader says that it has it, unless the lease lapsed since.
+    void take_note(const sim_worker& worker, const listed_end& item)
+    {
+        if (item.how != run_end::completed || !m_done.contains(item.run.task) ||
+            worker.lapsed_at > worker.ended_at.at(item.number))
+        {
+            return;
+        }
+        m_noted.insert(item.run.task);
+        if (m_last_start[item.run.task] > worker.ended_at.at(item.number))
+        {
+            m_broken.push_back(
+                "noted as done, and started since: " + name_of(item.run) + " on " + worker.facts.life +
+                ", ended at " +
+                std::to_string(worker.ended_at.at(item.number).time_since_epoch().count() / 1000) +
+                ", started at " +
+                std::to_string(m_last_start[item.run.task].time_since_epoch().count() / 1000) + ", now " +
+                std::to_string(m_now.time_since_epoch().count() / 1000));
+        }
+    }
+    void lapse_if_over(sim_worker& worker)
+    {
+        if (lease_holds(worker))
+        {
+            return;
+        }
+        worker.lapsed_at = m_now;
+        const auto running = worker.running;
+        for (const auto& [run, state] : running)
+        {
+            worker.running.erase(run);
+            worker.ended.push_back({worker.next_end++, run, run_end::lapsed, ""});
+        }
+    }
+    void answer_look(sim_worker& worker)
+    {
+        if (!worker.waiting_look || worker.gone || worker.faults.dark)
+        {
+            return;
+        }
+        look_answer answer;
+        answer.outcome = order_outcome::accepted;
+        answer.clock_ms = clock_of(worker);
+        answer.ended = worker.ended;
+        for (const auto& [run, state] : worker.running)
+        {
+            const double part = state.length_ms > 0 && !worker.faults.stands_still
+                                    ? static_cast<double>((m_now - state.began).count()) /
+                                          (1000.0 * static_cast<double>(state.length_ms))
+                                    : 0.0;
+            const step_spec* spec = m_state.find(run.task.step);
+            const bool lasting = spec != nullptr && spec->lasting;
+            const auto percent = static_cast<std::int32_t>(lasting ? 100 : std::min(part, 1.0) * 100);
+            answer.running.push_back({run, "", percent, tail_on(worker)});
+        }
+        auto handler = std::exchange(worker.waiting_look, nullptr);
+        at(worker.faults.resets ? duration(milliseconds(300))
+                                : m_settings.way, // its other channel was reset too
+           [handler, answer]
+           {
+               handler(answer);
+           });
+    }
+};
+
+} // namespace walkthread::test
