--- a/src/dispatch/unconfirmed_work.cpp
+++ b/src/dispatch/unconfirmed_work.cpp
@@ -13,7 +13,7 @@
     return owner != nullptr && owner->state() == submission_phase::running;
 }
 
-bool never_tried_well(const work_task& task)
+bool left_no_trace(const work_task& task)
 {
     return task.state() == work_phase::waiting && task.run <= 1 && task.failures == 0 &&
            task.checkpoint.empty();
@@ -49,7 +49,7 @@
                                               [](const step_progress& step)
                                               {
                                                   return std::all_of(step.tasks.begin(), step.tasks.end(),
-                                                                     never_tried_well);
+                                                                     left_no_trace);
                                               });
                        });
 }
