The regression test says what happened, why, and what settled it

Comments of unit-acknowledged and unit-lives, and the postmortem's figure: the first starts of the six broken plays came 3.2 to 4.2 s after the acknowledgement.

--- a/tests/src/unit-acknowledged.cpp
+++ b/tests/src/unit-acknowledged.cpp
@@ -222,6 +222,12 @@
 }
 } // namespace
 
+// core-stgo-a-1 acknowledged that a worker leaves and went dark; core-rancagua-a-1 led next and started a
+// task there, over 2 s later. That the worker leaves was in the memory of the leader that had heard it, and
+// the worker's next report went to the dark address first. Settled by runs of that code with one loss of
+// power right behind acknowledgements: on 6 of 24 the next leader started work 3.2 to 4.2 s after an
+// acknowledgement ("acked by core-stgo-b-1 at 4.801 s", a start at 8.214 s), on none of 24 once the log says
+// who leaves. So the leader changes here right after each kind of acknowledgement, with calm around it.
 BOOST_AUTO_TEST_CASE(what_was_acknowledged_holds_under_the_next_leader)
 {
     for (const acknowledged_kind kind :
--- a/tests/src/unit-lives.cpp
+++ b/tests/src/unit-lives.cpp
@@ -100,8 +100,8 @@
 // Workers that leave
 // ---------------------------------------------------------------------------------------------------------
 
-// cruzadas-prod, mix --seed 767010107367: a worker that had said to the last leader that it leaves got new
-// tasks from the next one, until it reported there too.
+// A worker that had said to the last leader that it leaves got new tasks from the next one, until it reported
+// there too, 2.9 s after the change.
 BOOST_AUTO_TEST_CASE(a_worker_that_leaves_gets_nothing_new_from_the_next_leader)
 {
     pool_stand_in pool(small(3));
