--- a/tests/src/unit-pending.cpp
+++ b/tests/src/unit-pending.cpp
@@ -21,7 +21,7 @@
 
 // Two fifths of the workers were cut off. Work went to them for two seconds more, its starts were recorded,
 // and a submission with a recorded start counted as begun although its order had reached nobody: "1 jobs are
-// said to wait; 5 have waited since 5.383 s", on 9 of 12 plays. A submission counts as begun now once a
+// said to wait; 5 have waited since 5.383 s", on 8 of 12 plays. A submission counts as begun now once a
 // worker has said so.
 BOOST_AUTO_TEST_CASE(submissions_whose_orders_reached_nobody_are_told_as_waiting)
 {
