--- a/tests/src/unit-acknowledged.cpp
+++ b/tests/src/unit-acknowledged.cpp
@@ -320,7 +320,8 @@
 // The platform took the order for a host's upkeep, and the leader was lost before it had recorded that. The
 // next one sent the order again and heard that it was done, behind the host's return, which it had not
 // connected with the wave: the wave stayed open for good, and with it the place of a host that is down (10 of
-// 3,000 seeds of the calm days above). A host that answers after its upkeep was taken is through with it.
+// the first 1,815 seeds of the calm days above). A host that answers after its upkeep was taken is through
+// with it.
 BOOST_AUTO_TEST_CASE(a_wave_ends_although_the_leader_is_lost_right_after_an_upkeep_began)
 {
     pool_settings settings = small(3);
