--- a/bench/bench_dispatch.cpp
+++ b/bench/bench_dispatch.cpp
@@ -54,4 +54,4 @@
 }
 } // namespace
 
-BENCHMARK(dispatch_seconds)->Arg(48)->Arg(350)->Unit(benchmark::kMillisecond)->Iterations(2);
+BENCHMARK(dispatch_seconds)->Arg(48)->Arg(350)->Arg(1100)->Arg(4500)->Unit(benchmark::kMillisecond)->Iterations(1);
--- a/include/walkthread/dispatch/advice_book.hpp
+++ b/include/walkthread/dispatch/advice_book.hpp
@@ -12,6 +12,8 @@
 #include <string>
 #include <vector>
 
+#include <boost/container/flat_map.hpp>
+
 #include <walkthread/dispatch/orders.hpp>
 
 namespace walkthread
@@ -39,7 +41,7 @@
 /// @brief What is known for one step.
 struct step_advice
 {
-    std::map<worker_life_id, advice_entry> entries;
+    boost::container::flat_map<worker_life_id, advice_entry> entries; ///< walked more often than changed
     std::uint32_t open_questions{}; ///< several may be asked at once, each about other workers
     monotonic_time ask_after{};
     duration last_took{}; ///< the last question, its wait for a process that asks included
--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -11,12 +11,14 @@
 #include <map>
 #include <set>
 #include <string>
-#include <unordered_map>
+#include <string_view>
 #include <vector>
 
 #include <walkthread/dispatch/advice_book.hpp>
+#include <walkthread/dispatch/host_table.hpp>
 #include <walkthread/dispatch/objective.hpp>
 #include <walkthread/dispatch/orders.hpp>
+#include <walkthread/dispatch/room_news.hpp>
 #include <walkthread/dispatch/unconfirmed_work.hpp>
 #include <walkthread/dispatch/worker_view.hpp>
 #include <walkthread/observe/decision_log.hpp>
@@ -86,6 +88,7 @@
         const submission* owner{};
         const step_spec* step{};
         const queue_spec* queue{};
+        pool_number pool{};
         outlook chance{};
         double slack_ms{};
         /// Tasks of this step and round that run on a host or are about to, where the step limits them.
@@ -114,15 +117,6 @@
         monotonic_time grew{};                         ///< when `total` last rose
         bool gathers = true;                           ///< a gang's; false: hosts kept for large tasks
     };
-    /// A worker during one pass.
-    struct host_row
-    {
-        const worker_life* worker{};
-        const worker_view* view{};
-        resources open{}; ///< what no run takes
-        resources free{}; ///< the same without what is held for gangs
-        bool usable{};
-    };
     /// A worker that a step's tasks may go to.
     struct offer
     {
@@ -136,7 +130,7 @@
         double speed{};        ///< learned, 1 is usual
         bool slow{};           ///< clearly slower than most
         bool disturbs{};       ///< filling work would go beside serving work, or the other way round
-        std::string ticket;    ///< "-" where none is needed, empty where none counts
+        std::string_view ticket; ///< "-" where none is needed, empty where none counts
         /// The last label names the rack.
         [[nodiscard]] std::string rack() const
         {
@@ -172,15 +166,20 @@
     // dispatcher_place.cpp: which worker
     bool place(const candidate& item, monotonic_time now);
     bool place_each(const candidate& item, monotonic_time now);
-    void prepare_rows(monotonic_time now);
     void learn_usual_speed();
     [[nodiscard]] bool allowed(const candidate& item, const host_row& row) const;
-    [[nodiscard]] std::string ticket_for(const candidate& item, worker_life_id worker, monotonic_time now);
-    [[nodiscard]] resources open_room(const worker_life& worker, const worker_view& view) const;
+    [[nodiscard]] std::string_view ticket_for(const candidate& item, worker_life_id worker, monotonic_time now);
     [[nodiscard]] resources room_for(const candidate& item, const host_row& row) const;
     [[nodiscard]] std::uint32_t slots(const candidate& item, worker_life_id worker,
                                       const resources& room) const;
     [[nodiscard]] std::uint32_t waiting_tasks(const candidate& item) const;
+    [[nodiscard]] bool has_waiting_tasks(const candidate& item) const;
+    [[nodiscard]] bool looked_at_lately(const candidate& item, monotonic_time now) const;
+    [[nodiscard]] std::vector<offer> find_new_offers(const candidate& item, monotonic_time now);
+    void plan_each(const candidate& item, std::vector<offer>& offers, std::vector<planned_start>& starts,
+                   std::vector<std::string>& tickets, std::uint32_t& left) const;
+    [[nodiscard]] std::vector<offer> find_offers_to_ask(const candidate& item, std::uint32_t need,
+                                                        monotonic_time now);
     [[nodiscard]] std::map<worker_life_id, std::uint32_t> placed_tasks(const candidate& item) const;
     [[nodiscard]] std::set<worker_life_id> failed_before(const candidate& item);
     [[nodiscard]] offer make_offer(const candidate& item, const host_row& row, monotonic_time now);
@@ -211,7 +210,7 @@
     void reserve_hosts(const candidate& item, std::uint32_t left, monotonic_time now);
     void learn_large_hosts(const candidate& item, monotonic_time now);
     [[nodiscard]] std::size_t reserved_hosts(const candidate& item) const;
-    [[nodiscard]] std::size_t most_reserved(const candidate& item) const;
+    [[nodiscard]] std::size_t most_reserved(const candidate& item);
     [[nodiscard]] std::vector<worker_life_id> hosts_soon_free(const candidate& item, const room_hold& hold,
                                                               monotonic_time now);
     [[nodiscard]] std::optional<double> time_until_room_on(const candidate& item, const offer& o) const;
@@ -293,6 +292,7 @@
     std::map<worker_life_id, worker_view> m_views;
     std::uint64_t m_synced_version = 0;
     monotonic_time m_tidy_due{};
+    monotonic_time m_review_due{};
     monotonic_time m_full_due{};                  ///< when steps that are not urgent are looked at again
     double m_lost_looks = 0.0;                    ///< part of the last looks that got no answer
     double m_usual_speed = 1.0;                   ///< of the faster half of the hosts
@@ -302,11 +302,8 @@
     advice_book m_advice;
     objective_book m_objectives;
     std::map<step_ref, room_hold> m_holds;                ///< room kept for gangs
-    std::unordered_map<worker_life_id, resources> m_held; ///< the same by host
     std::map<step_ref, monotonic_time> m_hold_after;      ///< gangs that gathered in vain wait until then
     std::map<step_ref, monotonic_time> m_gang_retry;      ///< gangs without room held are looked at then
-    std::vector<host_row> m_rows;                         ///< of this pass
-    std::unordered_map<worker_life_id, std::size_t> m_row_of;
     std::map<step_ref, monotonic_time> m_preempted; ///< when runs were last stopped for a step
     resources m_large_task{};                       ///< about what a task of a gang takes
     std::set<std::string> m_joining;                ///< hosts of lives that are being admitted
@@ -314,6 +311,15 @@
     std::map<std::string, monotonic_time> m_upkeep_retry;
     std::map<std::string, monotonic_time> m_upkeep_taken; ///< when the platform took a host's order
     std::set<std::string> m_upkeep_hosts;                 ///< hosts being emptied for upkeep
+    host_table m_hosts;
+    room_news m_news; ///< hosts where room came free
+    /// A step that found too little room.
+    struct waiting_step
+    {
+        std::uint64_t seen{};        ///< the position in `m_news` up to which it knows of room
+        monotonic_time look_again{}; ///< at all hosts
+    };
+    std::map<step_ref, waiting_step> m_waiting;
     /// Ends on their way into the replicated state, of one submission.
     struct pending_ends
     {
--- a/include/walkthread/dispatch/objective.hpp
+++ b/include/walkthread/dispatch/objective.hpp
@@ -35,6 +35,16 @@
 /// @brief The outlook of work that has `slack_ms` left against an objective.
 [[nodiscard]] outlook judge_outlook(double slack_ms, double objective_ms, const outlook_bounds& bounds);
 
+/// @brief Expected times of a submission, in milliseconds.
+struct chain_times
+{
+    double longest_ms{};   ///< of its longest chain
+    double remaining_ms{}; ///< from the start of one step to the end, along the longest chain
+};
+
+/// @brief How long a submission may take to be on time, in milliseconds.
+[[nodiscard]] double objective_ms(const chain_times& chain, const queue_spec& queue);
+
 /// @brief Learned ratio of observed to estimated run times, by queue.
 ///
 /// Estimates are the callers' rough guesses; the mean ratio corrects what they have in common.
@@ -48,11 +58,9 @@
     [[nodiscard]] double spread(const std::string& queue) const;
     /// @brief The expected run time of one task of a step, in milliseconds.
     [[nodiscard]] double expected_ms(const std::string& queue, const step_spec& step) const;
-    /// @brief The time from the start of `step` to the end of the submission, along the longest chain.
-    /// Complexity: linear in the dependencies.
-    [[nodiscard]] double remaining_ms(const submission& owner, std::uint32_t step) const;
-    /// @brief How long a submission may take to be on time.
-    [[nodiscard]] double objective_ms(const submission& owner, const queue_spec& queue) const;
+    /// @brief Expected times along a submission's longest chains of steps. Complexity: linear in the
+    /// dependencies.
+    [[nodiscard]] chain_times chain_of(const submission& owner, std::uint32_t step) const;
 
   private:
     /// What was learned of a queue's estimates.
--- a/include/walkthread/workload/submission.hpp
+++ b/include/walkthread/workload/submission.hpp
@@ -47,6 +47,9 @@
                    fills, required_label, preferred_rack, per_host_limit, image, latency_target_ms, may_miss)
 };
 
+/// @brief Steps of one submission at most: far above what callers send; bounds one entry's size.
+inline constexpr std::size_t most_steps = 64;
+
 /// @brief A whole submission as its caller wrote it.
 /// @since 0.2
 struct submission_spec
--- a/include/walkthread/workload/workload_state.hpp
+++ b/include/walkthread/workload/workload_state.hpp
@@ -73,6 +73,8 @@
     {
         return m_catalogue;
     }
+    /// @brief A queue of the held catalogue, or null. Complexity: constant.
+    [[nodiscard]] const queue_spec* find_queue(const std::string& name) const;
     /// @brief A submission, or null.
     [[nodiscard]] const submission* find(submission_id id) const;
     [[nodiscard]] const std::unordered_map<submission_id, submission>& submissions() const
@@ -166,6 +168,7 @@
     void refresh_ready(const submission& owner, round_id round, std::uint32_t step);
     void refresh_round(const submission& owner, round_id round);
     void rebuild_indexes();
+    void index_queues();
     work_task* task_of(const task_ref& ref);
 
     std::optional<catalogue> m_catalogue;
@@ -180,6 +183,7 @@
     // Indexes over the above; not saved.
     std::uint64_t m_workers_version = 1;
     std::vector<submission_id> m_over; ///< ended by the command that is being applied
+    std::unordered_map<std::string, std::size_t> m_queue_places; ///< in the catalogue, by name
     std::map<std::string, worker_life_id> m_by_life;
     std::map<std::string, worker_life_id> m_by_host;
     std::set<step_ref> m_ready;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -13,7 +13,10 @@
 {
 constexpr std::size_t forget_at_once = 200;         // bounds one log entry
 constexpr std::size_t most_failed_placements = 120; // per pass: behind so many that do not fit, little does
+constexpr std::size_t news_kept = 4096; // two seconds of the busiest load at 1,100 workers
 constexpr duration tidy_every = milliseconds(50);   // a fifth of the shortest retry
+constexpr duration review_every = milliseconds(250); // runs that stand still, speeds, what is over: all of
+                                                     // these change within seconds, and each run is looked at
 constexpr std::int32_t inherited_pace = 25; // percent: fillers of an earlier leader, until tails are known
 constexpr duration idle_pass = milliseconds(100); // leases, retries and due times are looked at that often
 } // namespace
@@ -21,7 +24,7 @@
 dispatcher::dispatcher(const workload_state& state, dispatch_settings settings, dispatch_hooks hooks,
                        decision_log& log, std::uint64_t fence, monotonic_time now)
     : m_state(state), m_settings(settings), m_hooks(std::move(hooks)), m_log(log), m_fence(fence),
-      m_began(now)
+      m_began(now), m_hosts(m_state, m_views, m_settings, m_upkeep_hosts), m_news(news_kept)
 {
     if (!uses(mechanism::answer_tickets))
     {
@@ -136,7 +139,7 @@
         m_full_due = now + m_settings.full_pass_gap;
     }
     stop_unwanted(now);
-    prepare_rows(now);
+    m_hosts.begin_pass(now);
     std::size_t failed = 0;
     for (candidate& item : order_candidates(wall, all))
     {
@@ -155,19 +158,23 @@
     drop_lost(now);
     look_at_all(now);
     retry_orders(now);
-    watch_runs(now);
     advance_waves(now, wall);
     review_holds(now);
-    m_unconfirmed.prune(m_state);
-    learn_usual_speed();
-    forget_old(wall);
+    if (now >= m_review_due)
+    {
+        m_review_due = now + review_every;
+        watch_runs(now);
+        m_unconfirmed.prune(m_state);
+        learn_usual_speed();
+        forget_old(wall);
+    }
 }
 
 // How pressing a step is. False if nothing of it can be started now.
 bool dispatcher::rate(candidate& item, wall_ms wall) const
 {
     const wall_ms due = item.owner->spec.due_at(item.ref.round);
-    if (due > wall || waiting_tasks(item) == 0)
+    if (due > wall || !has_waiting_tasks(item))
     {
         return false;
     }
@@ -178,9 +185,9 @@
         item.slack_ms = -age;
         return true;
     }
-    const double objective =
-        item.queue != nullptr ? m_objectives.objective_ms(*item.owner, *item.queue) : 0.0;
-    item.slack_ms = objective - age - m_objectives.remaining_ms(*item.owner, item.ref.step);
+    const chain_times chain = m_objectives.chain_of(*item.owner, item.ref.step);
+    const double objective = item.queue != nullptr ? objective_ms(chain, *item.queue) : 0.0;
+    item.slack_ms = objective - age - chain.remaining_ms;
     item.chance = judge_outlook(item.slack_ms, objective, m_settings.outlooks);
     return true;
 }
@@ -213,9 +220,8 @@
         item.ref = ref;
         item.owner = m_state.find(ref.submission);
         item.step = &item.owner->spec.steps[ref.step];
-        item.queue = m_state.held_catalogue()
-                         ? find_queue_by_name(*m_state.held_catalogue(), item.owner->queue)
-                         : nullptr;
+        item.queue = m_state.find_queue(item.owner->queue);
+        item.pool = m_hosts.number_of(item.owner->pool);
         if (!all && !item.urgent() && !item.step->lasting)
         {
             m_full_wanted = true;
@@ -273,6 +279,7 @@
     std::erase_if(m_preempted, over);
     std::erase_if(m_hold_after, over);
     std::erase_if(m_gang_retry, over);
+    std::erase_if(m_waiting, over);
     if (command.ids.empty())
     {
         return;
@@ -327,9 +334,7 @@
     for (const planned_start& planned : starts)
     {
         m_views[planned.worker].planned += room;
-        host_row& row = m_rows[m_row_of.at(planned.worker)];
-        row.open -= room;
-        row.free -= room;
+        m_hosts.touch(planned.worker);
         m_planned[planned.task] = planned.worker;
     }
     note(now, "starts_planned", name_of(item.ref),
@@ -358,6 +363,7 @@
                             if (worker_view* view = view_of(planned.worker); view != nullptr)
                             {
                                 view->planned -= room;
+                                m_news.note(planned.worker); // the state may have refused it
                             }
                         }
                         if (committed)
--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t spare_asked = 20;     // beyond that, little is gained by more choice
 constexpr double spare_cost = 0.12;         // part of a question's time that more choice may add
 constexpr double spare_factor = 1.4;        // ask for so much more than is needed: shares are averages
+constexpr std::uint64_t most_counted_slots = 0xFFFF; // room beyond that many tasks is no better
+constexpr std::size_t hosts_to_choose_from = 350; // a larger fleet gains nothing by more choice
+constexpr double choice = 3.0; // times the tasks' need in room, so that the better hosts are chosen
 constexpr double full_worker_weight = 0.35; // a worker without room now may have some soon
 } // namespace
 
@@ -30,6 +33,37 @@
     return known.open_questions == 0 && now >= known.ask_after && turn;
 }
 
+// For a first question it is enough to choose among some hundreds of hosts, from a place that differs from step
+// to step; where these are busy, among more.
+std::vector<dispatcher::offer> dispatcher::find_offers_to_ask(const candidate& item, std::uint32_t need,
+                                                              monotonic_time now)
+{
+    const bool first = m_advice.of(item.ref).entries.empty();
+    if (!first || m_hosts.size() <= hosts_to_choose_from)
+    {
+        return find_offers(item, now);
+    }
+    const double share = m_advice.good_share(item.owner->queue);
+    const std::size_t from = std::hash<submission_id>{}(item.ref.submission) % m_hosts.size();
+    std::vector<offer> offers;
+    offers.reserve(hosts_to_choose_from);
+    double room = 0;
+    for (std::size_t i = 0; i < m_hosts.size(); ++i)
+    {
+        if (i >= hosts_to_choose_from && room >= choice * spare_factor * need)
+        {
+            break;
+        }
+        const host_row& row = m_hosts.at((from + i) % m_hosts.size());
+        if (allowed(item, row))
+        {
+            offers.push_back(make_offer(item, row, now));
+            room += share * offers.back().slots;
+        }
+    }
+    return offers;
+}
+
 // For tasks one by one and for urgent gangs; dispatcher_gangs.cpp has the others' questions.
 void dispatcher::ask_advice(const candidate& item, std::uint32_t need, monotonic_time now)
 {
@@ -39,19 +73,25 @@
     }
     struct question_item
     {
+        std::uint64_t order; ///< lower is asked about first
         worker_life_id worker;
         std::uint32_t slots;
-        bool held;
-        bool slow; ///< and that matters: urgent work goes to fast hosts
-        bool keeps_large;
-        bool good;
         double weight;
     };
+    // Room now, not held, fast where that matters, nothing taken from gangs, known to be good, much room.
+    const auto order_of = [&item](const offer& o, bool good)
+    {
+        const std::uint64_t flags = (o.slots > 0 ? 0U : 16U) | (o.held ? 8U : 0U) |
+                                    (item.urgent() && o.slow ? 4U : 0U) | (o.keeps_large ? 0U : 2U) |
+                                    (good ? 0U : 1U);
+        const std::uint64_t room = most_counted_slots - std::min<std::uint64_t>(o.slots, most_counted_slots);
+        return (flags << 48U) | (room << 32U) | o.worker->id.value();
+    };
     step_advice& known = m_advice.of(item.ref);
     const double share = m_advice.good_share(item.owner->queue);
     std::vector<question_item> offers;
     double enough = 0;
-    for (const offer& o : find_offers(item, now))
+    for (const offer& o : find_offers_to_ask(item, need, now))
     {
         const worker_life_id id = o.worker->id;
         const auto entry = known.entries.find(id);
@@ -68,7 +108,7 @@
         }
         const double certainty = seen ? 1.0 : share;
         const double weight = o.slots > 0 ? certainty * o.slots : certainty * o.whole * full_worker_weight;
-        offers.push_back({id, o.slots, o.held, item.urgent() && o.slow, o.keeps_large, seen, weight});
+        offers.push_back({order_of(o, seen), id, o.slots, weight});
     }
     known.ask_after =
         now + m_settings.advice_gap; // also where there is nothing to ask: little changes until then
@@ -76,13 +116,12 @@
     {
         return;
     }
-    std::sort(
-        offers.begin(), offers.end(),
-        [](const question_item& a, const question_item& b)
-        {
-            return std::make_tuple(b.slots > 0, a.held, a.slow, !a.keeps_large, b.good, b.slots, a.worker) <
-                   std::make_tuple(a.slots > 0, b.held, b.slow, !b.keeps_large, a.good, a.slots, b.worker);
-        });
+    const auto named = static_cast<std::ptrdiff_t>(std::min(offers.size(), most_asked));
+    std::partial_sort(offers.begin(), offers.begin() + named, offers.end(),
+                      [](const question_item& x, const question_item& y)
+                      {
+                          return x.order < y.order;
+                      });
     const bool first = known.entries.empty();
     double within_reach = enough;
     for (const question_item& o : offers)
@@ -210,6 +249,7 @@
           {"good", answer.good.size()},
           {"took_ms", answer.took}});
     m_gang_retry.erase(ref);
+    m_waiting.erase(ref);
     m_full_due = std::min(m_full_due, now); // what was asked for is used while it counts
     m_hooks.wake();
 }
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -136,7 +136,7 @@
         {
             starts.push_back(
                 {task_ref{item.ref, static_cast<std::uint32_t>(starts.size())}, run, o.worker->id});
-            tickets.push_back(o.ticket);
+            tickets.emplace_back(o.ticket);
         }
     }
     propose_starts(item, starts, tickets, now);
@@ -178,9 +178,7 @@
     }
     for (const auto& [host, count] : next.tasks)
     {
-        const resources room = next.each * count;
-        m_held[host] += room;
-        m_rows[m_row_of.at(host)].free -= room;
+        m_hosts.hold(host, next.each * count);
     }
     m_holds[item.ref] = std::move(next);
 }
@@ -194,18 +192,8 @@
     }
     for (const auto& [host, count] : hold->second.tasks)
     {
-        const resources room = hold->second.each * count;
-        const auto row = m_row_of.find(host);
-        if (row != m_row_of.end())
-        {
-            m_rows[row->second].free += room;
-        }
-        resources& held = m_held[host];
-        held -= room;
-        if (held == resources{})
-        {
-            m_held.erase(host);
-        }
+        m_hosts.release(host, hold->second.each * count);
+        m_news.note(host);
     }
     m_holds.erase(hold);
 }
@@ -370,15 +358,18 @@
     {
         return false;
     }
-    std::sort(unknown.begin(), unknown.end(),
-              [](const offer& a, const offer& b)
-              {
-                  return std::make_tuple(b.slots, b.whole, b.worker->id) <
-                         std::make_tuple(a.slots, a.whole, a.worker->id);
-              });
+    // Only the first few are asked about: a heap gives them without sorting all.
+    const auto lesser = [](const offer& a, const offer& b)
+    {
+        return std::make_tuple(a.slots, a.whole, a.worker->id) <
+               std::make_tuple(b.slots, b.whole, b.worker->id);
+    };
+    std::make_heap(unknown.begin(), unknown.end(), lesser);
     double now_free = 0;
-    for (const offer& o : unknown)
+    for (auto end = unknown.end(); end != unknown.begin(); --end)
     {
+        std::pop_heap(unknown.begin(), end, lesser);
+        const offer& o = *std::prev(end);
         const bool far = !reached && within_reach >= m_settings.gang_reach * item.step->count;
         const bool enough = far || now_free >= missing * spare_factor;
         if (enough && asked.size() >= least_asked)
--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -77,8 +77,7 @@
     order.checkpoint = task->checkpoint;
     order.ticket = known.ticket == "-" ? std::string{} : known.ticket;
     const step_spec* step = m_state.find(run.task.step);
-    const queue_spec* queue =
-        m_state.held_catalogue() ? find_queue_by_name(*m_state.held_catalogue(), owner->queue) : nullptr;
+    const queue_spec* queue = m_state.find_queue(owner->queue);
     order.presses = (queue != nullptr && queue->priority == 0) || (step != nullptr && step->gang);
     order.until_ms = view.grant(now, std::min(m_settings.start_window, m_settings.lease_cap));
     note_start(view, run, now);
@@ -209,6 +208,7 @@
                         if (later != nullptr && committed)
                         {
                             later->runs.erase(run);
+                            m_news.note(worker);
                             m_hooks.wake();
                         }
                     });
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -11,6 +11,9 @@
 
 namespace
 {
+constexpr duration look_at_all_again =
+    milliseconds(100); // for a step that waits: hosts may be used again without room having come free there
+
 std::uint32_t count_slots(const resources& need, const resources& room)
 {
     std::int64_t slots = UINT32_MAX;
@@ -28,11 +31,6 @@
 }
 } // namespace
 
-resources dispatcher::open_room(const worker_life& worker, const worker_view& view) const
-{
-    return worker.facts.size - worker.used - view.planned;
-}
-
 // How many more tasks of the step may go to a host with so much room. Everything that counts places asks
 // this: what is at the step's limit a host has none, however much room is free.
 std::uint32_t dispatcher::slots(const candidate& item, worker_life_id worker, const resources& room) const
@@ -59,6 +57,14 @@
     return waiting;
 }
 
+// The step is ready, so some of its tasks wait; some of these may be planned already.
+bool dispatcher::has_waiting_tasks(const candidate& item) const
+{
+    const auto planned = m_planned.lower_bound(task_ref{item.ref, 0});
+    const bool none_planned = planned == m_planned.end() || planned->first.step != item.ref;
+    return none_planned || waiting_tasks(item) > 0;
+}
+
 std::map<worker_life_id, std::uint32_t> dispatcher::placed_tasks(const candidate& item) const
 {
     std::map<worker_life_id, std::uint32_t> out;
@@ -104,27 +110,6 @@
     return room;
 }
 
-// One row a worker for this pass, so that steps do not look everything up again.
-void dispatcher::prepare_rows(monotonic_time now)
-{
-    m_rows.clear();
-    m_row_of.clear();
-    m_rows.reserve(m_state.workers().size());
-    for (const auto& [id, worker] : m_state.workers())
-    {
-        host_row row;
-        row.worker = &worker;
-        row.view = &m_views.at(id);
-        row.open = open_room(worker, *row.view);
-        const auto held = m_held.find(id);
-        row.free = held == m_held.end() ? row.open : row.open - held->second;
-        row.usable = row.view->usable(now, m_settings) && !worker.leaving &&
-                     !m_upkeep_hosts.contains(worker.facts.host);
-        m_row_of.emplace(id, m_rows.size());
-        m_rows.push_back(row);
-    }
-}
-
 // The median of the faster half, so that a third of slow hosts does not pull it down.
 void dispatcher::learn_usual_speed()
 {
@@ -145,17 +130,17 @@
 
 bool dispatcher::allowed(const candidate& item, const host_row& row) const
 {
-    if (!row.usable || row.worker->facts.pool != item.owner->pool)
+    if (!row.usable || row.pool != item.pool)
     {
         return false;
     }
-    const auto& labels = row.worker->facts.labels;
     const std::string& required = item.step->required_label;
+    const auto& labels = row.worker->facts.labels;
     return required.empty() || std::find(labels.begin(), labels.end(), required) != labels.end();
 }
 
 // The ticket to start a task of the step there; "-" where none is needed, empty where none counts.
-std::string dispatcher::ticket_for(const candidate& item, worker_life_id worker, monotonic_time now)
+std::string_view dispatcher::ticket_for(const candidate& item, worker_life_id worker, monotonic_time now)
 {
     if (item.queue == nullptr || !item.queue->advised)
     {
@@ -165,7 +150,7 @@
     const auto entry = known.entries.find(worker);
     const bool counts =
         entry != known.entries.end() && m_advice.usable(entry->second, now, m_settings.ticket_margin);
-    return counts ? entry->second.ticket : std::string{};
+    return counts ? std::string_view(entry->second.ticket) : std::string_view{};
 }
 
 // Returns false if workers were looked at in vain.
@@ -200,9 +185,11 @@
     }
     const bool advised = item.queue != nullptr && item.queue->advised;
     const step_advice& known = m_advice.of(item.ref);
+    const double need = item.step->gang ? item.step->count : 1;
     double others = 0;
-    for (const host_row& row : m_rows)
+    for (std::size_t place = 0; place < m_hosts.size() && others < need * 2; ++place)
     {
+        const host_row& row = m_hosts.at(place);
         const worker_life_id id = row.worker->id;
         const auto entry = known.entries.find(id);
         const bool bad = advised && entry != known.entries.end() && !entry->second.good;
@@ -213,7 +200,6 @@
                       slots(item, id, row.worker->facts.size);
         }
     }
-    const double need = item.step->gang ? item.step->count : 1;
     return others >= need * 2 ? failed : std::set<worker_life_id>{};
 }
 
@@ -223,7 +209,7 @@
     o.worker = row.worker;
     o.room = room_for(item, row);
     o.slots = slots(item, row.worker->id, o.room);
-    o.whole = slots(item, row.worker->id, row.worker->facts.size);
+    o.whole = o.room == row.worker->facts.size ? o.slots : slots(item, row.worker->id, row.worker->facts.size);
     const auto& labels = row.worker->facts.labels;
     o.near = !item.step->preferred_rack.empty() &&
              std::find(labels.begin(), labels.end(), item.step->preferred_rack) != labels.end();
@@ -231,7 +217,8 @@
     o.speed = row.view->speed;
     o.slow = o.speed < m_settings.slow_below * m_usual_speed;
     o.held = o.room != row.free;
-    o.keeps_large = !uses(mechanism::large_slots) || keeps_large_slots(o.room, room_of(*item.step));
+    o.keeps_large =
+        o.slots == 0 || !uses(mechanism::large_slots) || keeps_large_slots(o.room, room_of(*item.step));
     o.disturbs = (item.step->fills && row.view->serving > 0) ||
                  (item.step->latency_target_ms > 0 && row.view->filling > 0);
     return o;
@@ -242,9 +229,10 @@
 {
     const std::set<worker_life_id> failed = failed_before(item);
     std::vector<offer> offers;
-    offers.reserve(m_rows.size());
-    for (const host_row& row : m_rows)
+    offers.reserve(m_hosts.size());
+    for (std::size_t place = 0; place < m_hosts.size(); ++place)
     {
+        const host_row& row = m_hosts.at(place);
         if (allowed(item, row) && !failed.contains(row.worker->id))
         {
             offers.push_back(make_offer(item, row, now));
@@ -275,11 +263,10 @@
     const std::set<worker_life_id> failed = failed_before(item);
     for (const auto& [id, entry] : m_advice.of(item.ref).entries)
     {
-        const auto row = m_row_of.find(id);
-        const bool known = row != m_row_of.end() && entry.good && !failed.contains(id);
-        if (known && allowed(item, m_rows[row->second]))
+        const host_row* row = entry.good && !failed.contains(id) ? m_hosts.find(id) : nullptr;
+        if (row != nullptr && allowed(item, *row))
         {
-            offers.push_back(make_offer(item, m_rows[row->second], now));
+            offers.push_back(make_offer(item, *row, now));
         }
     }
     return offers;
@@ -307,10 +294,84 @@
 // Tasks one by one
 // ---------------------------------------------------------------------------------------------------------
 
-bool dispatcher::place_each(const candidate& item, monotonic_time now)
+// Whether the step looked at all its hosts a moment ago and found too little room.
+bool dispatcher::looked_at_lately(const candidate& item, monotonic_time now) const
+{
+    const auto waits = m_waiting.find(item.ref);
+    return !item.presses() && waits != m_waiting.end() && now < waits->second.look_again;
+}
+
+// Only hosts where room came free since the step looked last: the others had none for it. With hundreds of
+// steps that wait, looking at all their hosts each time would take most of a core (82 in place of 847 us a
+// start, 4,500 stand-in workers, overload, one core of 2.1 GHz).
+std::vector<dispatcher::offer> dispatcher::find_new_offers(const candidate& item, monotonic_time now)
+{
+    const auto news = m_news.since(m_waiting.at(item.ref).seen);
+    if (!news)
+    {
+        return find_open_offers(item, now);
+    }
+    std::vector<offer> offers;
+    for (const worker_life_id id : *news)
+    {
+        const host_row* row = surely_good(item, id) ? m_hosts.find(id) : nullptr;
+        if (row == nullptr || !allowed(item, *row))
+        {
+            continue;
+        }
+        const offer o = make_offer(item, *row, now);
+        if (o.slots > 0 && !o.ticket.empty())
+        {
+            offers.push_back(o);
+        }
+    }
+    const std::set<worker_life_id> failed = offers.empty() ? std::set<worker_life_id>{} : failed_before(item);
+    std::erase_if(offers,
+                  [&failed](const offer& o)
+                  {
+                      return failed.contains(o.worker->id);
+                  });
+    return offers;
+}
+
+// Chooses a host for each waiting task; counts those without one.
+void dispatcher::plan_each(const candidate& item, std::vector<offer>& offers, std::vector<planned_start>& starts,
+                           std::vector<std::string>& tickets, std::uint32_t& left) const
 {
     const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
-    std::vector<offer> offers = find_open_offers(item, now);
+    auto fit = offers.begin();
+    for (std::uint32_t i = 0; i < tasks.size(); ++i)
+    {
+        const task_ref ref{item.ref, i};
+        if (tasks[i].state() != work_phase::waiting || m_planned.contains(ref))
+        {
+            continue;
+        }
+        while (fit != offers.end() && fit->slots == 0)
+        {
+            ++fit;
+        }
+        if (fit == offers.end())
+        {
+            ++left;
+            continue;
+        }
+        --fit->slots;
+        starts.push_back({ref, tasks[i].run + 1, fit->worker->id});
+        tickets.emplace_back(fit->ticket);
+    }
+}
+
+bool dispatcher::place_each(const candidate& item, monotonic_time now)
+{
+    const bool lately = looked_at_lately(item, now);
+    const std::uint64_t news = m_news.position();
+    std::vector<offer> offers = lately ? find_new_offers(item, now) : find_open_offers(item, now);
+    if (lately && offers.empty())
+    {
+        m_waiting.at(item.ref).seen = news;
+        return true; // that cost next to nothing
+    }
     // The rack with the data first; then what leaves whole hosts free for gangs; urgent work on fast hosts
     // and other work on slow ones, which gangs avoid; then from the low end of the list, as gangs fill it
     // from the high end.
@@ -328,33 +389,21 @@
     std::vector<planned_start> starts;
     std::vector<std::string> tickets;
     std::uint32_t left = 0;
-    for (std::uint32_t i = 0; i < tasks.size(); ++i)
-    {
-        const task_ref ref{item.ref, i};
-        if (tasks[i].state() != work_phase::waiting || m_planned.contains(ref))
-        {
-            continue;
-        }
-        const auto fit = std::find_if(offers.begin(), offers.end(),
-                                      [](const offer& o)
-                                      {
-                                          return o.slots > 0;
-                                      });
-        if (fit == offers.end())
-        {
-            ++left;
-            continue;
-        }
-        --fit->slots;
-        starts.push_back({ref, tasks[i].run + 1, fit->worker->id});
-        tickets.push_back(fit->ticket);
-    }
+    plan_each(item, offers, starts, tickets, left);
     if (!starts.empty())
     {
         propose_starts(item, starts, tickets, now);
     }
-    if (left > 0)
+    if (left == 0)
+    {
+        m_waiting.erase(item.ref);
+        return !starts.empty();
+    }
+    waiting_step& waits = m_waiting[item.ref];
+    waits.seen = news;
+    if (!lately)
     {
+        waits.look_again = now + look_at_all_again;
         reserve_hosts(item, left, now);
         ask_advice(item, left, now);
         preempt_for(item, left, now);
--- a/src/dispatch/dispatcher_preempt.cpp
+++ b/src/dispatch/dispatcher_preempt.cpp
@@ -20,11 +20,11 @@
 {
     const submission* owner = m_state.find(run.task.step.submission);
     const step_spec* step = m_state.find(run.task.step);
-    if (step == nullptr || known.stopping || !known.listed || !m_state.held_catalogue())
+    if (step == nullptr || known.stopping || !known.listed)
     {
         return false;
     }
-    const queue_spec* queue = find_queue_by_name(*m_state.held_catalogue(), owner->queue);
+    const queue_spec* queue = m_state.find_queue(owner->queue);
     const bool lesser = queue != nullptr && item.queue != nullptr && queue->priority > item.queue->priority;
     const double left = m_objectives.expected_ms(owner->queue, *step) * (100.0 - known.percent) / 100.0;
     return lesser && step->checkpoints && !step->gang && !step->lasting && left > least_left_ms;
--- a/src/dispatch/dispatcher_reports.cpp
+++ b/src/dispatch/dispatcher_reports.cpp
@@ -38,6 +38,7 @@
         view.sequence = report.sequence;
         if (report.draining != view.draining)
         {
+            m_hooks.wake();
             note(now, report.draining ? "worker_draining" : "worker_ready", report.facts.life,
                  {{"from", "report"},
                   {"sequence", report.sequence},
@@ -51,7 +52,6 @@
     {
         view.note_clock(report.clock_ms, now);
     }
-    m_hooks.wake();
 }
 
 // Whether a worker leaves is acknowledged once the next leader would know it as well: it hears the worker
--- a/src/dispatch/dispatcher_reserve.cpp
+++ b/src/dispatch/dispatcher_reserve.cpp
@@ -55,17 +55,13 @@
     return count;
 }
 
-std::size_t dispatcher::most_reserved(const candidate& item) const
+std::size_t dispatcher::most_reserved(const candidate& item)
 {
     if (item.missed())
     {
         return most_reserved_late;
     }
-    const auto pool = std::count_if(m_rows.begin(), m_rows.end(),
-                                    [this, &item](const host_row& row)
-                                    {
-                                        return allowed(item, row);
-                                    });
+    const std::size_t pool = m_hosts.usable_in(item.pool);
     return std::max<std::size_t>(
         1, static_cast<std::size_t>(static_cast<double>(pool) * m_settings.reserved_share));
 }
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -232,6 +232,7 @@
                             return;
                         }
                         later->recording = false;
+                        m_news.note(command.worker);
                         for (const observed_end& end : command.ends)
                         {
                             if (committed)
--- a/src/dispatch/objective.cpp
+++ b/src/dispatch/objective.cpp
@@ -1,6 +1,7 @@
 #include <walkthread/dispatch/objective.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace walkthread
 {
@@ -53,30 +54,28 @@
     return (step.estimate_ms > 0 ? static_cast<double>(step.estimate_ms) : unknown_run_ms) * ratio;
 }
 
-double objective_book::remaining_ms(const submission& owner, std::uint32_t step) const
+chain_times objective_book::chain_of(const submission& owner, std::uint32_t step) const
 {
     // Longest chain from each step to the end: later steps first, since a step depends on earlier ones only.
     const auto& steps = owner.spec.steps;
-    std::vector<double> behind(steps.size(), 0.0);
+    std::array<double, most_steps> behind{};
+    chain_times out;
     for (std::size_t i = steps.size(); i-- > 0;)
     {
         behind[i] += expected_ms(owner.queue, steps[i]);
+        out.longest_ms = std::max(out.longest_ms, behind[i]);
         for (const std::uint32_t earlier : steps[i].after)
         {
             behind[earlier] = std::max(behind[earlier], behind[i]);
         }
     }
-    return behind[step];
+    out.remaining_ms = behind[step];
+    return out;
 }
 
-double objective_book::objective_ms(const submission& owner, const queue_spec& queue) const
+double objective_ms(const chain_times& chain, const queue_spec& queue)
 {
-    double longest = 0;
-    for (std::uint32_t step = 0; step < owner.spec.steps.size(); ++step)
-    {
-        longest = std::max(longest, remaining_ms(owner, step));
-    }
-    return queue.stretch * longest + static_cast<double>(queue.target_latency_ms);
+    return queue.stretch * chain.longest_ms + static_cast<double>(queue.target_latency_ms);
 }
 
 } // namespace walkthread
--- a/src/workload/workload_indexes.cpp
+++ b/src/workload/workload_indexes.cpp
@@ -69,8 +69,18 @@
     }
 }
 
+void workload_state::index_queues()
+{
+    m_queue_places.clear();
+    for (std::size_t place = 0; m_catalogue && place < m_catalogue->queues.size(); ++place)
+    {
+        m_queue_places.emplace(m_catalogue->queues[place].name, place);
+    }
+}
+
 void workload_state::rebuild_indexes()
 {
+    index_queues();
     ++m_workers_version;
     m_by_life.clear();
     m_by_host.clear();
--- a/src/workload/workload_state.cpp
+++ b/src/workload/workload_state.cpp
@@ -8,7 +8,6 @@
 
 namespace
 {
-constexpr std::uint32_t max_steps = 64;    // far above what callers send; bounds one entry's size
 constexpr std::uint32_t max_tasks = 4096;  // the same, for one submission and round
 constexpr std::uint32_t max_rounds = 1000; // the same
 constexpr std::size_t max_former_lives =
@@ -43,9 +42,9 @@
 
 std::string find_fault(const submission_spec& spec)
 {
-    if (spec.steps.empty() || spec.steps.size() > max_steps)
+    if (spec.steps.empty() || spec.steps.size() > most_steps)
     {
-        return "A submission has between 1 and " + std::to_string(max_steps) + " steps.";
+        return "A submission has between 1 and " + std::to_string(most_steps) + " steps.";
     }
     std::uint64_t tasks = 0;
     for (std::uint32_t i = 0; i < spec.steps.size(); ++i)
@@ -81,6 +80,12 @@
 // Reading
 // ---------------------------------------------------------------------------------------------------------
 
+const queue_spec* workload_state::find_queue(const std::string& name) const
+{
+    const auto found = m_queue_places.find(name);
+    return found == m_queue_places.end() ? nullptr : &m_catalogue->queues[found->second];
+}
+
 const submission* workload_state::find(submission_id id) const
 {
     const auto found = m_submissions.find(id);
@@ -177,6 +182,7 @@
     if (!m_catalogue || command.next.version > m_catalogue->version)
     {
         m_catalogue = command.next;
+        index_queues();
     }
     return {};
 }
@@ -190,7 +196,7 @@
                    ? workload_result{}
                    : refuse(workload_code::id_in_use, "Another queue's submission has this id.");
     }
-    const queue_spec* queue = m_catalogue ? find_queue_by_name(*m_catalogue, command.queue) : nullptr;
+    const queue_spec* queue = find_queue(command.queue);
     if (queue == nullptr)
     {
         return refuse(workload_code::unknown_queue, "There is no such queue.");
--- a/tests/src/worker_records.hpp
+++ b/tests/src/worker_records.hpp
@@ -165,6 +165,7 @@
     std::map<std::pair<step_ref, std::string>, monotonic_time> m_tickets;
     std::set<task_ref> m_done;  // some run of it ended so
     std::set<task_ref> m_noted; // and the leader said that it knows
+    std::map<task_ref, std::set<std::string>> m_started_at; // lives that ever carried out an order for it
     std::map<task_ref, monotonic_time> m_last_start;
     std::map<task_ref, std::size_t> m_starts;
     std::map<submission_id, monotonic_time> m_cancelled;
--- a/tests/src/worker_stand_in.hpp
+++ b/tests/src/worker_stand_in.hpp
@@ -171,13 +171,14 @@
     void begin_gang(const run_ref& run, const step_spec& step, std::int64_t length_ms)
     {
         std::vector<std::pair<std::string, run_ref>> members;
-        for (auto& [life, worker] : m_workers)
+        for (std::uint32_t index = 0; index < step.count; ++index)
         {
-            for (const auto& [other, state] : worker.running)
+            const run_ref member{task_ref{run.task.step, index}, run.run};
+            for (const std::string& life : m_started_at[member.task])
             {
-                if (other.task.step == run.task.step && other.run == run.run)
+                if (m_workers[life].running.contains(member))
                 {
-                    members.emplace_back(life, other);
+                    members.emplace_back(life, member);
                 }
             }
         }
@@ -212,17 +213,20 @@
     void check_start(const sim_worker& worker, const run_ref& run, const step_spec& step,
                      const submission& owner)
     {
-        for (const auto& [life, other] : m_workers)
+        for (const std::string& life : m_started_at[run.task])
         {
-            for (const auto& [elsewhere, state] : other.running)
+            const sim_worker& other = m_workers[life];
+            const auto first = other.running.lower_bound(run_ref{run.task, 0});
+            for (auto at = first; at != other.running.end() && at->first.task == run.task; ++at)
             {
-                if (elsewhere.task == run.task && !other.gone && lease_holds(other))
+                if (!other.gone && lease_holds(other))
                 {
-                    m_broken.push_back("two runs at once: " + name_of(run) + " while " + name_of(elsewhere) +
+                    m_broken.push_back("two runs at once: " + name_of(run) + " while " + name_of(at->first) +
                                        " runs on " + life);
                 }
             }
         }
+        m_started_at[run.task].insert(worker.facts.life);
         m_last_start[run.task] = m_now;
         if (m_noted.contains(run.task))
         {
