--- a/include/walkthread/dispatch/advice_book.hpp
+++ b/include/walkthread/dispatch/advice_book.hpp
@@ -22,10 +22,6 @@
 /// @brief Workers in one question at most; the advisor's bound.
 inline constexpr std::size_t most_asked = 100;
 
-/// @brief Workers in a question by which a gang learns its hosts: it takes about as long again as a question
-/// takes at least.
-inline constexpr std::size_t learning_question = 64;
-
 /// @brief When a question about tickets left and when its answer was made, on the leader's clock.
 struct advice_times
 {
@@ -58,12 +54,6 @@
   public:
     /// @brief What is known for a step; made if new.
     step_advice& of(const step_ref& step);
-    /// @brief Whether anything is known for a step.
-    [[nodiscard]] bool knows(const step_ref& step) const
-    {
-        const auto found = m_steps.find(step);
-        return found != m_steps.end() && !found->second.entries.empty();
-    }
     /// @brief Forgets a step.
     void forget(const step_ref& step);
     /// @brief Forgets all steps of which `keep` says no.
--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -143,7 +143,6 @@
     void tidy(monotonic_time now, wall_ms wall);
     [[nodiscard]] std::vector<candidate> order_candidates(wall_ms wall, bool all);
     [[nodiscard]] bool rate(candidate& item, wall_ms wall) const;
-    [[nodiscard]] double preparation_ms(const candidate& item) const;
     [[nodiscard]] int rank(const candidate& item) const;
     [[nodiscard]] bool uses(mechanism which) const
     {
@@ -196,8 +195,6 @@
     [[nodiscard]] bool start_gang(const candidate& item, monotonic_time now);
     void start_gang_on(const candidate& item, std::vector<offer> offers, monotonic_time now);
     void learn_large_task(const candidate& item);
-    [[nodiscard]] int speed_class(const offer& o) const;
-    [[nodiscard]] double slowest_speed(const run_ref& run) const;
     [[nodiscard]] static bool spares_accelerators(const candidate& item, const offer& o);
     void hold_room(const candidate& item, monotonic_time now);
     [[nodiscard]] bool may_gather(const candidate& item) const;
--- a/include/walkthread/dispatch/mechanisms.hpp
+++ b/include/walkthread/dispatch/mechanisms.hpp
@@ -30,16 +30,12 @@
     answer_tickets, ///< tickets count from the advisor's answer; off: from the question
     kept_tickets,   ///< what waits has tickets for all hosts that may run it, while askers are idle
     reservations,   ///< hosts are kept for tasks that need most of one until they are free
-    sound_objectives, ///< objectives are reckoned for hosts of the usual speed; off: for those that work gets
-    fast_gangs,       ///< gangs go to the faster hosts first
-    prepared_outlook, ///< a gang's outlook counts the questions that it needs before it can start
 };
 
 /// @brief The names of all mechanisms as settings and logs have them, in the order of `mechanism`.
-inline constexpr std::array<std::string_view, 13> mechanism_names{
+inline constexpr std::array<std::string_view, 10> mechanism_names{
     "outlook-order", "preemption",  "learned-speeds", "quarantine",   "failed-hosts",
-    "large-slots",   "short-looks", "answer-tickets", "kept-tickets", "reservations",
-    "sound-objectives", "fast-gangs", "prepared-outlook"};
+    "large-slots",   "short-looks", "answer-tickets", "kept-tickets", "reservations"};
 
 /// @brief The mechanism of that name; no value if there is none. Complexity: linear in the names.
 [[nodiscard]] inline std::optional<mechanism> find_mechanism(std::string_view name)
--- a/include/walkthread/dispatch/objective.hpp
+++ b/include/walkthread/dispatch/objective.hpp
@@ -38,7 +38,7 @@
 /// @brief Expected times of a submission, in milliseconds.
 struct chain_times
 {
-    double longest_ms{};   ///< of its longest chain; what it may take follows from this
+    double longest_ms{};   ///< of its longest chain
     double remaining_ms{}; ///< from the start of one step to the end, along the longest chain
 };
 
@@ -53,25 +53,20 @@
 {
   public:
     /// @brief Takes a completed run in.
-    /// @param speed of the host, of the slowest one for a gang's run; 1 is usual
-    void note_run(const std::string& queue, std::int64_t estimate_ms, std::int64_t took_ms, double speed);
-    /// @brief The expected run time of one task of a step on a host of the usual speed, in milliseconds.
-    [[nodiscard]] double sound_ms(const std::string& queue, const step_spec& step) const;
+    void note_run(const std::string& queue, std::int64_t estimate_ms, std::int64_t took_ms);
     /// @brief How far estimates of a queue are off: the variance of observed times as a part of the expected.
     [[nodiscard]] double spread(const std::string& queue) const;
     /// @brief The expected run time of one task of a step, in milliseconds.
     [[nodiscard]] double expected_ms(const std::string& queue, const step_spec& step) const;
     /// @brief Expected times along a submission's longest chains of steps. Complexity: linear in the
     /// dependencies.
-    /// @param sound whether the longest chain is reckoned for hosts of the usual speed
-    [[nodiscard]] chain_times chain_of(const submission& owner, std::uint32_t step, bool sound) const;
+    [[nodiscard]] chain_times chain_of(const submission& owner, std::uint32_t step) const;
 
   private:
     /// What was learned of a queue's estimates.
     struct estimate_record
     {
         double ratio = 1.0;  ///< observed to estimated, mean
-        double sound = 1.0;  ///< the same as on hosts of the usual speed
         double spread = 0.3; ///< variance of that, relative to the mean; before any run in the middle of the
                              ///< users' kinds, 0.05 to 0.8
     };
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -185,29 +185,13 @@
         item.slack_ms = -age;
         return true;
     }
-    const chain_times chain =
-        m_objectives.chain_of(*item.owner, item.ref.step, uses(mechanism::sound_objectives));
+    const chain_times chain = m_objectives.chain_of(*item.owner, item.ref.step);
     const double objective = item.queue != nullptr ? objective_ms(chain, *item.queue) : 0.0;
     item.slack_ms = objective - age - chain.remaining_ms;
-    item.chance = judge_outlook(item.slack_ms - preparation_ms(item), objective, m_settings.outlooks);
+    item.chance = judge_outlook(item.slack_ms, objective, m_settings.outlooks);
     return true;
 }
 
-// What a gang needs before it can start, at least: a question for its hosts, and one for their tickets. One that
-// would be late only by that holds room which another could use in time.
-double dispatcher::preparation_ms(const candidate& item) const
-{
-    const bool prepares = item.step->gang && !item.urgent() && item.queue != nullptr && item.queue->advised;
-    if (!prepares || !uses(mechanism::prepared_outlook))
-    {
-        return 0.0;
-    }
-    const advice_terms& terms = item.queue->advice;
-    const double learning = terms.decision_ms + terms.each_ms * learning_question;
-    const double tickets = terms.decision_ms + terms.each_ms * static_cast<double>(item.step->count) / 2.0;
-    return tickets + (m_advice.knows(item.ref) ? 0.0 : learning);
-}
-
 // Lower goes first; within a rank by slack. Urgent work that can be late is still worth more than other work.
 int dispatcher::rank(const candidate& item) const
 {
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -13,7 +13,7 @@
 {
 constexpr std::int64_t large_task_memory = 8; // the learned size of a gang's task follows about that many
 constexpr double spare_factor = 1.5;          // asked beyond the need: the share of good ones is an average
-constexpr double middle_speed = 0.7; // of the usual speed: between the users' hosts, which differ by 1 to 1.6
+constexpr std::size_t learning_question = 64; // workers: about as long again as a question takes at least
 constexpr duration gang_retry =
     milliseconds(120);                 // without room held; many wait, and each looks at its hosts
 constexpr std::size_t least_asked = 8; // a question costs most for being asked at all
@@ -43,16 +43,6 @@
     return item.step->size.accelerators == 0 || o.keeps_large;
 }
 
-// A gang runs as its slowest host: on the fast ones it is through sooner, and less of the pool waits for it.
-int dispatcher::speed_class(const offer& o) const
-{
-    if (!uses(mechanism::fast_gangs) || !o.slow)
-    {
-        return 2;
-    }
-    return o.speed >= middle_speed * m_usual_speed ? 1 : 0;
-}
-
 bool dispatcher::place_gang(const candidate& item, monotonic_time now)
 {
     const bool holds = m_holds.contains(item.ref);
@@ -120,12 +110,12 @@
     // Urgent gangs are small and go where lesser work goes; others fill hosts whole, from the high end.
     const bool small = item.urgent();
     std::sort(offers.begin(), offers.end(),
-              [this, small, &item](const offer& a, const offer& b)
+              [small, &item](const offer& a, const offer& b)
               {
-                  const auto key = [this, small, &item](const offer& o)
+                  const auto key = [small, &item](const offer& o)
                   {
-                      return small ? std::make_tuple(0, false, -o.speed, std::int64_t{o.worker->id.value()})
-                                   : std::make_tuple(-speed_class(o), !spares_accelerators(item, o),
+                      return small ? std::make_tuple(false, -o.speed, std::int64_t{o.worker->id.value()})
+                                   : std::make_tuple(!spares_accelerators(item, o),
                                                      -static_cast<double>(o.slots),
                                                      -std::int64_t{o.worker->id.value()});
                   };
@@ -231,14 +221,10 @@
         return before != m_holds.end() && before->second.tasks.contains(o.worker->id);
     };
     std::sort(offers.begin(), offers.end(),
-              [this, &own, &item](const offer& a, const offer& b)
+              [&own, &item](const offer& a, const offer& b)
               {
-                  const auto key = [this, &own, &item](const offer& o)
-                  {
-                      return std::make_tuple(own(o), speed_class(o), spares_accelerators(item, o), o.slots,
-                                             o.worker->id);
-                  };
-                  return key(b) < key(a);
+                  return std::make_tuple(own(b), spares_accelerators(item, b), b.slots, b.worker->id) <
+                         std::make_tuple(own(a), spares_accelerators(item, a), a.slots, a.worker->id);
               });
     room_hold next;
     next.each = room_of(*item.step);
@@ -373,10 +359,10 @@
         return false;
     }
     // Only the first few are asked about: a heap gives them without sorting all.
-    const auto lesser = [this](const offer& a, const offer& b)
+    const auto lesser = [](const offer& a, const offer& b)
     {
-        return std::make_tuple(a.slots > 0, speed_class(a), a.slots, a.whole, a.worker->id) <
-               std::make_tuple(b.slots > 0, speed_class(b), b.slots, b.whole, b.worker->id);
+        return std::make_tuple(a.slots, a.whole, a.worker->id) <
+               std::make_tuple(b.slots, b.whole, b.worker->id);
     };
     std::make_heap(unknown.begin(), unknown.end(), lesser);
     double now_free = 0;
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -325,8 +325,7 @@
         {
             const std::int64_t took_ms = std::chrono::duration_cast<milliseconds>(took).count();
             const double expected = m_objectives.expected_ms(owner->queue, step);
-            m_objectives.note_run(owner->queue, step.estimate_ms, took_ms,
-                                  step.gang ? slowest_speed(end.run) : view.speed);
+            m_objectives.note_run(owner->queue, step.estimate_ms, took_ms);
             const double sound = std::min(1.0, sound_spread / m_objectives.spread(owner->queue));
             const double seen = std::clamp(expected / static_cast<double>(std::max<std::int64_t>(took_ms, 1)),
                                            least_speed, most_speed);
@@ -352,20 +351,6 @@
     }
 }
 
-// The learned speed of the slowest host of a gang's run.
-double dispatcher::slowest_speed(const run_ref& run) const
-{
-    double slowest = most_speed;
-    const submission* owner = m_state.find(run.task.step.submission);
-    const auto& tasks = owner->rounds[run.task.step.round.value()].steps[run.task.step.step].tasks;
-    for (const work_task& task : tasks)
-    {
-        const auto view = task.run == run.run ? m_views.find(task.worker) : m_views.end();
-        slowest = view == m_views.end() ? slowest : std::min(slowest, view->second.speed);
-    }
-    return slowest == most_speed ? 1.0 : slowest;
-}
-
 void dispatcher::drop_lost(monotonic_time now)
 {
     for (auto& [id, view] : m_views)
--- a/src/dispatch/objective.cpp
+++ b/src/dispatch/objective.cpp
@@ -27,8 +27,7 @@
     return slack_ms >= bounds.late * objective_ms ? outlook::late : outlook::worthless;
 }
 
-void objective_book::note_run(const std::string& queue, std::int64_t estimate_ms, std::int64_t took_ms,
-                              double speed)
+void objective_book::note_run(const std::string& queue, std::int64_t estimate_ms, std::int64_t took_ms)
 {
     if (estimate_ms <= 0)
     {
@@ -39,7 +38,6 @@
     const double off = std::clamp(seen, least_ratio, most_ratio) - record.ratio;
     const double relative = off / record.ratio;
     record.ratio += learning_rate * off;
-    record.sound += learning_rate * (std::clamp(seen * speed, least_ratio, most_ratio) - record.sound);
     record.spread += learning_rate * (relative * relative - record.spread);
 }
 
@@ -56,32 +54,19 @@
     return (step.estimate_ms > 0 ? static_cast<double>(step.estimate_ms) : unknown_run_ms) * ratio;
 }
 
-double objective_book::sound_ms(const std::string& queue, const step_spec& step) const
-{
-    const auto found = m_records.find(queue);
-    const double ratio = found == m_records.end() ? 1.0 : found->second.sound;
-    return (step.estimate_ms > 0 ? static_cast<double>(step.estimate_ms) : unknown_run_ms) * ratio;
-}
-
-// Callers reckon what work may take from hosts of the usual speed. A gang runs as its slowest host, 1.3 times as
-// long as estimated with 1,100 hosts of three speeds; an objective reckoned from that is so much too long, and
-// gangs that could be on time waited behind others.
-chain_times objective_book::chain_of(const submission& owner, std::uint32_t step, bool sound) const
+chain_times objective_book::chain_of(const submission& owner, std::uint32_t step) const
 {
     // Longest chain from each step to the end: later steps first, since a step depends on earlier ones only.
     const auto& steps = owner.spec.steps;
     std::array<double, most_steps> behind{};
-    std::array<double, most_steps> allowed{};
     chain_times out;
     for (std::size_t i = steps.size(); i-- > 0;)
     {
         behind[i] += expected_ms(owner.queue, steps[i]);
-        allowed[i] += sound ? sound_ms(owner.queue, steps[i]) : expected_ms(owner.queue, steps[i]);
-        out.longest_ms = std::max(out.longest_ms, allowed[i]);
+        out.longest_ms = std::max(out.longest_ms, behind[i]);
         for (const std::uint32_t earlier : steps[i].after)
         {
             behind[earlier] = std::max(behind[earlier], behind[i]);
-            allowed[earlier] = std::max(allowed[earlier], allowed[i]);
         }
     }
     out.remaining_ms = behind[step];
