--- a/bench/bench_dispatch.cpp
+++ b/bench/bench_dispatch.cpp
@@ -54,4 +54,10 @@
 }
 } // namespace
 
-BENCHMARK(dispatch_seconds)->Arg(48)->Arg(350)->Arg(1100)->Arg(4500)->Unit(benchmark::kMillisecond)->Iterations(1);
+BENCHMARK(dispatch_seconds)
+    ->Arg(48)
+    ->Arg(350)
+    ->Arg(1100)
+    ->Arg(4500)
+    ->Unit(benchmark::kMillisecond)
+    ->Iterations(1);
--- a/bench/bench_leader.cpp
+++ b/bench/bench_leader.cpp
@@ -211,8 +211,8 @@
         times.replication.heartbeat = milliseconds(100);
         times.replication.election_timeout = milliseconds(350);
         outside_hooks outside = m_client.hooks(true);
-        outside.ask_advisor = [this](const advice_question& question,
-                                     const std::function<void(const advice_answer&)>& handler)
+        outside.ask_advisor =
+            [this](const advice_question& question, const std::function<void(const advice_answer&)>& handler)
         {
             advise(question, handler);
         };
@@ -315,8 +315,13 @@
         for (std::size_t i = 0; i < m_workers; ++i)
         {
             worker_report report;
-            report.facts = {name_of_worker(i), "h" + std::to_string(i), address_of_worker(i), "pool", "hall",
-                            {"kind", "rack" + std::to_string(i / 12)}, {16000, 65536, 0, 0}};
+            report.facts = {name_of_worker(i),
+                            "h" + std::to_string(i),
+                            address_of_worker(i),
+                            "pool",
+                            "hall",
+                            {"kind", "rack" + std::to_string(i / 12)},
+                            {16000, 65536, 0, 0}};
             report.clock_ms = 0;
             report.sequence = 1;
             m_node->call(report_call{report}, seconds(5), [](const service_reply&) {});
@@ -341,8 +346,8 @@
         figure_page page;
         m_node->fill(page);
         const double starts = figure_of(page.text(), "walkthread_task_starts_total ");
-        std::printf("workers %zu, starts a second %.0f, cores %.3f, us a start %.1f, not sent %.0f\n", m_workers,
-                    starts / m_seconds, used / m_seconds, 1e6 * used / starts,
+        std::printf("workers %zu, starts a second %.0f, cores %.3f, us a start %.1f, not sent %.0f\n",
+                    m_workers, starts / m_seconds, used / m_seconds, 1e6 * used / starts,
                     figure_of(page.text(), "walkthread_orders_not_sent_total "));
         m_loop.stop();
     }
--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -121,15 +121,15 @@
     struct offer
     {
         const worker_life* worker{};
-        resources room{};      ///< free now
-        std::uint32_t slots{}; ///< tasks of the step that fit now
-        std::uint32_t whole{}; ///< tasks that would fit if nothing ran there
-        bool near{};           ///< in the rack with the data
-        bool held{};           ///< the room is held for a gang, its own or another
-        bool keeps_large{};    ///< a task there takes no room from gangs
-        double speed{};        ///< learned, 1 is usual
-        bool slow{};           ///< clearly slower than most
-        bool disturbs{};       ///< filling work would go beside serving work, or the other way round
+        resources room{};        ///< free now
+        std::uint32_t slots{};   ///< tasks of the step that fit now
+        std::uint32_t whole{};   ///< tasks that would fit if nothing ran there
+        bool near{};             ///< in the rack with the data
+        bool held{};             ///< the room is held for a gang, its own or another
+        bool keeps_large{};      ///< a task there takes no room from gangs
+        double speed{};          ///< learned, 1 is usual
+        bool slow{};             ///< clearly slower than most
+        bool disturbs{};         ///< filling work would go beside serving work, or the other way round
         std::string_view ticket; ///< "-" where none is needed, empty where none counts
         /// The last label names the rack.
         [[nodiscard]] std::string rack() const
@@ -169,7 +169,8 @@
     bool place_each(const candidate& item, monotonic_time now);
     void learn_usual_speed();
     [[nodiscard]] bool allowed(const candidate& item, const host_row& row) const;
-    [[nodiscard]] std::string_view ticket_for(const candidate& item, worker_life_id worker, monotonic_time now);
+    [[nodiscard]] std::string_view ticket_for(const candidate& item, worker_life_id worker,
+                                              monotonic_time now);
     [[nodiscard]] resources room_for(const candidate& item, const host_row& row) const;
     [[nodiscard]] std::uint32_t slots(const candidate& item, worker_life_id worker,
                                       const resources& room) const;
@@ -302,12 +303,12 @@
     unconfirmed_work m_unconfirmed;
     advice_book m_advice;
     objective_book m_objectives;
-    std::map<step_ref, room_hold> m_holds;                ///< room kept for gangs
-    std::map<step_ref, monotonic_time> m_hold_after;      ///< gangs that gathered in vain wait until then
-    std::map<step_ref, monotonic_time> m_gang_retry;      ///< gangs without room held are looked at then
-    std::map<step_ref, monotonic_time> m_preempted; ///< when runs were last stopped for a step
-    resources m_large_task{};                       ///< about what a task of a gang takes
-    std::set<std::string> m_joining;                ///< hosts of lives that are being admitted
+    std::map<step_ref, room_hold> m_holds;           ///< room kept for gangs
+    std::map<step_ref, monotonic_time> m_hold_after; ///< gangs that gathered in vain wait until then
+    std::map<step_ref, monotonic_time> m_gang_retry; ///< gangs without room held are looked at then
+    std::map<step_ref, monotonic_time> m_preempted;  ///< when runs were last stopped for a step
+    resources m_large_task{};                        ///< about what a task of a gang takes
+    std::set<std::string> m_joining;                 ///< hosts of lives that are being admitted
     std::set<std::string> m_upkeep_in_flight;
     std::map<std::string, monotonic_time> m_upkeep_retry;
     std::map<std::string, monotonic_time> m_upkeep_taken; ///< when the platform took a host's order
--- a/include/walkthread/dispatch/host_table.hpp
+++ b/include/walkthread/dispatch/host_table.hpp
@@ -30,9 +30,9 @@
     const worker_life* worker{};
     const worker_view* view{};
     pool_number pool{};
-    resources open{}; ///< what no run takes
-    resources free{}; ///< the same without what is held for gangs
-    bool usable{};    ///< new work may go there
+    resources open{};      ///< what no run takes
+    resources free{};      ///< the same without what is held for gangs
+    bool usable{};         ///< new work may go there
     std::uint64_t stamp{}; ///< when it was worked out
 };
 
--- a/include/walkthread/dispatch/room_news.hpp
+++ b/include/walkthread/dispatch/room_news.hpp
@@ -41,8 +41,8 @@
     {
         return m_first + m_hosts.size();
     }
-    /// @brief Hosts noted since a position, each once, in the order of their ids; no value if some of them are
-    /// forgotten.
+    /// @brief Hosts noted since a position, each once, in the order of their ids; no value if some of them
+    /// are forgotten.
     [[nodiscard]] std::optional<std::vector<worker_life_id>> since(std::uint64_t position) const
     {
         if (position < m_first)
--- a/include/walkthread/fabric/connection_pool.hpp
+++ b/include/walkthread/fabric/connection_pool.hpp
@@ -37,11 +37,11 @@
 /// @brief Bounds of a pool.
 struct connection_pool_settings
 {
-    std::size_t most = 1000;               ///< connections in all; from the process's descriptors
-    std::size_t most_each = 1;             ///< connections to one address
-    duration busy_lasts = milliseconds(25); ///< a call waits that long for a connection of its address before it
-                                            ///< takes another one: an order is answered within a few ms
-    duration idle_lasts = seconds(15);     ///< a connection that nobody used for that long is closed
+    std::size_t most = 1000;                ///< connections in all; from the process's descriptors
+    std::size_t most_each = 1;              ///< connections to one address
+    duration busy_lasts = milliseconds(25); ///< a call waits that long for a connection of its address before
+                                            ///< it takes another one: an order is answered within a few ms
+    duration idle_lasts = seconds(15);      ///< a connection that nobody used for that long is closed
 };
 
 /// @brief A call that may go now.
@@ -50,17 +50,17 @@
     pooled_call call{};
     pooled_id connection{};
     std::string address;
-    bool fresh{};                       ///< the connection is to be opened
-    std::optional<pooled_id> replaced;  ///< an idle connection that is to be closed first
+    bool fresh{};                      ///< the connection is to be opened
+    std::optional<pooled_id> replaced; ///< an idle connection that is to be closed first
 };
 
 /// @brief Shares a bounded number of connections among calls to many addresses.
 ///
-/// A call takes an idle connection of its address. Where its address has none, it opens one, in the place of the
-/// one that has been idle for longest if there are as many as there may be. Where its address has busy ones, it
-/// waits for one of them for a moment before it opens another: opening costs more than the wait (49,219 in place
-/// of 37,746 and fewer connections a day of 92,000 orders to 1,100 workers). Where all are busy it waits; a
-/// connection that comes free goes to the call that needs it most.
+/// A call takes an idle connection of its address. Where its address has none, it opens one, in the place of
+/// the one that has been idle for longest if there are as many as there may be. Where its address has busy
+/// ones, it waits for one of them for a moment before it opens another: opening costs more than the wait
+/// (49,219 in place of 37,746 and fewer connections a day of 92,000 orders to 1,100 workers). Where all are
+/// busy it waits; a connection that comes free goes to the call that needs it most.
 /// @since 0.3
 class connection_pool
 {
@@ -109,9 +109,9 @@
     struct address_state
     {
         std::size_t open{};
-        std::vector<pooled_id> idle;         ///< the last one is used first
+        std::vector<pooled_id> idle; ///< the last one is used first
         std::map<turn, waiting_call> waiting;
-        std::optional<turn> in_line;         ///< its place in `m_short`
+        std::optional<turn> in_line; ///< its place in `m_short`
     };
     struct idle_connection
     {
@@ -135,10 +135,11 @@
     connection_pool_settings m_settings;
     std::map<std::string, address_state> m_addresses;
     std::map<pooled_id, connection_state> m_connections;
-    std::list<idle_connection> m_idle;                 ///< least recently used first
-    std::map<turn, std::string> m_short;               ///< addresses whose first call waits for room in the pool
+    std::list<idle_connection> m_idle;   ///< least recently used first
+    std::map<turn, std::string> m_short; ///< addresses whose first call waits for room in the pool
     std::set<std::tuple<monotonic_time, turn, std::string>> m_deadlines;
-    std::set<std::tuple<monotonic_time, turn, std::string>> m_patient; ///< until when calls wait for a busy one
+    std::set<std::tuple<monotonic_time, turn, std::string>>
+        m_patient; ///< until when calls wait for a busy one
     std::uint64_t m_next_connection = 1;
     std::uint64_t m_next_turn = 1;
 };
--- a/include/walkthread/replication/replica.hpp
+++ b/include/walkthread/replication/replica.hpp
@@ -121,8 +121,8 @@
     [[nodiscard]] result<done, replication_error> remove_member(const replica_id& member, monotonic_time now);
     /// @brief Hands leadership to the most caught-up voter, if this replica leads.
     void hand_over(monotonic_time now);
-    /// @brief From now on stands in no election, as its process is being stopped or its disk takes nothing; or
-    /// stands again. It still votes.
+    /// @brief From now on stands in no election, as its process is being stopped or its disk takes nothing;
+    /// or stands again. It still votes.
     void decline_leadership(bool declines = true)
     {
         m_declines = declines;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -11,10 +11,10 @@
 
 namespace
 {
-constexpr std::size_t forget_at_once = 200;         // bounds one log entry
-constexpr std::size_t most_failed_placements = 120; // per pass: behind so many that do not fit, little does
-constexpr std::size_t news_kept = 4096; // two seconds of the busiest load at 1,100 workers
-constexpr duration tidy_every = milliseconds(50);   // a fifth of the shortest retry
+constexpr std::size_t forget_at_once = 200;          // bounds one log entry
+constexpr std::size_t most_failed_placements = 120;  // per pass: behind so many that do not fit, little does
+constexpr std::size_t news_kept = 4096;              // two seconds of the busiest load at 1,100 workers
+constexpr duration tidy_every = milliseconds(50);    // a fifth of the shortest retry
 constexpr duration review_every = milliseconds(250); // runs that stand still, speeds, what is over: all of
                                                      // these change within seconds, and each run is looked at
 constexpr std::int32_t inherited_pace = 25; // percent: fillers of an earlier leader, until tails are known
--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -11,12 +11,12 @@
 
 namespace
 {
-constexpr std::size_t least_asked = 3;      // a question costs most for being asked at all
-constexpr std::size_t spare_asked = 20;     // beyond that, little is gained by more choice
-constexpr double spare_cost = 0.12;         // part of a question's time that more choice may add
-constexpr double spare_factor = 1.4;        // ask for so much more than is needed: shares are averages
+constexpr std::size_t least_asked = 3;  // a question costs most for being asked at all
+constexpr std::size_t spare_asked = 20; // beyond that, little is gained by more choice
+constexpr double spare_cost = 0.12;     // part of a question's time that more choice may add
+constexpr double spare_factor = 1.4;    // ask for so much more than is needed: shares are averages
 constexpr std::uint64_t most_counted_slots = 0xFFFF; // room beyond that many tasks is no better
-constexpr std::size_t hosts_to_choose_from = 350; // a larger fleet gains nothing by more choice
+constexpr std::size_t hosts_to_choose_from = 350;    // a larger fleet gains nothing by more choice
 constexpr double choice = 3.0; // times the tasks' need in room, so that the better hosts are chosen
 constexpr double full_worker_weight = 0.35; // a worker without room now may have some soon
 } // namespace
@@ -33,8 +33,8 @@
     return known.open_questions == 0 && now >= known.ask_after && turn;
 }
 
-// For a first question it is enough to choose among some hundreds of hosts, from a place that differs from step
-// to step; where these are busy, among more.
+// For a first question it is enough to choose among some hundreds of hosts, from a place that differs from
+// step to step; where these are busy, among more.
 std::vector<dispatcher::offer> dispatcher::find_offers_to_ask(const candidate& item, std::uint32_t need,
                                                               monotonic_time now)
 {
--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -288,7 +288,8 @@
                 send_stop(view, run, now);
             }
             const bool open = !known.settled && !known.inherited && !known.order_in_flight && !known.stopping;
-            const bool tried = known.tries > 0 || (known.unsent > 0 && known.unsent < m_settings.unsent_tries);
+            const bool tried =
+                known.tries > 0 || (known.unsent > 0 && known.unsent < m_settings.unsent_tries);
             if (open && !silent && tried && now - known.sent >= m_settings.order_retry)
             {
                 again.push_back(run);
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -209,7 +209,8 @@
     o.worker = row.worker;
     o.room = room_for(item, row);
     o.slots = slots(item, row.worker->id, o.room);
-    o.whole = o.room == row.worker->facts.size ? o.slots : slots(item, row.worker->id, row.worker->facts.size);
+    o.whole =
+        o.room == row.worker->facts.size ? o.slots : slots(item, row.worker->id, row.worker->facts.size);
     const auto& labels = row.worker->facts.labels;
     o.near = !item.step->preferred_rack.empty() &&
              std::find(labels.begin(), labels.end(), item.step->preferred_rack) != labels.end();
@@ -335,8 +336,9 @@
 }
 
 // Chooses a host for each waiting task; counts those without one.
-void dispatcher::plan_each(const candidate& item, std::vector<offer>& offers, std::vector<planned_start>& starts,
-                           std::vector<std::string>& tickets, std::uint32_t& left) const
+void dispatcher::plan_each(const candidate& item, std::vector<offer>& offers,
+                           std::vector<planned_start>& starts, std::vector<std::string>& tickets,
+                           std::uint32_t& left) const
 {
     const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
     auto fit = offers.begin();
--- a/src/fabric/connection_pool.cpp
+++ b/src/fabric/connection_pool.cpp
@@ -179,7 +179,8 @@
         m_short.erase(*state.in_line);
         state.in_line.reset();
     }
-    const bool waits = !state.waiting.empty() && !(state.open > 0 && state.waiting.begin()->second.waits_for_own);
+    const bool waits =
+        !state.waiting.empty() && !(state.open > 0 && state.waiting.begin()->second.waits_for_own);
     if (waits && state.open < m_settings.most_each)
     {
         state.in_line = state.waiting.begin()->first;
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -261,8 +261,9 @@
     }
 }
 
-// A leader whose disk takes nothing would commit by the others' copies alone, and its snapshots and votes would
-// wait: another one leads until the disk takes bytes again. It goes on as a replica, as others may need its copy.
+// A leader whose disk takes nothing would commit by the others' copies alone, and its snapshots and votes
+// would wait: another one leads until the disk takes bytes again. It goes on as a replica, as others may need
+// its copy.
 void core_node::take_refusal(const storage_error& error)
 {
     if (std::exchange(m_disk_refuses, true))
--- a/src/fabric/descriptor_budget.cpp
+++ b/src/fabric/descriptor_budget.cpp
@@ -14,8 +14,8 @@
     32; // standard streams, the loop's three, log and snapshot with their folder: 12, and as many while a
         // snapshot replaces another; the rest is spare
 constexpr std::size_t least_part = 16; // a quorum's links both ways; fewer connections of a kind serve nobody
-constexpr std::size_t usual_edge = 512;      // a few hundred callers at a time
-constexpr std::size_t usual_replica = 1024;  // 350 workers with a look and an order each, and 40 processes
+constexpr std::size_t usual_edge = 512;     // a few hundred callers at a time
+constexpr std::size_t usual_replica = 1024; // 350 workers with a look and an order each, and 40 processes
 
 // Parts of what files leave, in hundredths. A look is kept for each worker and waits there, orders come and
 // go; a worker reports to one process at a time, but after a change of the seeds to the same one.
--- a/src/fabric/mesh_core.hpp
+++ b/src/fabric/mesh_core.hpp
@@ -32,13 +32,15 @@
 using tcp = asio::ip::tcp;
 using boost::system::error_code;
 
-inline constexpr milliseconds connect_patience{600}; // above one lost packet inside a region, below an election
-inline constexpr milliseconds connect_pause{200};    // after a failed attempt
-inline constexpr int user_timeout_ms = 1200;         // bytes unacknowledged for that long: the link is cut
+inline constexpr milliseconds connect_patience{
+    600};                                         // above one lost packet inside a region, below an election
+inline constexpr milliseconds connect_pause{200}; // after a failed attempt
+inline constexpr int user_timeout_ms = 1200;      // bytes unacknowledged for that long: the link is cut
 inline constexpr std::size_t most_queued_bytes =
     8U << 20U; // beyond that the peer does not read; one frame always may wait
 inline constexpr std::size_t read_size = 16U << 10U;
-inline constexpr milliseconds answer_after{100}; // a receiver answers what came with one byte, at most that often
+inline constexpr milliseconds answer_after{
+    100}; // a receiver answers what came with one byte, at most that often
 inline constexpr milliseconds answer_patience{
     900}; // a link without an answer for that long is dead, whatever TCP says
 inline constexpr char answer_byte = '.';
@@ -271,7 +273,7 @@
     std::string batch;
     std::array<char, 16> scrap{};
     std::optional<std::chrono::steady_clock::time_point>
-        unanswered; ///< the first write since the last answer
+        unanswered;                             ///< the first write since the last answer
     std::chrono::steady_clock::time_point used; ///< when a message was last given to it
     std::uint64_t life = 0;
     bool connected = false;
--- a/src/fabric/pooled_client.cpp
+++ b/src/fabric/pooled_client.cpp
@@ -157,8 +157,7 @@
                    static_cast<double>(m_pool.open()));
     page.add_gauge(prefix + "connections_waiting", "Calls that wait for a connection.",
                    static_cast<double>(m_pool.waiting()));
-    page.add_count(prefix + "connections_opened_total", "Connections opened.",
-                   static_cast<double>(m_opened));
+    page.add_count(prefix + "connections_opened_total", "Connections opened.", static_cast<double>(m_opened));
     page.add_count(prefix + "connections_replaced_total",
                    "Idle connections closed as another address needed one.", static_cast<double>(m_replaced));
     page.add_count(prefix + "not_sent_total", "Calls that got no connection.",
--- a/tests/src/unit-connections.cpp
+++ b/tests/src/unit-connections.cpp
@@ -39,7 +39,8 @@
         bool expired{};
     };
 
-    pool_run(std::size_t most, std::size_t most_each) : bounds{most, most_each, milliseconds(25), seconds(15)}, pool(bounds)
+    pool_run(std::size_t most, std::size_t most_each)
+        : bounds{most, most_each, milliseconds(25), seconds(15)}, pool(bounds)
     {
     }
 
--- a/tests/src/unit-decoding.cpp
+++ b/tests/src/unit-decoding.cpp
@@ -14,12 +14,13 @@
 using namespace walkthread::platform;
 using nlohmann::json;
 
-// Whatever comes from outside may be of another writer: cut short, of other types, much too long, or no JSON at
-// all. Each decoder answers with a value that holds what its users rely on, or with an error.
+// Whatever comes from outside may be of another writer: cut short, of other types, much too long, or no JSON
+// at all. Each decoder answers with a value that holds what its users rely on, or with an error.
 
 namespace
 {
-const json good_report = json::parse(R"({"service":"pool","machine":"m-1","address":"10.128.0.9:8080","zone":"a",
+const json good_report =
+    json::parse(R"({"service":"pool","machine":"m-1","address":"10.128.0.9:8080","zone":"a",
     "version":"v1","slots":8,"state":"ready","cold-remaining-ms":0,"room":{"cpu":16000,"mem-mb":32768,"gpu":0},
     "labels":["a","r1-3"],"clock-ms":482113,"sequence":4})");
 const json good_submission = json::parse(R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem-mb":256,
--- a/tests/src/unit-storage.cpp
+++ b/tests/src/unit-storage.cpp
@@ -197,10 +197,10 @@
     BOOST_TEST(open_good(scratch.path)->start_of(group).entries.size() == 100U);
 }
 
-// What happened: a leader of 1,100 workers had no descriptor left when its snapshot was due, and ended, although its
-// log was open and others needed its copy.
-// Why: a file that could not be opened ended the process, whatever the reason.
-// What settled it: a shortage that passes is a refusal, which is tried again; what is open goes on being written.
+// What happened: a leader of 1,100 workers had no descriptor left when its snapshot was due, and ended,
+// although its log was open and others needed its copy. Why: a file that could not be opened ended the
+// process, whatever the reason. What settled it: a shortage that passes is a refusal, which is tried again;
+// what is open goes on being written.
 BOOST_AUTO_TEST_CASE(a_shortage_of_descriptors_refuses_a_snapshot_and_loses_nothing)
 {
     const scratch_folder scratch;
--- a/tests/src/unit-unsent.cpp
+++ b/tests/src/unit-unsent.cpp
@@ -10,8 +10,8 @@
 // told as unanswered, as if a worker might have carried them out. Their runs were stopped after three tries,
 // members of gangs that had started waited alone for the others, and finished work was thrown away.
 // Why: one outcome stood for "no answer" and for "never left this process".
-// What settled it: an order that never left is an outcome of its own. It is sent again, counts for no try, and
-// if none of a run ever left, the task goes elsewhere at once.
+// What settled it: an order that never left is an outcome of its own. It is sent again, counts for no try,
+// and if none of a run ever left, the task goes elsewhere at once.
 
 namespace
 {
--- a/tests/src/worker_records.hpp
+++ b/tests/src/worker_records.hpp
@@ -163,8 +163,8 @@
     workload_state m_state;
     std::map<std::string, sim_worker> m_workers;
     std::map<std::pair<step_ref, std::string>, monotonic_time> m_tickets;
-    std::set<task_ref> m_done;  // some run of it ended so
-    std::set<task_ref> m_noted; // and the leader said that it knows
+    std::set<task_ref> m_done;                              // some run of it ended so
+    std::set<task_ref> m_noted;                             // and the leader said that it knows
     std::map<task_ref, std::set<std::string>> m_started_at; // lives that ever carried out an order for it
     std::map<task_ref, monotonic_time> m_last_start;
     std::map<task_ref, std::size_t> m_starts;
