--- a/include/walkthread/dispatch/host_table.hpp
+++ b/include/walkthread/dispatch/host_table.hpp
@@ -3,9 +3,9 @@
 /// @file
 /// @brief The hosts of one pass: what a step may still use of each, and what is held there for gangs.
 ///
-/// A row is worked out when it is first looked at in a pass, and again after something changed there. A pass
-/// over a few steps of 1,100 hosts then costs by the hosts it looks at (8 us in place of 170 us, a pass that
-/// places one step with 20 known hosts, on one core of 2.1 GHz).
+/// A row is worked out when it is first looked at in a pass, and again after something changed there. Working
+/// out all of them in each of 335 passes a second took a third of the leader's decisions (167 in place of 117
+/// us a start, 1,100 stand-in workers, one core of 2.1 GHz).
 /// @since 0.3
 
 #include <cstdint>
--- /dev/null
+++ b/tests/src/unit-handover.cpp
@@ -0,0 +1,52 @@
+#define BOOST_TEST_MODULE handover
+#include <boost/test/unit_test.hpp>
+
+#include "replica_network.hpp"
+
+using namespace walkthread;
+using namespace walkthread::test;
+
+// Hand-over elects another leader without waiting for a timeout.
+BOOST_AUTO_TEST_CASE(leadership_is_handed_over)
+{
+    replica_network net(3, 9, {0.0, 0.0, 0.0});
+    net.run(seconds(5));
+    const replica_id old = net.find_leader()->self();
+    net.core(old).hand_over(net.local_time(old));
+    net.run(milliseconds(400));
+    BOOST_REQUIRE(net.find_leader() != nullptr);
+    BOOST_TEST((net.find_leader()->self() != old));
+}
+
+// A leader whose disk takes nothing hands over, and stands again only once the disk takes bytes.
+BOOST_AUTO_TEST_CASE(a_replica_that_declines_hands_over_and_does_not_lead_again_until_it_may)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        replica_network net(3, seed, {0.0, 0.0, 0.0});
+        net.run(seconds(5));
+        const replica_id old = net.find_leader()->self();
+        net.core(old).decline_leadership(true);
+        net.core(old).hand_over(net.local_time(old));
+        net.run(seconds(2));
+        for (int i = 0; i < 20; ++i)
+        {
+            net.run(milliseconds(200));
+            BOOST_REQUIRE(net.find_leader() != nullptr);
+            BOOST_REQUIRE((net.find_leader()->self() != old));
+        }
+        net.core(old).decline_leadership(false);
+        bool led = false;
+        for (int i = 0; i < 50 && !led; ++i)
+        {
+            net.run(seconds(2));
+            const auto* leader = net.find_leader();
+            led = leader != nullptr && leader->self() == old;
+            if (leader != nullptr && !led)
+            {
+                net.core(leader->self()).hand_over(net.local_time(leader->self()));
+            }
+        }
+        BOOST_TEST(led);
+    }
+}
