Sight: when a worker started, restarts under one id, and what waits although it fits

What could not be told: whether a worker that answers is the life that was meant, and why a step waits beside idle workers. Births are read from reports and lists of runs; a life that speaks under the id of another one is a line (worker_started_again) and a counter (walkthread_workers_restarted_total). Once a second at most, the step that has waited for longest is told with what keeps work off each host that has room for it (step_waits). host_reason is the one place that says whether and why a worker gets no new work; worker_view::usable is gone. No decision is changed.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -38,7 +38,8 @@
     std::uint64_t unanswered_orders{};
     std::uint64_t unsent_orders{}; ///< for want of a connection
     std::uint64_t lost_workers{};
-    std::uint64_t tasks_given_up{}; ///< as they crash the workers that start them
+    std::uint64_t restarted_workers{}; ///< that kept their ids
+    std::uint64_t tasks_given_up{};    ///< as they crash the workers that start them
     std::uint64_t questions{};
     std::uint64_t preemptions{};
     std::uint64_t starts_before_report{}; ///< on workers that had not reported to this leader yet
@@ -153,6 +154,9 @@
         return m_settings.mechanisms.on(which);
     }
     void forget_old(wall_ms wall);
+    void note_waiting(monotonic_time now, wall_ms wall);
+    void note_waiting_step(const step_ref& ref, const submission& owner, wall_ms waited_ms,
+                           monotonic_time now);
     void stop_unwanted(monotonic_time now);
     void propose_starts(const candidate& item, const std::vector<planned_start>& starts,
                         const std::vector<std::string>& tickets, monotonic_time now);
@@ -251,6 +255,7 @@
         return m_lost_looks > m_settings.looks_lost_often && uses(mechanism::short_looks);
     }
     void take_look(worker_life_id worker, const look_answer& answer, monotonic_time sent, monotonic_time now);
+    void note_birth(worker_view& view, birth_ms born, std::string_view from, monotonic_time now);
     void take_runs(worker_view& view, const look_answer& answer, monotonic_time now);
     void take_ends(worker_view& view, const look_answer& answer, monotonic_time sent, monotonic_time now);
     void note_absent(const std::set<run_ref>& absent);
@@ -304,6 +309,7 @@
     std::map<worker_life_id, worker_view> m_views;
     std::uint64_t m_synced_version = 0;
     monotonic_time m_tidy_due{};
+    monotonic_time m_waiting_due{}; ///< when what waits for longest is told of next
     monotonic_time m_review_due{};
     monotonic_time m_full_due{};                  ///< when steps that are not urgent are looked at again
     double m_lost_looks = 0.0;                    ///< part of the last looks that got no answer
--- a/include/walkthread/dispatch/host_table.hpp
+++ b/include/walkthread/dispatch/host_table.hpp
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <walkthread/dispatch/host_reason.hpp>
 #include <walkthread/dispatch/worker_view.hpp>
 #include <walkthread/workload/workload_state.hpp>
 
@@ -32,6 +33,7 @@
     pool_number pool{};
     resources open{};      ///< what no run takes
     resources free{};      ///< the same without what is held for gangs
+    host_reason reason{};  ///< why no new work goes there
     bool usable{};         ///< new work may go there
     std::uint64_t stamp{}; ///< when it was worked out
 };
--- a/include/walkthread/dispatch/orders.hpp
+++ b/include/walkthread/dispatch/orders.hpp
@@ -108,6 +108,7 @@
 struct look_answer
 {
     order_outcome outcome{};
+    birth_ms born{}; ///< of the life that answered
     std::int64_t clock_ms{};
     std::vector<listed_run> running;
     std::vector<listed_end> ended;
@@ -147,7 +148,8 @@
     std::int64_t remaining_ms{}; ///< while draining: it stays at least that long
     std::int64_t clock_ms{};
     std::uint64_t sequence{};
-    MSGPACK_DEFINE(facts, draining, remaining_ms, clock_ms, sequence)
+    birth_ms born{}; ///< of the life that reports
+    MSGPACK_DEFINE(facts, draining, remaining_ms, clock_ms, sequence, born)
 };
 
 /// @brief How the dispatcher meets the outside. Each call returns at once; answers come later.
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -131,6 +131,7 @@
     monotonic_time pace_changed{};
     double speed = 1.0;       ///< learned from run times against what was expected
     resources planned{};      ///< room of starts that wait for their commit
+    birth_ms born{};          ///< as the life that spoke last told it
     std::uint64_t sequence{}; ///< of the newest report
     bool reported{};          ///< to this leader; before that only the log tells whether it leaves
     bool start_noted{};       ///< a start before its first report here was written to the log
@@ -144,8 +145,6 @@
     std::int64_t grant(monotonic_time now, milliseconds lease);
     /// @brief Whether nothing can run there any more under any lease that was ever granted.
     [[nodiscard]] bool lease_surely_over(monotonic_time now, double drift) const;
-    /// @brief Whether new work may go there.
-    [[nodiscard]] bool usable(monotonic_time now, const dispatch_settings& settings) const;
 };
 
 } // namespace walkthread
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -142,6 +142,7 @@
     }
     stop_unwanted(now);
     m_hosts.begin_pass(now);
+    note_waiting(now, wall);
     std::size_t failed = 0;
     for (candidate& item : order_candidates(wall, all))
     {
--- a/src/dispatch/dispatcher_reports.cpp
+++ b/src/dispatch/dispatcher_reports.cpp
@@ -61,6 +61,7 @@
 void dispatcher::take_known_report(worker_view& view, const worker_report& report, monotonic_time now)
 {
     view.reported = true;
+    note_birth(view, report.born, "report", now);
     if (report.sequence >= view.sequence)
     {
         view.sequence = report.sequence;
@@ -154,26 +155,27 @@
     {
         drop_replaced(*former, m_hooks.now());
     }
-    m_hooks.propose(admit_worker{report.facts, report.sequence},
-                    [this, alive = m_alive, report, done](bool committed)
-                    {
-                        if (!*alive)
-                        {
-                            done(false);
-                            return;
-                        }
-                        m_joining.erase(report.facts.host);
-                        const worker_life* admitted = m_state.find_life(report.facts.life);
-                        if (!committed || admitted == nullptr || admitted->facts != report.facts)
-                        {
-                            done(false);
-                            return;
-                        }
-                        const monotonic_time now = m_hooks.now();
-                        note(now, "worker_admitted", report.facts.life,
-                             {{"host", report.facts.host}, {"hall", report.facts.hall}});
-                        take_report(report, now, done);
-                    });
+    m_hooks.propose(
+        admit_worker{report.facts, report.sequence},
+        [this, alive = m_alive, report, done](bool committed)
+        {
+            if (!*alive)
+            {
+                done(false);
+                return;
+            }
+            m_joining.erase(report.facts.host);
+            const worker_life* admitted = m_state.find_life(report.facts.life);
+            if (!committed || admitted == nullptr || admitted->facts != report.facts)
+            {
+                done(false);
+                return;
+            }
+            const monotonic_time now = m_hooks.now();
+            note(now, "worker_admitted", report.facts.life,
+                 {{"host", report.facts.host}, {"hall", report.facts.hall}, {"born", report.born.value()}});
+            take_report(report, now, done);
+        });
 }
 
 void dispatcher::take_leave(const std::string& life, const std::function<void(bool)>& done)
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -3,6 +3,7 @@
 #include <walkthread/dispatch/dispatcher.hpp>
 
 #include <algorithm>
+#include <utility>
 
 #include <walkthread/workload/names.hpp>
 
@@ -115,6 +116,7 @@
         view->look_due = at_once ? now : now + m_settings.look_retry;
         return;
     }
+    note_birth(*view, answer.born, "look", now);
     view->look_due = now;
     view->heard = now;
     view->doubted = false;
@@ -131,6 +133,25 @@
     m_hooks.wake();
 }
 
+// Another life speaks under the id of the one that is known.
+void dispatcher::note_birth(worker_view& view, birth_ms born, std::string_view from, monotonic_time now)
+{
+    const birth_ms before = std::exchange(view.born, born);
+    if (before == birth_ms{} || before == born)
+    {
+        return;
+    }
+    ++m_counters.restarted_workers;
+    const worker_life& worker = *m_state.find(view.id);
+    note(now, "worker_started_again", worker.facts.life,
+         {{"from", from},
+          {"born", born.value()},
+          {"former", before.value()},
+          {"ends_seen", worker.listed_up_to},
+          {"runs", worker.occupied.size()},
+          {"leaving", worker.leaving}});
+}
+
 void dispatcher::take_runs(worker_view& view, const look_answer& answer, monotonic_time now)
 {
     for (auto& [run, known] : view.runs)
--- /dev/null
+++ b/src/dispatch/host_reason.cpp
@@ -0,0 +1,36 @@
+#include <walkthread/dispatch/host_reason.hpp>
+
+namespace walkthread
+{
+
+host_reason reason_of(const worker_view& view, const worker_life& worker, bool closed, monotonic_time now,
+                      const dispatch_settings& settings)
+{
+    if (view.gone)
+    {
+        return host_reason::dropped;
+    }
+    if (!view.answered)
+    {
+        return host_reason::unanswered;
+    }
+    if (now - view.heard >= settings.suspect_after + settings.look_wait)
+    {
+        return host_reason::silent;
+    }
+    if (view.doubted)
+    {
+        return host_reason::doubted;
+    }
+    if (view.draining || worker.leaving)
+    {
+        return host_reason::leaving;
+    }
+    if (now < view.avoid_until)
+    {
+        return host_reason::avoided;
+    }
+    return closed ? host_reason::closed : host_reason::usable;
+}
+
+} // namespace walkthread
--- a/src/dispatch/host_table.cpp
+++ b/src/dispatch/host_table.cpp
@@ -40,8 +40,9 @@
     const auto held = m_held.find(worker.id);
     row.open = worker.facts.size - worker.used - row.view->planned;
     row.free = held == m_held.end() ? row.open : row.open - held->second;
-    row.usable = row.view->usable(m_now, m_settings) && !worker.leaving &&
-                 (m_closed.empty() || !m_closed.contains(worker.facts.host));
+    const bool closed = !m_closed.empty() && m_closed.contains(worker.facts.host);
+    row.reason = reason_of(*row.view, worker, closed, m_now, m_settings);
+    row.usable = row.reason == host_reason::usable;
     row.stamp = m_pass;
 }
 
--- a/src/dispatch/worker_view.cpp
+++ b/src/dispatch/worker_view.cpp
@@ -50,10 +50,4 @@
     return static_cast<double>(clock_ms) + elapsed > static_cast<double>(granted_until_ms);
 }
 
-bool worker_view::usable(monotonic_time now, const dispatch_settings& settings) const
-{
-    return answered && !doubted && !gone && !draining && now >= avoid_until &&
-           now - heard < settings.suspect_after + settings.look_wait;
-}
-
 } // namespace walkthread
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -295,7 +295,7 @@
 
 dispatch_hooks core_node::make_hooks()
 {
-    const auto unanswered_look = look_answer{order_outcome::unanswered, 0, {}, {}};
+    const auto unanswered_look = look_answer{order_outcome::unanswered, {}, 0, {}, {}};
     const auto unanswered = order_answer{order_outcome::unanswered, std::nullopt, false};
     dispatch_hooks hooks;
     hooks.now = monotonic_now;
@@ -450,6 +450,8 @@
     count("walkthread_orders_not_sent_total", "Orders that never left, for want of a connection.",
           c.unsent_orders);
     count("walkthread_workers_lost_total", "Workers' lives that were dropped.", c.lost_workers);
+    count("walkthread_workers_restarted_total", "Workers that started again under the id that they had.",
+          c.restarted_workers);
     count("walkthread_tasks_given_up_total", "Tasks given up as they crash the workers that start them.",
           c.tasks_given_up);
     count("walkthread_advice_questions_total", "Questions to the placement advisor.", c.questions);
