A gang one of whose members never begins is stopped at once

What callers saw: a gang whose member could not be started, as no connection to its worker was to be had, kept the others for 3.7 s; twice in a row is more than they wait for.

Cause: the end of a run that never began freed its task, and nothing told the other members; they were stopped only once they were seen to stand still. Ruled out: an order that was taken after all, as the run's end says that none ever left.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -287,6 +287,7 @@
     void retry_orders(monotonic_time now);
     void watch_runs(monotonic_time now);
     void end_run(worker_life_id worker, const run_ref& run, run_end how, monotonic_time now);
+    void stop_rest_of_gang(const run_ref& run, monotonic_time now);
     [[nodiscard]] worker_address address_of(worker_life_id worker) const;
     worker_view* view_of(worker_life_id worker);
 
--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -209,11 +209,33 @@
                         {
                             later->runs.erase(run);
                             m_news.note(worker);
+                            stop_rest_of_gang(run, m_hooks.now());
                             m_hooks.wake();
                         }
                     });
 }
 
+// The others would wait for a member that never begins until they end alone, seconds later.
+void dispatcher::stop_rest_of_gang(const run_ref& run, monotonic_time now)
+{
+    const step_spec* step = m_state.find(run.task.step);
+    if (step == nullptr || !step->gang)
+    {
+        return;
+    }
+    for (std::uint32_t index = 0; index < step->count; ++index)
+    {
+        const run_ref member{task_ref{run.task.step, index}, run.run};
+        const work_task* task = m_state.find(member.task);
+        const bool active = task != nullptr && task->state() == work_phase::active && task->run == member.run;
+        worker_view* view = active ? view_of(task->worker) : nullptr;
+        if (view != nullptr)
+        {
+            send_stop(*view, member, now);
+        }
+    }
+}
+
 std::uint32_t dispatcher::pending(const std::string& queue) const
 {
     return m_state.queued(queue) + m_unconfirmed.count(queue, m_state);
--- a/tests/src/unit-unsent.cpp
+++ b/tests/src/unit-unsent.cpp
@@ -79,3 +79,22 @@
         check_unbroken(pool);
     }
 }
+
+// One member of a gang could not be started, and the others waited for it for 3.7 s: `run_ended` with
+// `never_began` was followed by `stopped` only once they were seen to stand still, and a second such miss was
+// more than the caller would wait for.
+BOOST_AUTO_TEST_CASE(a_gang_that_cannot_be_whole_is_stopped_at_once)
+{
+    pool_settings settings = small(3);
+    settings.good_share = 1.0; // all three are needed
+    pool_stand_in pool(settings);
+    pool.lead();
+    pool.run(seconds(1));
+    pool.faults("w0").unsent = 1.0;
+    const submission_id id = pool.submit("gangs", {make_step(6, 7000, 500, true)});
+    pool.run(seconds(2));
+    pool.faults("w0").unsent = 0.0;
+    pool.run(milliseconds(1500));
+    BOOST_TEST((pool.phase(id) == submission_phase::completed));
+    check_unbroken(pool);
+}
