--- a/tests/src/unit-crash-loops.cpp
+++ b/tests/src/unit-crash-loops.cpp
@@ -150,7 +150,7 @@
 // longer than the lease on some, so that a crash is only known after the task runs again.
 BOOST_AUTO_TEST_CASE(random_days_lose_no_ordinary_submission)
 {
-    for (std::uint64_t seed = first_seed(); seed < first_seed() + seed_count(6); ++seed)
+    for (std::uint64_t seed = first_seed(); seed < first_seed() + seed_count(20); ++seed)
     {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
@@ -178,7 +178,7 @@
                     day.submit_ordinary(queue, std::move(steps));
                 }
                 day.pool.run(milliseconds(300));
-                if (draw(60) == 0)
+                if (draw(20) == 0)
                 {
                     day.pool.lead();
                 }
