Crashes that are sure and those that may be none count together towards the fifth

What callers saw: after changes of leader a task that crashes its workers took down a sixth one.

Cause: a run of an earlier leader is not known to have begun, so its crash is unclear; two sure crashes or five unclear ones convicted, one sure and four unclear ones did not, though five workers were down. Ruled out: shares lost with a leader, as the ledger is replicated; and that runs of an earlier leader need telling apart for this.

--- a/include/walkthread/workload/crash_ledger.hpp
+++ b/include/walkthread/workload/crash_ledger.hpp
@@ -38,8 +38,8 @@
 inline constexpr std::uint32_t least = 6;
 /// Of runs that are known to have begun: the platform allows to give up no task before.
 inline constexpr std::uint32_t least_crashes = 2;
-/// Of runs that may never have begun, if no more are known: an order that crashes its host before it is
-/// answered looks like one that was sent to a host that was down.
+/// Of all runs, where some of them may never have begun: an order that crashes its host before it is answered
+/// looks like one that was sent to a host that was down.
 inline constexpr std::uint32_t least_unclear = 5;
 } // namespace blame
 
@@ -66,7 +66,7 @@
     [[nodiscard]] bool convicts() const
     {
         return blame >= blame::conviction &&
-               (crashes >= blame::least_crashes || unclear >= blame::least_unclear);
+               (crashes >= blame::least_crashes || crashes + unclear >= blame::least_unclear);
     }
 };
 
