A run that may have been over before its worker crashed is not surely there

Cause: each run known to a lost host counted as one that surely ran at the crash, also where it would have been done by the time at which the host was first found not to answer; its end was only not heard. Ruled out: blaming one crash twice, which was mended with the lives.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -258,8 +258,8 @@
     }
     void take_look(worker_life_id worker, const look_answer& answer, monotonic_time sent, monotonic_time now);
     void take_restart(worker_view& view, const look_answer& answer, monotonic_time now);
-    [[nodiscard]] std::vector<lost_run> lost_at_restart(const worker_view& former,
-                                                        const look_answer& answer) const;
+    [[nodiscard]] std::vector<lost_run> lost_at_restart(const worker_view& former, const look_answer& answer,
+                                                        monotonic_time now) const;
     void note_restart(const worker_view& former, birth_ms born, std::string_view from, monotonic_time now);
     void look_at_new_life(const life_ref& life, monotonic_time now);
     void rule_out_late_starts(worker_view& view, monotonic_time now);
@@ -270,6 +270,7 @@
     void end_recording(const record_ends& command);
     void judge_end(worker_view& view, const listed_end& end, monotonic_time now);
     void drop_lost(monotonic_time now);
+    [[nodiscard]] std::vector<lost_run> runs_lost_with(const worker_view& view, monotonic_time now) const;
     void note_lost_runs(const worker_view& view, const std::vector<lost_run>& lost, monotonic_time now);
     void note_verdicts(monotonic_time now);
     void drop_replaced(worker_view& view, monotonic_time now);
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -119,9 +119,10 @@
     bool look_in_flight{};
     monotonic_time look_sent{};
     monotonic_time look_due{};
-    bool doubted{};   ///< the last look got no answer: nothing new goes there until one does
-    bool recording{}; ///< ends wait for their commit; the next look waits for it
-    bool gone{};      ///< a drop is proposed
+    bool doubted{};              ///< the last look got no answer: nothing new goes there until one does
+    monotonic_time doubted_at{}; ///< since then
+    bool recording{};            ///< ends wait for their commit; the next look waits for it
+    bool gone{};                 ///< a drop is proposed
     bool draining{};
     monotonic_time leaves_at{}; ///< while draining: not before that
     int failures_in_row{};
--- a/src/dispatch/dispatcher_reports.cpp
+++ b/src/dispatch/dispatcher_reports.cpp
@@ -177,7 +177,7 @@
     {
         note_restart(*former, report.facts.born, "report", m_hooks.now());
         former->gone = true;
-        command.lost = lost_at_restart(*former, answer);
+        command.lost = lost_at_restart(*former, answer, m_hooks.now());
     }
     else if (former != nullptr)
     {
--- a/src/dispatch/dispatcher_restarts.cpp
+++ b/src/dispatch/dispatcher_restarts.cpp
@@ -34,7 +34,7 @@
     }
     view.gone = true;
     note_restart(view, answer.born, "look", now);
-    admit_worker command{m_state.find(view.id)->facts, 0, true, lost_at_restart(view, answer)};
+    admit_worker command{m_state.find(view.id)->facts, 0, true, lost_at_restart(view, answer, now)};
     command.facts.born = answer.born;
     m_hooks.propose(command,
                     [this, alive = m_alive, former = view.id, life = command.facts.life()](bool committed)
@@ -65,9 +65,10 @@
 }
 
 // What ended with the former life: what it had been told to run, but for what the new one lists.
-std::vector<lost_run> dispatcher::lost_at_restart(const worker_view& former, const look_answer& answer) const
+std::vector<lost_run> dispatcher::lost_at_restart(const worker_view& former, const look_answer& answer,
+                                                  monotonic_time now) const
 {
-    std::vector<lost_run> lost = share_blame(former, m_settings.just_began);
+    std::vector<lost_run> lost = runs_lost_with(former, now);
     const auto is_there = [&answer](const lost_run& item)
     {
         const auto same = [&item](const auto& listed)
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -117,6 +117,7 @@
     {
         // A connection that breaks may be all that is wrong: the next look tells, at once the first time.
         const bool at_once = lost && (looks_get_lost() || !view->doubted);
+        view->doubted_at = lost && !view->doubted ? now : view->doubted_at;
         view->doubted = view->doubted || lost;
         view->look_due = at_once ? now : now + m_settings.look_retry;
         return;
@@ -394,6 +395,18 @@
     drop_worker_life(view, "another life answers at its address", true, now);
 }
 
+std::vector<lost_run> dispatcher::runs_lost_with(const worker_view& view, monotonic_time now) const
+{
+    const auto run_time = [this](const run_ref& run) -> duration
+    {
+        const submission* owner = m_state.find(run.task.step.submission);
+        const step_spec* step = m_state.find(run.task.step);
+        const double expected_ms = step == nullptr ? 0.0 : m_objectives.expected_ms(owner->queue, *step);
+        return milliseconds(static_cast<std::int64_t>(expected_ms));
+    };
+    return share_blame(view, m_settings.just_began, view.doubted ? view.doubted_at : now, run_time);
+}
+
 // What went with a worker, and why it is or is not suspected of that. A line for each run, a few dozen at
 // most.
 void dispatcher::note_lost_runs(const worker_view& view, const std::vector<lost_run>& lost,
@@ -442,7 +455,7 @@
     }
     view.gone = true;
     ++m_counters.lost_workers;
-    const std::vector<lost_run> lost = share_blame(view, m_settings.just_began);
+    const std::vector<lost_run> lost = runs_lost_with(view, now);
     note_lost_runs(view, lost, now);
     for (const lost_run& item : lost)
     {
--- a/src/dispatch/lost_runs.cpp
+++ b/src/dispatch/lost_runs.cpp
@@ -27,7 +27,8 @@
 }
 } // namespace
 
-std::vector<lost_run> share_blame(const worker_view& view, duration just_began)
+std::vector<lost_run> share_blame(const worker_view& view, duration just_began, monotonic_time lost_at,
+                                  const std::function<duration(const run_ref&)>& run_time)
 {
     const monotonic_time latest = last_word(view);
     // When a run of an earlier leader began is not known.
@@ -57,7 +58,8 @@
         {
             share = blame::crowd;
         }
-        out.push_back({run, known.settled.has_value(), share, known.checkpoint});
+        const bool was_there = known.settled && lost_at - *known.settled <= run_time(run);
+        out.push_back({run, was_there, share, known.checkpoint});
     }
     return out;
 }
--- a/tests/src/unit-restarts.cpp
+++ b/tests/src/unit-restarts.cpp
@@ -197,6 +197,33 @@
     }
 }
 
+// A worker loses power behind a silent line, seconds after its tasks were done there: their ends were not
+// heard, and no crash was under them. Twice so, and they were given up as if they crashed their workers.
+BOOST_AUTO_TEST_CASE(what_was_done_before_a_crash_is_not_to_blame)
+{
+    pool_stand_in pool(small(2));
+    pool.lead();
+    pool.run(settled);
+    const submission_id id = pool.submit("plain", {make_step(1, 2000, 300)});
+    for (int i = 0; i < 2; ++i)
+    {
+        pool.run(milliseconds(50));
+        for (const std::string life : {"w0", "w1"})
+        {
+            pool.faults(life).dark = true;
+        }
+        pool.run(milliseconds(1200));
+        for (const std::string life : {"w0", "w1"})
+        {
+            BOOST_TEST(pool.running_on(life) == 0U);
+            pool.restart(life, milliseconds(300), true);
+        }
+        pool.run(milliseconds(400));
+    }
+    pool.run(seconds(8));
+    check_completed(pool, {id});
+}
+
 // Orders that got no answer are carried out seconds later by the next life, which knows neither a fence nor a
 // run: what they would start runs elsewhere by then.
 BOOST_AUTO_TEST_CASE(an_order_for_a_former_life_starts_nothing_beside_another_run)
