What is meant for one process goes only over a connection that it answered on

The confirmation of ends and the lease were bound to the connection of the last answer by the dispatcher, which sent a bare question whenever that connection was gone. Where connections are fewer than workers each look takes another one, so each would have been a question: no lease renewed, no end confirmed.

The channel does it now: a request may name the process that it is for; on a connection that this one has not answered on a harmless question goes first, and the request follows over the same connection only if the answer is of that process.

unit-recipients: a new connection asks once; nothing but the question reaches a process that took the place of another one, also for what was queued before.

--- a/include/walkthread/dispatch/host_table.hpp
+++ b/include/walkthread/dispatch/host_table.hpp
@@ -3,9 +3,8 @@
 /// @file
 /// @brief The hosts of one pass: what a step may still use of each, and what is held there for gangs.
 ///
-/// A row is worked out when it is first looked at in a pass, and again after something changed there. Working
-/// out all of them in each of 335 passes a second took a third of the leader's decisions (167 in place of 117
-/// us a start, 1,100 stand-in workers, one core of 2.1 GHz).
+/// A row is worked out when it is first looked at in a pass, and again after something changed there: passes
+/// come by the hundred a second, and working out all rows in each took a good part of the leader's time.
 /// @since 0.3
 
 #include <cstdint>
--- a/include/walkthread/dispatch/orders.hpp
+++ b/include/walkthread/dispatch/orders.hpp
@@ -38,6 +38,7 @@
 {
     worker_life_id worker{};
     std::string id;        ///< the worker's own; its next life may have the same
+    birth_ms born{};       ///< of the life that is meant
     std::string address;   ///< IP number and port
     std::uint64_t fence{}; ///< the leader's term; workers refuse lower ones
 };
@@ -69,22 +70,17 @@
     std::int32_t percent{};
 };
 
-/// @brief One connection to a worker's process. It ends with that process, so what goes over it reaches no
-/// other life.
-using connection_id = strong<struct connection_id_tag, std::uint64_t>;
-
 /// @brief Renews a worker's lease and asks what runs and what ended.
 ///
-/// The lease, the ends that were seen and the wait are for the life that answered on `confirmed_on`. On any
-/// other connection a bare question goes out, which changes nothing whoever answers it.
+/// All of it is for the life that is meant. Another life at its address gets a bare question in its place,
+/// which neither renews nor confirms anything there, and answers it with what it runs.
 struct look_order
 {
     worker_address to;
-    std::optional<connection_id> confirmed_on; ///< where this life was the one that answered
-    std::optional<std::int64_t> until_ms;      ///< on the worker's clock
-    std::uint64_t last_seen{};                 ///< ends up to this number may be forgotten
-    std::int64_t wait_ms{};                    ///< the answer may wait that long for an end
-    milliseconds patience{};                   ///< beyond that the look counts as lost
+    std::optional<std::int64_t> until_ms; ///< on the worker's clock
+    std::uint64_t last_seen{};            ///< ends up to this number may be forgotten
+    std::int64_t wait_ms{};               ///< the answer may wait that long for an end
+    milliseconds patience{};              ///< beyond that the look counts as lost
 };
 
 /// @brief The answer to a start, stop or pace order.
@@ -121,7 +117,6 @@
     std::int64_t clock_ms{};
     std::vector<listed_run> running;
     std::vector<listed_end> ended;
-    connection_id connection{}; ///< the one that the answer came over
 };
 
 /// @brief A question to the placement advisor.
--- a/include/walkthread/dispatch/suspect_watch.hpp
+++ b/include/walkthread/dispatch/suspect_watch.hpp
@@ -4,8 +4,7 @@
 /// @brief Keeps tasks that may crash their hosts apart from each other and from other work.
 ///
 /// Two tasks that are lost with one host and started together again share the blame each time, until both are
-/// given up: 35 innocent submissions in 600 random days of 60 (24 and 48 stand-in workers, 1, 5 and 30% of
-/// the submissions crash them), 4 when they are started apart.
+/// given up, of which one is innocent.
 /// @since 0.4
 
 #include <map>
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -113,9 +113,8 @@
     monotonic_time clock_at{};
     std::int64_t clock_ms{}; ///< the worker's clock at `clock_at` or a little before
     bool clock_known{};
-    std::int64_t granted_until_ms{};           ///< the latest lease end ever sent, on the worker's clock
-    monotonic_time foreign_lease_end{};        ///< what an earlier leader may have granted ends by then
-    std::optional<connection_id> confirmed_on; ///< the connection that its last answer came over
+    std::int64_t granted_until_ms{};    ///< the latest lease end ever sent, on the worker's clock
+    monotonic_time foreign_lease_end{}; ///< what an earlier leader may have granted ends by then
     bool look_in_flight{};
     monotonic_time look_sent{};
     monotonic_time look_due{};
--- a/include/walkthread/fabric/web.hpp
+++ b/include/walkthread/fabric/web.hpp
@@ -22,6 +22,20 @@
     std::string value;
 };
 
+struct web_answer;
+
+/// @brief The one process at an address that a request is for; another one may have taken its place there.
+///
+/// A connection ends with the process at its other end. So the request goes only over a connection that this
+/// process answered on; on any other one a question that does no harm goes first.
+/// @since 0.5
+struct web_recipient
+{
+    std::string name;                                ///< of the process, unique over its lives
+    std::string question;                            ///< a body for the same target
+    std::function<bool(const web_answer&)> is_meant; ///< whether an answer to the question is of this process
+};
+
 /// @brief A whole request.
 /// @since 0.2
 struct web_request
@@ -31,10 +45,7 @@
     std::string host;
     std::vector<web_header> headers; ///< those whose names begin with "X-", besides Host
     std::string body;
-    /// Where set, `body` goes over that connection alone, as the process at its other end is the one that is
-    /// meant; over any other one `body_elsewhere` goes.
-    std::optional<std::uint64_t> connection;
-    std::string body_elsewhere;
+    std::optional<web_recipient> recipient; ///< sent: for one process alone
 
     /// @brief A header's value, or empty. Complexity: linear in the headers.
     [[nodiscard]] std::string_view header(std::string_view name) const;
@@ -47,7 +58,6 @@
     std::string body; ///< JSON; empty for none
     std::optional<std::int64_t> retry_after_s;
     std::vector<web_header> headers;
-    std::uint64_t connection{}; ///< received: which connection it came over, unique in this process; from 1
     bool repeated{}; ///< received: the request was sent twice, so the first may have been carried out before
 };
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -64,8 +64,9 @@
 worker_address dispatcher::address_of(worker_life_id worker) const
 {
     const worker_life* life = m_state.find(worker);
-    return life == nullptr ? worker_address{}
-                           : worker_address{worker, life->facts.id, life->facts.address, m_fence};
+    return life == nullptr
+               ? worker_address{}
+               : worker_address{worker, life->facts.id, life->facts.born, life->facts.address, m_fence};
 }
 
 // Views follow the replicated state: new lives get one, dropped lives lose theirs.
--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -158,9 +158,7 @@
 }
 
 // While a step waits and processes that ask are idle, it has tickets for all hosts that may run it: it starts
-// as soon as there is room, in place of after another question (a kind whose questions take 0.6 s against
-// runs of 3.6 s earns 0.05 to 0.09 more of its worth with 350 hosts, 0.01 to 0.05 with 48; paired days, four
-// seeds).
+// as soon as there is room, in place of after another question, which can take as long as a fifth of its run.
 void dispatcher::keep_tickets(const candidate& item, monotonic_time now)
 {
     if (!uses(mechanism::kept_tickets) || (m_hooks.advisors_idle && !m_hooks.advisors_idle()))
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -36,8 +36,7 @@
 }
 
 // Gangs that need a part of a host's accelerators leave whole hosts to those that need all. Where none are
-// needed, gangs go where most of their tasks fit: sparing hosts there kept the largest of them waiting (a
-// fifth of their kind was served less than half as often, in 2 of 5 plays of an overloaded day, 350 hosts).
+// needed, gangs go where most of their tasks fit: sparing hosts there kept the largest of them waiting.
 bool dispatcher::spares_accelerators(const candidate& item, const offer& o)
 {
     return item.step->size.accelerators == 0 || o.keeps_large;
--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -179,8 +179,8 @@
 }
 
 // The order never left, so it neither was nor will be carried out, and counts for no try. If none ever left,
-// the task is free for another worker after a few attempts: three orders that wait 0.3 s each for a worker
-// that is dark, in place of the 4.5 s of its lease.
+// the task is free for another worker after a few attempts, in place of after the lease of a worker that is
+// dark.
 void dispatcher::take_unsent_start(worker_view& view, const run_ref& run, monotonic_time now)
 {
     run_view& known = view.runs.at(run);
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -304,8 +304,7 @@
 }
 
 // Only hosts where room came free since the step looked last: the others had none for it. With hundreds of
-// steps that wait, looking at all their hosts each time would take most of a core (82 in place of 847 us a
-// start, 4,500 stand-in workers, overload, one core of 2.1 GHz).
+// steps that wait, looking at all their hosts each time would take most of a core.
 std::vector<dispatcher::offer> dispatcher::find_new_offers(const candidate& item, monotonic_time now)
 {
     const auto news = m_news.since(m_waiting.at(item.ref).seen);
--- a/src/dispatch/dispatcher_reports.cpp
+++ b/src/dispatch/dispatcher_reports.cpp
@@ -100,8 +100,7 @@
 }
 
 // Whether a worker leaves is acknowledged once the next leader would know it as well: it hears the worker
-// seconds after it began to lead, as reports went to the former one (a start 7.7 s after the acknowledgement
-// was seen).
+// seconds after it began to lead, as reports went to the former one.
 void dispatcher::record_leaving(const worker_life& known, const worker_report& report,
                                 const std::function<void(bool)>& done)
 {
@@ -129,13 +128,12 @@
 
 // A report that a cut held back may come after its life has ended and another one has begun on the host: its
 // arrival does not make it the newer one. So the address is asked who lives there, before the work of the
-// life that is present is given up. Without it, work ran twice on 13 of 16 days on which workers crashed
-// behind a cut (48 hosts, different seeds), with it on none of 48.
+// life that is present is given up: else it ran twice.
 void dispatcher::ask_who_lives_there(const worker_report& report, worker_life_id present,
                                      const std::function<void(bool)>& done)
 {
     look_order question;
-    question.to = {worker_life_id{}, report.facts.id, report.facts.address, m_fence};
+    question.to = {worker_life_id{}, report.facts.id, report.facts.born, report.facts.address, m_fence};
     question.patience = m_settings.look_patience;
     m_hooks.look(question,
                  [this, alive = m_alive, report, present, done](const look_answer& answer)
--- a/src/dispatch/dispatcher_reserve.cpp
+++ b/src/dispatch/dispatcher_reserve.cpp
@@ -67,8 +67,7 @@
 }
 
 // Without this, a task that needs most of a host never starts on a busy pool: whatever ends there makes room
-// for smaller tasks first (waits of up to 54 s; a kind with many such tasks earns 0.01 to 0.03 more of its
-// worth with it, 48 hosts, paired days, four seeds).
+// for smaller tasks first.
 void dispatcher::reserve_hosts(const candidate& item, std::uint32_t left, monotonic_time now)
 {
     if (!uses(mechanism::reservations) || item.urgent() || item.step->lasting)
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -50,7 +50,6 @@
     }
     look_order order;
     order.to = address_of(view.id);
-    order.confirmed_on = view.confirmed_on;
     order.last_seen = worker->listed_up_to;
     // A worker that may hear us while we do not hear it must lose its lease some time: then only a question
     // goes.
@@ -134,7 +133,6 @@
     }
     view->look_due = now;
     view->heard = now;
-    view->confirmed_on = answer.connection;
     view->doubted = false;
     view->answered_look = std::max(view->answered_look, sent);
     view->note_clock(answer.clock_ms, now);
--- a/src/fabric/web_client.cpp
+++ b/src/fabric/web_client.cpp
@@ -1,6 +1,5 @@
 #include <walkthread/fabric/web_client.hpp>
 
-#include <atomic>
 #include <deque>
 #include <optional>
 #include <utility>
@@ -27,12 +26,6 @@
 constexpr int user_timeout_ms = 1500;                // unacknowledged bytes: the peer or the link is gone
 constexpr std::size_t most_answer_bytes = 4U << 20U; // a worker's list of 500 ends is about 60 KB
 
-std::uint64_t next_connection()
-{
-    static std::atomic<std::uint64_t> last{0};
-    return ++last;
-}
-
 class channel final : public web_channel
 {
   public:
@@ -129,7 +122,6 @@
                                     }
                                     keep->prepare_socket();
                                     keep->m_open = true;
-                                    keep->m_connection = next_connection();
                                     keep->write();
                                 });
     }
@@ -153,8 +145,9 @@
         {
             m_request.set(header.name, header.value);
         }
-        const bool meant = !m_current.request.connection || *m_current.request.connection == m_connection;
-        const std::string& body = meant ? m_current.request.body : m_current.request.body_elsewhere;
+        const auto& recipient = m_current.request.recipient;
+        m_asks = recipient && recipient->name != m_known_as;
+        const std::string& body = m_asks ? recipient->question : m_current.request.body;
         if (!body.empty())
         {
             m_request.set(http::field::content_type, "application/json");
@@ -190,12 +183,29 @@
                              web_answer answer;
                              answer.status = response.result_int();
                              answer.body = std::move(response.body());
-                             answer.connection = keep->m_connection;
                              answer.repeated = keep->m_repeated;
-                             keep->finish(std::move(answer));
+                             keep->take(std::move(answer));
                          });
     }
 
+    // An answer to the question is the answer if it is of another process: the request does not go there.
+    void take(web_answer answer)
+    {
+        if (!m_asks || !m_current.request.recipient->is_meant(answer))
+        {
+            finish(std::move(answer));
+            return;
+        }
+        if (!m_open)
+        {
+            finish(web_failure::unanswered); // the next try asks again
+            return;
+        }
+        m_known_as = m_current.request.recipient->name;
+        m_deadline = asio::steady_timer::clock_type::now() + m_current.patience;
+        write();
+    }
+
     void fail(bool timed_out = false)
     {
         drop_connection();
@@ -214,6 +224,7 @@
         m_stream->socket().close(ignored);
         m_stream.emplace(m_loop);
         m_buffer.clear();
+        m_known_as.clear();
         m_open = false;
     }
 
@@ -237,7 +248,8 @@
     std::deque<waiting_request> m_queue;
     waiting_request m_current;
     std::chrono::steady_clock::time_point m_deadline;
-    std::uint64_t m_connection = 0; ///< the present one
+    std::string m_known_as; ///< the recipient that has answered on the present connection
+    bool m_asks = false;    ///< the question that goes ahead of a request is under way
     bool m_busy = false;
     bool m_open = false;
     bool m_reused = false;
--- a/src/workload/workload_lives.cpp
+++ b/src/workload/workload_lives.cpp
@@ -134,7 +134,7 @@
 }
 
 // The report that admits a life again may be older than the one in which it said that it leaves: with what
-// was acknowledged forgotten, it got new work until its next report (8 starts in unit-acknowledged).
+// was acknowledged forgotten, it got new work until its next report.
 void workload_state::recall_unheard(worker_life& worker)
 {
     const auto found = std::find_if(m_unheard.begin(), m_unheard.end(),
--- a/src/workload/workload_runs.cpp
+++ b/src/workload/workload_runs.cpp
@@ -255,8 +255,8 @@
            task->state() != work_phase::completed;
 }
 
-// A run that ended because its host crashed is started again like any that lapsed, but not for ever: tasks
-// that crash every host they are started on ran 38 times each, and took a host away for 3 s each time.
+// A run that ended because its host crashed is started again like any that lapsed, but not for ever: a task
+// that crashes every host it is started on would take one host after the other away.
 void workload_state::accuse(wall_ms at, const std::string& host, const std::vector<lost_run>& lost)
 {
     for (const lost_run& item : lost)
--- a/tests/src/pool_settings.hpp
+++ b/tests/src/pool_settings.hpp
@@ -15,16 +15,16 @@
 // What a worker does wrong.
 struct worker_faults
 {
-    bool dark = false;         // answers nothing; what runs goes on until its lease ends
-    double late = 0.0;         // share of starts that get no answer and are carried out 2 to 12 s later
+    bool dark = false;          // answers nothing; what runs goes on until its lease ends
+    double late = 0.0;          // share of starts that get no answer and are carried out 2 to 12 s later
     bool late_outlives = false; // these are carried out by the next life under its id, too
-    double late_stops = 0.0;   // the same of stops
-    double deaf = 0.0;         // share of looks that get no answer
-    double refuse = 0.0;       // share of starts that are refused, nothing done
-    double unsent = 0.0;       // share of starts that never leave the leader, for want of a connection
-    bool unheard = false;      // its own reports do not arrive
-    bool fails_all = false;    // every run fails after 100 ms
-    bool stands_still = false; // runs never end
+    double late_stops = 0.0;    // the same of stops
+    double deaf = 0.0;          // share of looks that get no answer
+    double refuse = 0.0;        // share of starts that are refused, nothing done
+    double unsent = 0.0;        // share of starts that never leave the leader, for want of a connection
+    bool unheard = false;       // its own reports do not arrive
+    bool fails_all = false;     // every run fails after 100 ms
+    bool stands_still = false;  // runs never end
     bool resets = false; // starts are carried out, the connection breaks, and the channel sends them again
 };
 
--- a/tests/src/pool_stand_in.hpp
+++ b/tests/src/pool_stand_in.hpp
@@ -194,7 +194,6 @@
                fresh.starts = former.starts;
                fresh.look_number = former.look_number;
                fresh.facts.born = birth_ms{wall()};
-               fresh.connection = connection_id{former.connection.value() + 1};
                fresh.clock_zero = m_now.time_since_epoch();
                fresh.faults.unheard = !reports;
                former = fresh;
--- /dev/null
+++ b/tests/src/unit-recipients.cpp
@@ -0,0 +1,99 @@
+#define BOOST_TEST_MODULE recipients
+#include <boost/test/unit_test.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <walkthread/fabric/web_client.hpp>
+#include <walkthread/fabric/web_listener.hpp>
+
+using namespace walkthread;
+namespace asio = boost::asio;
+
+// A worker started again under its old id and at its old address. The connection of the last look had broken,
+// so the next one went out over a new connection, with what the former process was to forget, and the new one
+// forgot its own. What is meant for one process goes only over a connection that this process has answered
+// on.
+
+namespace
+{
+struct fixture
+{
+    asio::io_context loop;
+    std::string address;
+    std::unique_ptr<asio::io_context> process; // what ends with it: its connections
+    std::unique_ptr<web_listener> listener;
+    std::vector<std::string> seen; // bodies, with the process that got them
+    std::shared_ptr<web_channel> channel;
+
+    fixture()
+    {
+        asio::ip::tcp::acceptor probe(loop, {asio::ip::address_v4::loopback(), 0});
+        address = "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+        probe.close();
+        channel = web_channel::make(loop, address);
+    }
+    // A process begins to listen there; the one before it, if any, is gone with its connections.
+    void run_process(const std::string& name)
+    {
+        listener.reset();
+        process = std::make_unique<asio::io_context>();
+        listener = std::make_unique<web_listener>(
+            *process, web_bounds{},
+            [this, name](const web_request& request, const std::function<void(web_answer)>& answer)
+            {
+                seen.push_back(name + ' ' + request.body);
+                answer(web_answer{200, name, {}, {}, false});
+            });
+        BOOST_REQUIRE_EQUAL(listener->open(address), "");
+    }
+    std::string send_to(const std::string& meant)
+    {
+        web_request request;
+        request.method = "POST";
+        request.target = "/x";
+        request.body = "confirm";
+        request.recipient = web_recipient{meant, "who",
+                                          [meant](const web_answer& answer)
+                                          {
+                                              return answer.body == meant;
+                                          }};
+        std::optional<std::string> out;
+        channel->send(std::move(request), milliseconds(20000),
+                      [&](const web_result& outcome)
+                      {
+                          out = ok(outcome) ? value_of(outcome).body : "none";
+                      });
+        while (!out)
+        {
+            loop.restart();
+            loop.run_for(milliseconds(1));
+            process->restart();
+            process->run_for(milliseconds(1));
+        }
+        return *out;
+    }
+};
+
+using bodies = std::vector<std::string>;
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(a_new_connection_asks_first_and_once, fixture)
+{
+    run_process("p1");
+    BOOST_TEST(send_to("p1") == "p1");
+    BOOST_TEST(send_to("p1") == "p1");
+    BOOST_TEST((seen == bodies{"p1 who", "p1 confirm", "p1 confirm"}));
+}
+
+BOOST_FIXTURE_TEST_CASE(nothing_but_the_question_reaches_another_process, fixture)
+{
+    run_process("p1");
+    BOOST_TEST(send_to("p1") == "p1");
+    seen.clear();
+    run_process("p2");
+    BOOST_TEST(send_to("p1") == "p2");
+    BOOST_TEST(send_to("p1") == "p2");
+    BOOST_TEST(send_to("p2") == "p2");
+    BOOST_TEST(send_to("p1") == "p2"); // one that was queued before the new process was known
+    BOOST_TEST((seen == bodies{"p2 who", "p2 who", "p2 who", "p2 confirm", "p2 who"}));
+}
--- a/tests/src/worker_records.hpp
+++ b/tests/src/worker_records.hpp
@@ -88,8 +88,7 @@
     {
         worker_facts facts;
         worker_faults faults;
-        connection_id connection{1}; // looks come over it
-        duration clock_zero{};       // its clock began to count then
+        duration clock_zero{}; // its clock began to count then
         bool gone = false;
         bool refuses = false; // connections to it are refused: its process has ended, its machine has not
         bool draining = false;
--- a/tests/src/worker_stand_in.hpp
+++ b/tests/src/worker_stand_in.hpp
@@ -374,10 +374,10 @@
         }
         worker->fence = order.to.fence;
         lapse_if_over(*worker);
-        // On a connection that the meant life has not answered on a bare question goes out.
-        const bool confirmed = order.confirmed_on && *order.confirmed_on == worker->connection;
-        const std::uint64_t last_seen = confirmed ? order.last_seen : 0;
-        extend_lease(*worker, confirmed ? order.until_ms.value_or(0) : 0);
+        // Another life than the one that is meant gets a bare question.
+        const bool meant = order.to.born == worker->facts.born;
+        const std::uint64_t last_seen = meant ? order.last_seen : 0;
+        extend_lease(*worker, meant ? order.until_ms.value_or(0) : 0);
         std::erase_if(worker->ended,
                       [this, last_seen, worker](const listed_end& item)
                       {
@@ -389,7 +389,7 @@
                       });
         worker->waiting_look = handler;
         const std::uint64_t number = ++worker->look_number;
-        if (!worker->ended.empty() || order.wait_ms == 0 || !confirmed)
+        if (!worker->ended.empty() || order.wait_ms == 0 || !meant)
         {
             answer_look(*worker);
             return;
@@ -446,7 +446,6 @@
         look_answer answer;
         answer.outcome = order_outcome::accepted;
         answer.born = worker.facts.born;
-        answer.connection = worker.connection;
         answer.clock_ms = clock_of(worker);
         answer.ended = worker.ended;
         for (const auto& [run, state] : worker.running)
