--- a/src/fabric/core_calls.cpp
+++ b/src/fabric/core_calls.cpp
@@ -321,8 +321,8 @@
     }
     const bool hears = now - m_replica->group().core().last_leader_contact() < m_times.leader_heard;
     const worker_life* known = m_state.find_life(call->report.facts.life());
-    const bool new_to_nobody =
-        known != nullptr && !known->assumed && known->facts == call->report.facts && !call->report.draining && !known->leaving;
+    const bool new_to_nobody = known != nullptr && !known->assumed && known->facts == call->report.facts &&
+                               !call->report.draining && !known->leaving;
     if (!hears || !new_to_nobody)
     {
         return std::nullopt;
