--- a/include/walkthread/dispatch/orders.hpp
+++ b/include/walkthread/dispatch/orders.hpp
@@ -10,7 +10,6 @@
 #include <string>
 #include <vector>
 
-#include <walkthread/units/strong.hpp>
 #include <walkthread/units/time.hpp>
 #include <walkthread/workload/commands.hpp>
 
