--- a/src/dispatch/dispatcher_reports.cpp
+++ b/src/dispatch/dispatcher_reports.cpp
@@ -176,6 +176,7 @@
         note_restart(*former, report.facts.born, "report", m_hooks.now());
         former->gone = true;
         command.lost = lost_at_restart(*former, answer, m_hooks.now());
+        note_lost_runs(*former, command.lost, m_hooks.now());
     }
     else if (former != nullptr)
     {
--- a/src/dispatch/dispatcher_restarts.cpp
+++ b/src/dispatch/dispatcher_restarts.cpp
@@ -36,6 +36,7 @@
     note_restart(view, answer.born, "look", now);
     admit_worker command{m_state.find(view.id)->facts, 0, true, lost_at_restart(view, answer, now)};
     command.facts.born = answer.born;
+    note_lost_runs(view, command.lost, now);
     m_hooks.propose(command,
                     [this, alive = m_alive, former = view.id, life = command.facts.life()](bool committed)
                     {
--- a/tests/src/pool_stand_in.hpp
+++ b/tests/src/pool_stand_in.hpp
@@ -9,10 +9,9 @@
 #include <string>
 #include <vector>
 
-#include <spdlog/sinks/stdout_sinks.h>
-
 #include <walkthread/dispatch/dispatcher.hpp>
 
+#include "pool_log.hpp"
 #include "worker_stand_in.hpp"
 
 namespace walkthread::test
@@ -476,16 +475,7 @@
         return out;
     }
 
-    [[nodiscard]] std::unique_ptr<decision_log> make_log() const
-    {
-        constexpr std::size_t all_lines = 100'000;
-        return m_settings.log_lines
-                   ? std::make_unique<decision_log>("pool", std::make_shared<spdlog::sinks::stdout_sink_st>(),
-                                                    decision_log_settings{all_lines, all_lines, all_lines})
-                   : std::make_unique<decision_log>();
-    }
-
-    std::unique_ptr<decision_log> m_log = make_log();
+    std::unique_ptr<decision_log> m_log = make_pool_log(m_settings);
     std::unique_ptr<dispatcher> m_leader;
     std::uint64_t m_term = 0;
     std::uint64_t m_next_id = 1000;
--- a/tests/src/unit-restarts.cpp
+++ b/tests/src/unit-restarts.cpp
@@ -2,7 +2,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include <random>
-#include <string_view>
 
 #include "small_pool.hpp"
 
@@ -316,62 +315,6 @@
     BOOST_TEST(pool.state().workers().size() == 2U);
 }
 
-namespace
-{
-// As the program wrote it before it knew births: worker "a" says that it leaves and runs a task, "b2" went
-// unheard with another one, "b" is over.
-constexpr std::string_view snapshot_without_births =
-    "989501919ba171a76578616d706c65a32f712fcd0bb8000100a4706f6f6c02c2930000009193a4706f6f6cc2c200a091"
-    "9b01a171a4706f6f6c0295a091dc00100294cd03e86400000090c2c2c2c2c2c2a0a000a0000001000001cd03e8009192"
-    "919492960101000100a0960001000300a000000000000191980197a161a6686f73742d61aa31302e302e302e313a31a4"
-    "706f6f6ca468616c6c92a46b696e64a47261636b94cd0fa0cd0fa000000581929293010000000194cd03e864000094cd"
-    "03e8640000c30907900491a16290948192930100000194000000019193a6686f73742d62a26232919492929301000001"
-    "01c308a09000";
-
-std::string bytes_of(std::string_view hex)
-{
-    std::string out;
-    for (std::size_t i = 0; i < hex.size(); i += 2)
-    {
-        out.push_back(static_cast<char>(std::stoi(std::string(hex.substr(i, 2)), nullptr, 16)));
-    }
-    return out;
-}
-
-worker_facts facts_of(const std::string& id, const std::string& host, std::int64_t born)
-{
-    return {id, host, "10.0.0.1:1", "pool", "hall", {"kind", "rack"}, {4000, 4000, 0, 0}, birth_ms{born}};
-}
-} // namespace
-
-BOOST_AUTO_TEST_CASE(a_snapshot_without_births_still_loads)
-{
-    workload_state state;
-    BOOST_REQUIRE(state.load(bytes_of(snapshot_without_births)));
-    const worker_life* known = state.find_id("a");
-    BOOST_REQUIRE(known != nullptr);
-    BOOST_TEST(known->leaving);
-    BOOST_TEST(known->listed_up_to == 5U);
-    BOOST_TEST(known->occupied.size() == 1U);
-    BOOST_TEST(state.crashes().suspects().size() == 1U);
-    const auto former = static_cast<int>(workload_code::former_worker);
-    BOOST_TEST(state.apply(0, admit_worker{facts_of("b", "host-b", 0), 1, false, {}}).code == former);
-
-    // A life with a birth is another one: what was told to run there may be there, all else is as new.
-    BOOST_TEST(state.apply(0, admit_worker{facts_of("a", "host-a", 77), 1, false, {}}).code == 0);
-    const worker_life* next = state.find_id("a");
-    BOOST_REQUIRE(next != nullptr);
-    BOOST_TEST(!next->leaving);
-    BOOST_TEST(next->listed_up_to == 0U);
-    BOOST_TEST(next->occupied.size() == 1U);
-    BOOST_TEST((state.find(next->occupied.begin()->first.task)->worker == next->id));
-
-    workload_state copy;
-    BOOST_REQUIRE(copy.load(state.save()));
-    BOOST_TEST((copy.find_life({"a", birth_ms{77}}) != nullptr));
-    BOOST_TEST(copy.apply(0, admit_worker{facts_of("a", "host-a", 0), 9, false, {}}).code == former);
-}
-
 // A part of a pool restarts at once under a steady load. What ran there is started again, and the workers
 // have work again within half a second of their first report; the platform forbids nothing of that.
 BOOST_AUTO_TEST_CASE(restarted_workers_have_work_again_soon_at_every_size)
