Organisations with keys, weights and limits: who may call, and what may run

Cause: the part of walkthread that the users' platform runs knew no organisation. The key's header was dropped by the listener, the organisations of a configuration were kept only inside the operator's document, a submission had no owner, and nothing counted what an organisation has running.

Change: organisations stand in the catalogue (names, keys, weight, limits, open queues) with faults that name a place and no key. A call carries its key to the leader, which alone decides: it holds the newest committed configuration, so an added key counts and a dropped one is refused from the commit on, and a process out of touch says 503. What another organisation has looks like what nobody has. The replicated state counts what each organisation may have running, from the record of a start to the record of its end, and refuses a start over the limit whatever a leader proposes; a gang starts whole or not at all. The dispatcher plans within it and keeps no room, tickets or questions for what waits for its organisation; step_waits tells how many tasks it is permitted. An organisation that leaves the configuration keeps its last limit for the work that it has. A JSON error no longer quotes what was read last, which may be a key.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include <walkthread/dispatch/advice_book.hpp>
+#include <walkthread/dispatch/candidate.hpp>
 #include <walkthread/dispatch/host_table.hpp>
 #include <walkthread/dispatch/lost_runs.hpp>
 #include <walkthread/dispatch/objective.hpp>
@@ -85,63 +86,8 @@
     }
 
   private:
-    /// A step that may be started, with its place in the order.
-    struct candidate
-    {
-        step_ref ref{};
-        const submission* owner{};
-        const step_spec* step{};
-        const queue_spec* queue{};
-        pool_number pool{};
-        outlook chance{};
-        double slack_ms{};
-        /// Tasks of this step and round that run on a host or are about to, where the step limits them.
-        std::map<worker_life_id, std::uint32_t> placed;
-        [[nodiscard]] bool missed() const
-        {
-            return chance >= outlook::late;
-        }
-        [[nodiscard]] bool urgent() const
-        {
-            return queue != nullptr && queue->priority == 0;
-        }
-        /// Whether its questions to the advisor go ahead of others'.
-        [[nodiscard]] bool presses() const
-        {
-            return urgent() || step->lasting;
-        }
-    };
-    /// Room kept for a gang until all of its tasks can start together, or for large tasks until it is free.
-    struct room_hold
-    {
-        std::map<worker_life_id, std::uint32_t> tasks; ///< how many on each host
-        std::uint32_t total{};                         ///< the sum of `tasks`
-        resources each{};                              ///< what one task takes
-        bool missed{};                                 ///< the gang was late when it began to hold
-        monotonic_time grew{};                         ///< when `total` last rose
-        bool gathers = true;                           ///< a gang's; false: hosts kept for large tasks
-    };
-    /// A worker that a step's tasks may go to.
-    struct offer
-    {
-        const worker_life* worker{};
-        resources room{};        ///< free now
-        std::uint32_t slots{};   ///< tasks of the step that fit now
-        std::uint32_t whole{};   ///< tasks that would fit if nothing ran there
-        bool near{};             ///< in the rack with the data
-        bool held{};             ///< the room is held for a gang, its own or another
-        bool keeps_large{};      ///< a task there takes no room from gangs
-        double speed{};          ///< learned, 1 is usual
-        bool slow{};             ///< clearly slower than most
-        bool watched{};          ///< a task that may crash the host was started there just now
-        bool disturbs{};         ///< filling work would go beside serving work, or the other way round
-        std::string_view ticket; ///< "-" where none is needed, empty where none counts
-        /// The last label names the rack.
-        [[nodiscard]] std::string rack() const
-        {
-            return worker->facts.labels.empty() ? std::string{} : worker->facts.labels.back();
-        }
-    };
+    using candidate = step_candidate;
+    using offer = host_offer;
 
     // dispatcher.cpp: the pass, order
     void sync_views(monotonic_time now);
@@ -175,6 +121,7 @@
     void admit(const worker_report& report, const look_answer& answer, const std::function<void(bool)>& done);
 
     // dispatcher_place.cpp: which worker
+    [[nodiscard]] std::uint32_t permitted_tasks(const candidate& item) const;
     bool place(const candidate& item, monotonic_time now);
     bool place_each(const candidate& item, monotonic_time now);
     void learn_usual_speed();
@@ -320,11 +267,12 @@
     monotonic_time m_tidy_due{};
     monotonic_time m_waiting_due{}; ///< when what waits for longest is told of next
     monotonic_time m_review_due{};
-    monotonic_time m_full_due{};                  ///< when steps that are not urgent are looked at again
-    double m_lost_looks = 0.0;                    ///< part of the last looks that got no answer
-    double m_usual_speed = 1.0;                   ///< of the faster half of the hosts
-    bool m_full_wanted = false;                   ///< some of them wait
-    std::map<task_ref, worker_life_id> m_planned; ///< starts that wait for their commit
+    monotonic_time m_full_due{};                   ///< when steps that are not urgent are looked at again
+    double m_lost_looks = 0.0;                     ///< part of the last looks that got no answer
+    double m_usual_speed = 1.0;                    ///< of the faster half of the hosts
+    bool m_full_wanted = false;                    ///< some of them wait
+    std::map<task_ref, worker_life_id> m_planned;  ///< starts that wait for their commit
+    std::map<std::string, resources> m_planned_by; ///< what they take, by organisation
     unconfirmed_work m_unconfirmed;
     advice_book m_advice;
     objective_book m_objectives;
--- a/include/walkthread/fabric/core_node.hpp
+++ b/include/walkthread/fabric/core_node.hpp
@@ -13,6 +13,7 @@
 #include <walkthread/fabric/fabric_node.hpp>
 #include <walkthread/fabric/replica_host.hpp>
 #include <walkthread/replication/newcomers.hpp>
+#include <walkthread/workload/caller_access.hpp>
 
 namespace walkthread
 {
@@ -113,7 +114,8 @@
     void handle(const advise_call& call, const call_handler& handler);
     void handle(const explain_call& call, const call_handler& handler);
     [[nodiscard]] std::string report_address_of_another(const std::string& life, monotonic_time now) const;
-    [[nodiscard]] const queue_spec* queue_at(const std::string& host, const std::string& path) const;
+    [[nodiscard]] std::optional<service_reply> refuse_access(const access_decision& caller,
+                                                             std::string_view call);
 
     void fill_leading(figure_page& page) const;
 
--- a/include/walkthread/fabric/messages.hpp
+++ b/include/walkthread/fabric/messages.hpp
@@ -27,7 +27,8 @@
     std::string path;
     submission_id id{};
     submission_spec spec;
-    MSGPACK_DEFINE(host, path, id, spec)
+    std::string key; ///< of the caller's organisation; empty for none
+    MSGPACK_DEFINE(host, path, id, spec, key)
 };
 
 /// @brief A caller asks for a submission's state.
@@ -36,7 +37,8 @@
     std::string host;
     std::string path;
     submission_id id{};
-    MSGPACK_DEFINE(host, path, id)
+    std::string key;
+    MSGPACK_DEFINE(host, path, id, key)
 };
 
 /// @brief A caller cancels a submission.
@@ -45,7 +47,8 @@
     std::string host;
     std::string path;
     submission_id id{};
-    MSGPACK_DEFINE(host, path, id)
+    std::string key;
+    MSGPACK_DEFINE(host, path, id, key)
 };
 
 /// @brief A caller asks how many submissions of a queue wait.
@@ -53,7 +56,8 @@
 {
     std::string host;
     std::string path;
-    MSGPACK_DEFINE(host, path)
+    std::string key;
+    MSGPACK_DEFINE(host, path, key)
 };
 
 /// @brief An operator sends a configuration.
--- a/include/walkthread/fabric/web.hpp
+++ b/include/walkthread/fabric/web.hpp
@@ -43,7 +43,7 @@
     std::string method;
     std::string target;
     std::string host;
-    std::vector<web_header> headers; ///< those whose names begin with "X-", besides Host
+    std::vector<web_header> headers; ///< those whose names begin with "X-", and Authorization
     std::string body;
     std::optional<web_recipient> recipient; ///< sent: for one process alone
 
--- a/include/walkthread/workload/catalogue.hpp
+++ b/include/walkthread/workload/catalogue.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// @brief The operators' configuration: queues, pools of hosts, and limits for callers.
+/// @brief The operators' configuration: queues, pools of hosts, organisations, and limits for callers.
 /// @since 0.2
 
 #include <cstdint>
@@ -12,6 +12,8 @@
 
 #include <msgpack.hpp>
 
+#include <walkthread/workload/organisation.hpp>
+
 namespace walkthread
 {
 
@@ -39,8 +41,9 @@
     std::uint32_t max_attempts{1};
     bool advised{};
     advice_terms advice{};
+    bool open{}; ///< callers need no key
     MSGPACK_DEFINE(name, host, path_prefix, timeout_ms, target_latency_ms, stretch, priority, pool,
-                   max_attempts, advised, advice)
+                   max_attempts, advised, advice, open)
 };
 
 /// @brief One pool of hosts.
@@ -61,7 +64,9 @@
     std::vector<pool_spec> pools;
     std::int64_t max_body_bytes{};
     std::string source; ///< the operator's document, given back as it came
-    MSGPACK_DEFINE(version, queues, pools, max_body_bytes, source)
+    std::vector<organisation_spec> organisations;
+    bool guarded{}; ///< callers need keys of organisations, but for open queues
+    MSGPACK_DEFINE(version, queues, pools, max_body_bytes, source, organisations, guarded)
 };
 
 /// @brief What is wrong with a configuration; no value if nothing is.
--- a/include/walkthread/workload/commands.hpp
+++ b/include/walkthread/workload/commands.hpp
@@ -26,9 +26,11 @@
     bad_submission = 422,     ///< a field is out of range, or a dependency is not an earlier step
     bad_catalogue = 423,      ///< the configuration cannot be read whole or contradicts itself
     too_many = 424,           ///< more submissions wait than are kept
-    id_in_use = 425,          ///< another queue's submission has this id
+    id_in_use = 425,          ///< another queue's or organisation's submission has this id
     bad_wave = 426,           ///< a wave of upkeep names no host or no limit
     former_worker = 427,      ///< this worker's life is over; a late report changes nothing
+    no_key = 428,             ///< the queue wants a key of an organisation
+    unknown_key = 429,        ///< no organisation holds this key
 };
 using workload_error = layer_error<workload_code>;
 
@@ -45,7 +47,8 @@
     submission_id id{};
     std::string queue;
     submission_spec spec;
-    MSGPACK_DEFINE(id, queue, spec)
+    std::string organisation; ///< whose it is; empty for nobody's
+    MSGPACK_DEFINE(id, queue, spec, organisation)
 };
 
 /// @brief Ends a submission at its caller's wish.
--- a/include/walkthread/workload/submission.hpp
+++ b/include/walkthread/workload/submission.hpp
@@ -181,9 +181,10 @@
     wall_ms ended{}; ///< when it became final; 0 before
     std::vector<round_progress> rounds;
     std::uint32_t completed_rounds{};
-    std::uint32_t active{}; ///< tasks in phase active
+    std::uint32_t active{};   ///< tasks in phase active
+    std::string organisation; ///< whose it is; empty for nobody's
     MSGPACK_DEFINE(id, queue, pool, max_attempts, spec, phase, accepted, ended, rounds, completed_rounds,
-                   active)
+                   active, organisation)
 
     [[nodiscard]] submission_phase state() const
     {
--- a/include/walkthread/workload/workload_state.hpp
+++ b/include/walkthread/workload/workload_state.hpp
@@ -78,6 +78,16 @@
     {
         return m_catalogue;
     }
+    /// @brief The keys of the held catalogue.
+    [[nodiscard]] const key_ring& keys() const
+    {
+        return m_keys;
+    }
+    /// @brief What organisations may have running.
+    [[nodiscard]] const quota_book& quotas() const
+    {
+        return m_quotas;
+    }
     /// @brief A queue of the held catalogue, or null. Complexity: constant.
     [[nodiscard]] const queue_spec* find_queue(const std::string& name) const;
     /// @brief A submission, or null.
@@ -148,7 +158,9 @@
         std::vector<unheard_life> unheard;
         crash_ledger crashes;
         std::vector<life_ref> former;
-        MSGPACK_DEFINE(held, submissions, workers, waves, next_worker, former_ids, unheard, crashes, former)
+        quota_book quotas;
+        MSGPACK_DEFINE(held, submissions, workers, waves, next_worker, former_ids, unheard, crashes, former,
+                       quotas)
     };
 
     workload_result handle(wall_ms at, const replace_catalogue& command);
@@ -187,7 +199,8 @@
     void refresh_ready(const submission& owner, round_id round, std::uint32_t step);
     void refresh_round(const submission& owner, round_id round);
     void rebuild_indexes();
-    void index_queues();
+    void index_catalogue();
+    void index_usage();
     work_task* task_of(const task_ref& ref);
 
     std::optional<catalogue> m_catalogue;
@@ -199,8 +212,10 @@
         m_former; ///< lives that are surely over, oldest first: a late report brings none back
     std::vector<unheard_life> m_unheard; ///< dropped ones that said whether they leave, oldest first
     crash_ledger m_crashes;
+    quota_book m_quotas;
 
     // Indexes over the above; not saved.
+    key_ring m_keys;
     std::uint64_t m_workers_version = 1;
     std::vector<submission_id> m_over; ///< ended by the command that is being applied
     std::unordered_map<std::string, std::size_t> m_queue_places; ///< in the catalogue, by name
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -158,6 +158,12 @@
     std::size_t failed = 0;
     for (candidate& item : order_candidates(wall, all))
     {
+        item.permitted = permitted_tasks(item);
+        if (item.permitted == 0)
+        {
+            drop_hold(item.ref); // room is not kept for what its organisation may not start
+            continue;
+        }
         item.placed = placed_tasks(item);
         failed += place(item, now) ? 0 : 1;
         if (failed > most_failed_placements)
@@ -341,7 +347,9 @@
                                 const std::vector<std::string>& tickets, monotonic_time now)
 {
     const resources room = room_of(*item.step);
+    const resources counted = item.step->size * static_cast<std::int64_t>(starts.size());
     drop_hold(item.ref);
+    m_planned_by[item.owner->organisation] += counted;
     if (m_hooks.planned)
     {
         const wall_ms since = std::max(item.owner->spec.due_at(item.ref.round), item.owner->accepted);
@@ -366,8 +374,8 @@
     // Until a worker says that it began, it is told as waiting.
     const bool first = item.owner->state() == submission_phase::queued;
     m_hooks.propose(record_starts{starts},
-                    [this, alive = m_alive, starts, tickets, room, first, id = item.owner->id,
-                     queue = item.owner->queue](bool committed)
+                    [this, alive = m_alive, starts, tickets, room, counted, first, id = item.owner->id,
+                     queue = item.owner->queue, organisation = item.owner->organisation](bool committed)
                     {
                         if (!*alive)
                         {
@@ -377,6 +385,7 @@
                         {
                             m_unconfirmed.add(id, queue);
                         }
+                        m_planned_by[organisation] -= counted;
                         for (const planned_start& planned : starts)
                         {
                             m_planned.erase(planned.task);
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -65,6 +65,16 @@
     return none_planned || waiting_tasks(item) > 0;
 }
 
+// Tasks of a step that its organisation's limit leaves room for; of a gang all or none.
+std::uint32_t dispatcher::permitted_tasks(const candidate& item) const
+{
+    const auto planned = m_planned_by.find(item.owner->organisation);
+    const std::uint32_t places =
+        m_state.quotas().places(item.owner->organisation, item.step->size,
+                                planned == m_planned_by.end() ? resources{} : planned->second);
+    return item.step->gang && places < item.step->count ? 0 : places;
+}
+
 std::map<worker_life_id, std::uint32_t> dispatcher::placed_tasks(const candidate& item) const
 {
     std::map<worker_life_id, std::uint32_t> out;
@@ -346,7 +356,8 @@
     for (std::uint32_t i = 0; i < tasks.size(); ++i)
     {
         const task_ref ref{item.ref, i};
-        if (tasks[i].state() != work_phase::waiting || m_planned.contains(ref) || !m_suspects.suspects(ref))
+        if (tasks[i].state() != work_phase::waiting || m_planned.contains(ref) || !m_suspects.suspects(ref) ||
+            starts.size() >= item.permitted)
         {
             continue;
         }
@@ -395,6 +406,10 @@
         {
             continue;
         }
+        if (starts.size() >= item.permitted)
+        {
+            return; // what is left waits for its organisation, not for room
+        }
         while (fit != offers.end() && fit->slots == 0)
         {
             ++fit;
--- a/src/dispatch/dispatcher_waiting.cpp
+++ b/src/dispatch/dispatcher_waiting.cpp
@@ -62,6 +62,10 @@
         }
     }
     const queue_spec* queue = m_state.find_queue(owner.queue);
+    candidate waiting;
+    waiting.ref = ref;
+    waiting.owner = &owner;
+    waiting.step = &step;
     const bool advised = queue != nullptr && queue->advised;
     std::int64_t tickets = 0;
     std::int64_t questions = 0;
@@ -85,6 +89,8 @@
           {"cpu", need.cpu},
           {"memory", need.memory},
           {"gang", step.gang},
+          {"organisation", owner.organisation},
+          {"permitted", permitted_tasks(waiting)},
           {"advised", advised},
           {"tickets", tickets},
           {"questions", questions},
--- a/src/fabric/core_calls.cpp
+++ b/src/fabric/core_calls.cpp
@@ -43,9 +43,32 @@
     return true;
 }
 
-const queue_spec* core_node::queue_at(const std::string& host, const std::string& path) const
+// No value if the call may go on. The log names the queue, never a key.
+std::optional<service_reply> core_node::refuse_access(const access_decision& caller, std::string_view call)
 {
-    return m_state.held_catalogue() ? find_queue(*m_state.held_catalogue(), host, path) : nullptr;
+    const auto refused = [&](workload_code code, std::string text)
+    {
+        note("caller_refused", {},
+             {{"call", call},
+              {"queue", caller.queue == nullptr ? std::string{} : caller.queue->name},
+              {"code", static_cast<std::int32_t>(code)},
+              {"configuration", m_state.held_catalogue()->version}});
+        return refuse(code, std::move(text));
+    };
+    switch (caller.verdict)
+    {
+    case access_verdict::allowed:
+        return std::nullopt;
+    case access_verdict::no_configuration:
+        return make_reply(reply_kind::unavailable, "There is no configuration yet.");
+    case access_verdict::no_queue:
+        return refuse(workload_code::unknown_queue, "There is no such queue.");
+    case access_verdict::no_key:
+        return refused(workload_code::no_key, "This queue wants a key of an organisation.");
+    case access_verdict::unknown_key:
+        return refused(workload_code::unknown_key, "No organisation holds this key.");
+    }
+    return make_reply(reply_kind::unavailable);
 }
 
 void core_node::propose(const workload_command& command,
@@ -100,19 +123,15 @@
 
 void core_node::handle(const submit_call& call, const call_handler& handler)
 {
-    const queue_spec* queue = queue_at(call.host, call.path);
-    if (!m_state.held_catalogue())
-    {
-        handler(make_reply(reply_kind::unavailable, "There is no configuration yet."));
-        return;
-    }
-    if (queue == nullptr)
+    const access_decision caller = decide_access(m_state, call.host, call.path, call.key);
+    if (auto refusal = refuse_access(caller, "submit"))
     {
-        handler(refuse(workload_code::unknown_queue, "There is no such queue."));
+        handler(std::move(*refusal));
         return;
     }
+    const queue_spec* queue = caller.queue;
     const submission* known = m_state.find(call.id);
-    if (known != nullptr && known->queue == queue->name)
+    if (known != nullptr && known->queue == queue->name && known->organisation == caller.organisation)
     {
         handler(make_reply(reply_kind::done));
         return;
@@ -125,12 +144,13 @@
     const std::string name = name_of(call.id);
     note("submission_taken", name,
          {{"queue", queue->name},
+          {"organisation", caller.organisation},
           {"steps", call.spec.steps.size()},
           {"tasks", call.spec.steps.front().count},
           {"gang", call.spec.steps.front().gang},
           {"lasting", call.spec.steps.front().lasting},
           {"rounds", call.spec.rounds}});
-    propose_and_reply(keep_submission{call.id, queue->name, call.spec},
+    propose_and_reply(keep_submission{call.id, queue->name, call.spec, caller.organisation},
                       [this, alive = m_alive, name, handler](service_reply reply)
                       {
                           if (*alive && reply.what() != reply_kind::done)
@@ -166,19 +186,14 @@
         handler(std::move(reply));
         return;
     }
-    const queue_spec* queue = queue_at(call.host, call.path);
-    const submission* known = m_state.find(call.id);
-    if (!m_state.held_catalogue())
+    const access_decision caller = decide_access(m_state, call.host, call.path, call.key);
+    if (auto refusal = refuse_access(caller, "state"))
     {
-        handler(make_reply(reply_kind::unavailable, "There is no configuration yet."));
+        handler(std::move(*refusal));
         return;
     }
-    if (queue == nullptr)
-    {
-        handler(refuse(workload_code::unknown_queue, "There is no such queue."));
-        return;
-    }
-    if (known == nullptr || known->queue != queue->name)
+    const submission* known = find_for_caller(m_state, caller, call.id);
+    if (known == nullptr)
     {
         handler(refuse(workload_code::unknown_submission, "There is no such submission."));
         return;
@@ -190,37 +205,33 @@
 
 void core_node::handle(const cancel_call& call, const call_handler& handler)
 {
-    const queue_spec* queue = queue_at(call.host, call.path);
-    const submission* known = m_state.find(call.id);
-    if (queue == nullptr || known == nullptr || known->queue != queue->name)
+    const access_decision caller = decide_access(m_state, call.host, call.path, call.key);
+    if (auto refusal = refuse_access(caller, "cancel"))
     {
-        const workload_code code =
-            queue == nullptr ? workload_code::unknown_queue : workload_code::unknown_submission;
-        handler(m_state.held_catalogue()
-                    ? refuse(code, "There is no such submission.")
-                    : make_reply(reply_kind::unavailable, "There is no configuration yet."));
+        handler(std::move(*refusal));
+        return;
+    }
+    const submission* known = find_for_caller(m_state, caller, call.id);
+    if (known == nullptr)
+    {
+        handler(refuse(workload_code::unknown_submission, "There is no such submission."));
         return;
     }
     note("submission_cancelling", name_of(call.id),
-         {{"queue", queue->name}, {"state", name_of(known->state())}, {"active", known->active}});
-    propose_and_reply(cancel_submission{call.id, queue->name}, handler);
+         {{"queue", known->queue}, {"state", name_of(known->state())}, {"active", known->active}});
+    propose_and_reply(cancel_submission{call.id, known->queue}, handler);
 }
 
 void core_node::handle(const pending_call& call, const call_handler& handler)
 {
-    const queue_spec* queue = queue_at(call.host, call.path);
-    if (!m_state.held_catalogue())
-    {
-        handler(make_reply(reply_kind::unavailable, "There is no configuration yet."));
-        return;
-    }
-    if (queue == nullptr)
+    const access_decision caller = decide_access(m_state, call.host, call.path, call.key);
+    if (auto refusal = refuse_access(caller, "pending"))
     {
-        handler(refuse(workload_code::unknown_queue, "There is no such queue."));
+        handler(std::move(*refusal));
         return;
     }
     service_reply reply = make_reply(reply_kind::done);
-    reply.number = m_dispatcher->pending(queue->name);
+    reply.number = m_dispatcher->pending(caller.queue->name);
     handler(std::move(reply));
 }
 
--- a/src/fabric/web_listener.cpp
+++ b/src/fabric/web_listener.cpp
@@ -29,7 +29,8 @@
     for (const auto& field : in)
     {
         const std::string_view name(field.name_string().data(), field.name_string().size());
-        if (name.size() > 2 && (name[0] == 'X' || name[0] == 'x') && name[1] == '-')
+        const bool own = name.size() > 2 && (name[0] == 'X' || name[0] == 'x') && name[1] == '-';
+        if (own || field.name() == http::field::authorization)
         {
             out.headers.push_back({std::string(name), std::string(field.value())});
         }
--- a/src/workload/catalogue.cpp
+++ b/src/workload/catalogue.cpp
@@ -61,7 +61,7 @@
             return "Queue " + queue.name + " has the host and prefix of another queue.";
         }
     }
-    return std::nullopt;
+    return find_fault(candidate.organisations);
 }
 
 const queue_spec* find_queue(const catalogue& held, std::string_view host, std::string_view path)
--- a/src/workload/workload_indexes.cpp
+++ b/src/workload/workload_indexes.cpp
@@ -70,8 +70,9 @@
     }
 }
 
-void workload_state::index_queues()
+void workload_state::index_catalogue()
 {
+    m_keys = m_catalogue ? key_ring(m_catalogue->organisations) : key_ring{};
     m_queue_places.clear();
     for (std::size_t place = 0; m_catalogue && place < m_catalogue->queues.size(); ++place)
     {
@@ -79,9 +80,27 @@
     }
 }
 
+void workload_state::index_usage()
+{
+    m_quotas.clear_usage();
+    for (const auto& [id, worker] : m_workers)
+    {
+        for (const auto& [run, room] : worker.occupied)
+        {
+            const submission* owner = find(run.task.step.submission);
+            const step_spec* step = find(run.task.step);
+            if (owner != nullptr && step != nullptr)
+            {
+                m_quotas.take(owner->organisation, step->size);
+            }
+        }
+    }
+}
+
 void workload_state::rebuild_indexes()
 {
-    index_queues();
+    index_catalogue();
+    index_usage();
     ++m_workers_version;
     m_by_life.clear();
     m_by_host.clear();
@@ -124,6 +143,7 @@
     out.former = m_former;
     out.unheard = m_unheard;
     out.crashes = m_crashes;
+    out.quotas = m_quotas;
     for (const auto& [id, owner] : m_submissions)
     {
         out.submissions.push_back(owner);
@@ -156,6 +176,7 @@
     }
     m_unheard = std::move(in.unheard);
     m_crashes = std::move(in.crashes);
+    m_quotas = std::move(in.quotas);
     m_submissions.clear();
     m_workers.clear();
     m_waves.clear();
--- a/src/workload/workload_runs.cpp
+++ b/src/workload/workload_runs.cpp
@@ -21,7 +21,12 @@
     {
         return false;
     }
-    const resources room = room_of(owner->spec.steps[planned.task.step.step]);
+    const step_spec& step = owner->spec.steps[planned.task.step.step];
+    const resources room = room_of(step);
+    if (m_quotas.places(owner->organisation, step.size) == 0)
+    {
+        return false;
+    }
     const bool fresh = task->state() == work_phase::waiting && planned.run > task->run;
     return fresh && fits(worker->used + room, worker->facts.size);
 }
@@ -42,6 +47,7 @@
     const resources room = room_of(owner.spec.steps[planned.task.step.step]);
     worker.occupied.emplace(run_ref{planned.task, planned.run}, room);
     worker.used += room;
+    m_quotas.take(owner.organisation, owner.spec.steps[planned.task.step.step].size);
     if (owner.state() == submission_phase::queued)
     {
         set_phase(owner, submission_phase::running);
@@ -52,6 +58,12 @@
 
 void workload_state::start_all_or_none(const record_starts& command)
 {
+    const submission* owner = find(command.starts.front().task.step.submission);
+    const step_spec& step = owner->spec.steps[command.starts.front().task.step.step];
+    if (m_quotas.places(owner->organisation, step.size) < command.starts.size())
+    {
+        return;
+    }
     std::map<worker_life_id, resources> sums;
     for (const planned_start& planned : command.starts)
     {
@@ -61,7 +73,7 @@
             return;
         }
         resources& sum = sums[planned.worker];
-        sum += room_of(find(planned.task.step.submission)->spec.steps[planned.task.step.step]);
+        sum += room_of(step);
         if (!fits(worker->used + sum, worker->facts.size))
         {
             return;
@@ -87,6 +99,10 @@
     {
         return;
     }
+    if (const step_spec* step = find(run.task.step); step != nullptr)
+    {
+        m_quotas.give_back(owner->second.organisation, step->size);
+    }
     --owner->second.active;
     if (owner->second.active == 0 && owner->second.final())
     {
--- a/src/workload/workload_state.cpp
+++ b/src/workload/workload_state.cpp
@@ -191,7 +191,8 @@
     if (!m_catalogue || command.next.version > m_catalogue->version)
     {
         m_catalogue = command.next;
-        index_queues();
+        index_catalogue();
+        m_quotas.set_limits(m_catalogue->organisations);
     }
     return {};
 }
@@ -201,9 +202,9 @@
     const submission* known = find(command.id);
     if (known != nullptr)
     {
-        return known->queue == command.queue
+        return known->queue == command.queue && known->organisation == command.organisation
                    ? workload_result{}
-                   : refuse(workload_code::id_in_use, "Another queue's submission has this id.");
+                   : refuse(workload_code::id_in_use, "Another submission has this id.");
     }
     const queue_spec* queue = find_queue(command.queue);
     if (queue == nullptr)
@@ -221,6 +222,7 @@
     submission kept;
     kept.id = command.id;
     kept.queue = command.queue;
+    kept.organisation = command.organisation;
     kept.pool = queue->pool;
     kept.max_attempts = queue->max_attempts;
     kept.spec = command.spec;
--- a/tests/src/pool_settings.hpp
+++ b/tests/src/pool_settings.hpp
@@ -41,6 +41,7 @@
     duration restart = milliseconds(3000); // a worker that a task took down is back after that
     bool restarts_keep_ids = false;        // under the id that it had, knowing nothing of before
     duration upkeep = milliseconds(0);     // a host is down for that long; 0: the order has no effect
+    resources organisation_limit{};        // of each organisation of the day; nothing set: there are none
     std::uint64_t seed = 1;
     mechanism_set mechanisms;
     bool log_lines = std::getenv("WALKTHREAD_LOG") != nullptr; // to follow one seed by hand
--- a/tests/src/pool_stand_in.hpp
+++ b/tests/src/pool_stand_in.hpp
@@ -48,6 +48,7 @@
             held.queues.push_back(queue);
         }
         commit(replace_catalogue{held});
+        limit_organisations(settings.organisation_limit);
         for (std::size_t i = 0; i < settings.workers; ++i)
         {
             add_worker("w" + std::to_string(i), "h" + std::to_string(i));
@@ -202,18 +203,13 @@
                }
            });
     }
-    // One run there fails.
-    void fail_one(const std::string& life)
-    {
-        sim_worker& worker = m_workers[life];
-        const run_ref run = worker.running.begin()->first; // a copy: the end erases it
-        end(worker, run, run_end::failed);
-    }
-    submission_id submit(const std::string& queue, std::vector<step_spec> steps)
+    submission_id submit(const std::string& queue, std::vector<step_spec> steps,
+                         const std::string& organisation = {})
     {
         keep_submission command;
         command.id = submission_id{++m_next_id};
         command.queue = queue;
+        command.organisation = organisation;
         command.spec.payload = "text";
         command.spec.steps = std::move(steps);
         const submission_id id = command.id;
--- a/tests/src/unit-decoding.cpp
+++ b/tests/src/unit-decoding.cpp
@@ -197,3 +197,59 @@
     BOOST_TEST(!refused("state", "draining"));
     BOOST_TEST(!refused("some-new-field", 7));
 }
+
+// ---------------------------------------------------------------------------------------------------------
+// Organisations of a configuration
+// ---------------------------------------------------------------------------------------------------------
+
+namespace
+{
+std::string with_organisation(const std::string& fields)
+{
+    return R"({"version":7,"routes":[],"services":[],"tenants":[{"name":"hens",)" + fields + "}]}";
+}
+} // namespace
+
+BOOST_AUTO_TEST_CASE(organisations_are_read_with_keys_weight_and_limits)
+{
+    const auto read = decode_catalogue(with_organisation(
+        R"("api-keys":["k1","k2"],"priority":1,"weight":55,"max-count":{"cpu":4425,"mem-mb":159,"gpu":2})"));
+    BOOST_TEST_REQUIRE(read.index() == 0);
+    const catalogue& held = std::get<0>(read);
+    BOOST_TEST(held.guarded);
+    BOOST_TEST_REQUIRE(held.organisations.size() == 1);
+    const organisation_spec& hens = held.organisations.front();
+    BOOST_TEST(hens.keys.size() == 2);
+    BOOST_TEST(hens.weight == 55);
+    BOOST_TEST((hens.limit == resources{4425, 159, 2, 0}));
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_that_names_no_organisations_is_not_guarded)
+{
+    const auto read = decode_catalogue(R"({"version":7,"routes":[],"services":[]})");
+    BOOST_TEST_REQUIRE(read.index() == 0);
+    BOOST_TEST(!std::get<0>(read).guarded);
+}
+
+BOOST_AUTO_TEST_CASE(organisations_that_cannot_be_read_are_faults)
+{
+    for (const char* fields :
+         {R"("weight":"55")", R"("weight":true)", R"("api-keys":"k1")", R"("api-keys":[1])",
+          R"("max-count":{"cpu":1.5})", R"("max-count":{"gpu":-1})", R"("max-count":[7])"})
+    {
+        BOOST_TEST(decode_catalogue(with_organisation(fields)).index() == 1, fields);
+    }
+    BOOST_TEST(decode_catalogue(R"({"version":7,"routes":[],"services":[],"tenants":[{}]})").index() == 1);
+}
+
+// A document that was cut short ends in the middle of a key at times.
+BOOST_AUTO_TEST_CASE(an_error_quotes_no_part_of_a_document)
+{
+    const std::string whole = with_organisation(R"("api-keys":["verysecret"])");
+    for (std::size_t length = 0; length < whole.size(); ++length)
+    {
+        const auto read = decode_catalogue(whole.substr(0, length));
+        BOOST_TEST_REQUIRE(read.index() == 1);
+        BOOST_TEST(std::get<1>(read).detail.find("very") == std::string::npos);
+    }
+}
--- a/tests/src/worker_records.hpp
+++ b/tests/src/worker_records.hpp
@@ -40,6 +40,42 @@
     {
         return m_broken;
     }
+    // Each organisation may have that much running from now on; nothing set changes nothing.
+    void limit_organisations(const resources& limit)
+    {
+        if (limit == resources{})
+        {
+            return;
+        }
+        catalogue next = *m_state.held_catalogue();
+        ++next.version;
+        next.organisations.clear();
+        for (const char* name : {"hens", "geese"})
+        {
+            next.organisations.push_back({name, {std::string(name) + "-key"}, 0, 10.0, limit});
+        }
+        commit(replace_catalogue{next});
+        m_former_limit = m_limit;
+        m_limit = limit;
+        m_limited = m_now;
+    }
+    // What really runs on workers that are up; with their lease over, all there is killed.
+    [[nodiscard]] resources running_of(const std::string& organisation) const
+    {
+        resources sum;
+        for (const auto& [life, worker] : m_workers)
+        {
+            for (const auto& [run, state] : worker.running)
+            {
+                const submission* owner = m_state.find(run.task.step.submission);
+                const step_spec* step = m_state.find(run.task.step);
+                const bool counts =
+                    !worker.gone && lease_holds(worker) && owner != nullptr && step != nullptr;
+                sum += counts && owner->organisation == organisation ? step->size : resources{};
+            }
+        }
+        return sum;
+    }
     [[nodiscard]] std::size_t starts_of(const task_ref& task) const
     {
         const auto found = m_starts.find(task);
@@ -128,6 +164,18 @@
             worker.leaving_acknowledged = m_now;
         }
     }
+    // The platform's bound on what an organisation runs: a tenth over its limit, and one task more. A limit
+    // that was just lowered need not be known to every order on its way.
+    void check_limit(const submission& owner, const step_spec& step, const run_ref& run)
+    {
+        const bool fresh = m_now - m_limited < limit_known;
+        const std::int64_t limit = fresh ? std::max(m_limit.cpu, m_former_limit.cpu) : m_limit.cpu;
+        const std::int64_t uses = running_of(owner.organisation).cpu;
+        if (!owner.organisation.empty() && limit > 0 && uses > limit + limit / 10 + step.size.cpu)
+        {
+            m_broken.push_back("over the limit of " + owner.organisation + ": " + name_of(run));
+        }
+    }
     workload_result commit(const workload_command& command)
     {
         return m_state.apply(wall(), command);
@@ -180,6 +228,10 @@
     workload_state m_state;
     std::map<std::string, sim_worker> m_workers;
     std::map<std::pair<step_ref, std::string>, monotonic_time> m_tickets;
+    static constexpr milliseconds limit_known{2000};
+    resources m_limit{}; // of each organisation
+    resources m_former_limit{};
+    monotonic_time m_limited{};
     std::set<task_ref> m_done;                              // some run of it ended so
     std::set<task_ref> m_noted;                             // and the leader said that it knows
     std::map<task_ref, std::set<std::string>> m_started_at; // lives that ever carried out an order for it
--- a/tests/src/worker_stand_in.hpp
+++ b/tests/src/worker_stand_in.hpp
@@ -12,6 +12,15 @@
 
 class worker_stand_in : public worker_records
 {
+  public:
+    // One run there fails.
+    void fail_one(const std::string& life)
+    {
+        sim_worker& worker = m_workers[life];
+        const run_ref run = worker.running.begin()->first; // a copy: the end erases it
+        end(worker, run, run_end::failed);
+    }
+
   protected:
     using worker_records::worker_records;
 
@@ -151,6 +160,10 @@
                                worker.facts.id);
         }
         begin(worker, order, *owner);
+        if (!late)
+        {
+            check_limit(*owner, owner->spec.steps[order.run.task.step.step], order.run);
+        }
         return order_outcome::accepted;
     }
     void begin(sim_worker& worker, const start_task_order& order, const submission& owner)
