Test, red: a fleet with fewer connections than workers; timeline and hypotheses of the fall at 300 machines

Cause, as far as the plays and the tests show: at 3,000 workers the leader has connections for looks at 1,159. Each look waits for an end and keeps one, so every look takes a connection away from another worker, and a worker that could not be asked for as long as a lease lasts is given up like a silent one: its work, done meanwhile, starts again.

--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -33,8 +33,9 @@
                                        ///< dark tenth of the workers stays below
     milliseconds short_look_wait{200}; ///< then nothing is known of a worker for 0.4 s after a lost look, in
                                        ///< place of 1.9 s; ends of urgent runs come every 0.15 s
-    milliseconds short_look_patience{200}; ///< an answer takes a few milliseconds, a lost packet 0.2 s
-    milliseconds look_retry{150};          ///< after an unanswered look
+    milliseconds short_look_patience{200};  ///< an answer takes a few milliseconds, a lost packet 0.2 s
+    std::size_t look_connections{SIZE_MAX}; ///< looks that may be under way at once; from the descriptors
+    milliseconds look_retry{150};           ///< after an unanswered look
     milliseconds start_window{2500}; ///< an order to start that is carried out later is refused by the worker
     milliseconds order_retry{250};   ///< before an unanswered order is sent again
     int start_tries = 3;             ///< unanswered ones before the run is stopped instead
--- a/tests/src/pool_settings.hpp
+++ b/tests/src/pool_settings.hpp
@@ -22,6 +22,7 @@
     double deaf = 0.0;          // share of looks that get no answer
     double refuse = 0.0;        // share of starts that are refused, nothing done
     double unsent = 0.0;        // share of starts that never leave the leader, for want of a connection
+    bool unasked = false;       // looks never leave the leader
     bool unheard = false;       // its own reports do not arrive
     bool fails_all = false;     // every run fails after 100 ms
     bool stands_still = false;  // runs never end
@@ -43,6 +44,7 @@
     duration upkeep = milliseconds(0);     // a host is down for that long; 0: the order has no effect
     resources organisation_limit{};        // of each organisation of the day; nothing set: there are none
     std::uint64_t seed = 1;
+    std::size_t look_connections = SIZE_MAX; // looks that may be under way at once, as the leader knows it
     mechanism_set mechanisms;
     bool log_lines = std::getenv("WALKTHREAD_LOG") != nullptr; // to follow one seed by hand
 };
--- a/tests/src/pool_stand_in.hpp
+++ b/tests/src/pool_stand_in.hpp
@@ -66,6 +66,7 @@
         ++m_term;
         dispatch_settings chosen;
         chosen.mechanisms = m_settings.mechanisms;
+        chosen.look_connections = m_settings.look_connections;
         m_leader = std::make_unique<dispatcher>(m_state, chosen, hooks(), *m_log, m_term, m_now);
         for (auto& [life, worker] : m_workers)
         {
@@ -249,6 +250,17 @@
         return m_passes;
     }
 
+  protected:
+    // A look on its way to its worker.
+    virtual void carry_look(const look_order& order, const std::function<void(const look_answer&)>& handler)
+    {
+        at(m_settings.way,
+           [this, order, handler]
+           {
+               take_look(order, handler);
+           });
+    }
+
   private:
     // A look that waits for an end is given up then, where nothing breaks its connection.
     static constexpr milliseconds silence{1700};
@@ -400,11 +412,7 @@
         };
         out.look = [this](const look_order& order, const std::function<void(const look_answer&)>& handler)
         {
-            at(m_settings.way,
-               [this, order, handler]
-               {
-                   take_look(order, handler);
-               });
+            carry_look(order, handler);
         };
         out.start =
             [this](const start_task_order& order, const std::function<void(const order_answer&)>& handler)
--- /dev/null
+++ b/tests/src/unit-fleet-connections.cpp
@@ -0,0 +1,177 @@
+#define BOOST_TEST_MODULE fleet_connections
+#include <boost/test/unit_test.hpp>
+
+#include <walkthread/fabric/connection_pool.hpp>
+
+#include "small_pool.hpp"
+
+using namespace walkthread;
+using namespace walkthread::test;
+
+// At 300 machines of our own and 3,000 workers the leader had connections for looks at 1,159 of them. Each
+// look waited for an end and kept one, so every look took a connection away from another worker: up to 1,800
+// were opened a second, and the processor of the leader was used up by them. Workers that had not been asked
+// for as long as a lease lasts were given up although nothing was wrong with them, and work that had ended
+// there was started again. Two things settled it: a worker is given up only after a look that was sent got no
+// answer, and where there are more workers than connections, those that have no work are asked seldom and
+// without waiting.
+
+namespace
+{
+// Looks go over a bounded number of connections, each to one worker.
+class narrow_pool : public pool_stand_in
+{
+  public:
+    explicit narrow_pool(pool_settings settings)
+        : pool_stand_in(settings), m_connections(connection_pool_settings{settings.look_connections})
+    {
+        expire();
+    }
+    [[nodiscard]] std::size_t opened() const
+    {
+        return m_opened;
+    }
+
+  protected:
+    using look_handler = std::function<void(const look_answer&)>;
+
+    void carry_look(const look_order& order, const look_handler& handler) override
+    {
+        const pooled_call call{++m_calls};
+        m_waiting[call] = {order, handler};
+        const duration patience = milliseconds(order.wait_ms) + order.patience;
+        if (const auto grant =
+                m_connections.want(call, order.to.address, call_need::usual, now() + patience, now()))
+        {
+            begin(*grant);
+        }
+    }
+
+  private:
+    void begin(const pool_grant& grant)
+    {
+        m_opened += grant.fresh ? 1 : 0;
+        const auto [order, handler] = m_waiting.extract(grant.call).mapped();
+        pool_stand_in::carry_look(
+            order,
+            [this, handler = handler, connection = grant.connection](const look_answer& answer)
+            {
+                if (const auto next = m_connections.release(connection, true, now()))
+                {
+                    begin(*next);
+                }
+                handler(answer);
+            });
+    }
+    void expire()
+    {
+        for (const pool_grant& grant : m_connections.open_more(now()))
+        {
+            begin(grant);
+        }
+        for (const pooled_call call : m_connections.expire(now()))
+        {
+            m_waiting.extract(call).mapped().second({order_outcome::not_sent, {}, 0, {}, {}});
+        }
+        at(milliseconds(25),
+           [this]
+           {
+               expire();
+           });
+    }
+
+    connection_pool m_connections;
+    std::map<pooled_call, std::pair<look_order, look_handler>> m_waiting;
+    std::uint64_t m_calls = 0;
+    std::size_t m_opened = 0;
+};
+
+// More workers than connections by the same share as at 3,000 of them, a third of which have work.
+pool_settings crowded()
+{
+    pool_settings settings = small(300);
+    settings.look_connections = 116;
+    return settings;
+}
+
+void hand_in(narrow_pool& pool, std::vector<submission_id>& all, int steps)
+{
+    for (int i = 0; i < steps; ++i)
+    {
+        all.push_back(pool.submit("plain", {make_step(4, 9000, 1500)}));
+        pool.run(milliseconds(60));
+    }
+}
+
+// Runs a task on one of two workers, which cannot be asked from then on for longer than any lease.
+void leave_unasked(pool_stand_in& pool, const std::function<void()>& meanwhile)
+{
+    pool.lead();
+    pool.run(seconds(1));
+    const submission_id id = pool.submit("plain", {make_step(1, 1000, 1000)});
+    pool.run(milliseconds(200));
+    const std::string at = pool.running_on("w0") > 0 ? "w0" : "w1";
+    pool.faults(at).unasked = true;
+    meanwhile();
+    pool.run(seconds(12));
+    pool.faults(at).unasked = false;
+    pool.run(seconds(3));
+    BOOST_TEST((pool.phase(id) == submission_phase::completed));
+    BOOST_TEST(pool.starts_of(task_ref{{id}, 0}) == 1);
+    check_unbroken(pool);
+}
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_worker_that_was_not_asked_is_not_given_up)
+{
+    pool_stand_in pool(small(2));
+    leave_unasked(pool, [] {});
+}
+
+BOOST_AUTO_TEST_CASE(a_new_leader_gives_up_no_worker_that_it_could_not_ask)
+{
+    pool_stand_in pool(small(2));
+    leave_unasked(pool,
+                  [&pool]
+                  {
+                      pool.unlead();
+                      pool.run(milliseconds(700));
+                      pool.lead();
+                  });
+}
+
+BOOST_AUTO_TEST_CASE(connections_fewer_than_workers_stay_with_those_that_have_work)
+{
+    narrow_pool pool(crowded());
+    pool.lead();
+    pool.run(seconds(4));
+    std::vector<submission_id> all;
+    const std::size_t before = pool.opened();
+    hand_in(pool, all, 300); // 18 s
+    const double opened_a_second = static_cast<double>(pool.opened() - before) / 18.0;
+    BOOST_TEST(opened_a_second < 0.2 * 300); // 600 at 3,000 workers; the processor bears that
+    pool.run(seconds(6));
+    for (const submission_id id : all)
+    {
+        BOOST_TEST((pool.phase(id) == submission_phase::completed));
+    }
+    check_unbroken(pool);
+}
+
+BOOST_AUTO_TEST_CASE(ends_are_seen_as_soon_with_few_connections)
+{
+    narrow_pool pool(crowded());
+    pool.lead();
+    pool.run(seconds(4));
+    std::vector<submission_id> all;
+    hand_in(pool, all, 100);
+    std::size_t late = 0;
+    for (int i = 0; i < 100; ++i)
+    {
+        const submission_id id = pool.submit("plain", {make_step(2, 1400, 300)});
+        pool.run(milliseconds(700));
+        late += pool.phase(id) == submission_phase::completed ? 0 : 1;
+    }
+    BOOST_TEST(late < 10U); // one in ten
+    check_unbroken(pool);
+}
--- a/tests/src/worker_stand_in.hpp
+++ b/tests/src/worker_stand_in.hpp
@@ -357,6 +357,11 @@
     void take_look(const look_order& order, const std::function<void(const look_answer&)>& handler)
     {
         sim_worker* worker = find(order.to.id);
+        if (worker != nullptr && worker->faults.unasked)
+        {
+            handler({order_outcome::not_sent, {}, 0, {}, {}});
+            return;
+        }
         const bool lost = worker != nullptr && unit() < worker->faults.deaf;
         if (lost)
         {
