A worker is given up only after a look that was sent got no answer

Cause: a worker counted as lost once it was unheard for as long as its lease lasts, also where no look at it could be sent for want of a connection or of processor time. What it had done meanwhile was started elsewhere, and its list of ends, seen later, said so: TWICE.

Change: it is dropped only when the last look that was sent got no answer. A worker that is dark is found as soon as before, as looks at it are sent and lost.

--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -119,6 +119,7 @@
     bool look_in_flight{};
     monotonic_time look_sent{};
     monotonic_time look_due{};
+    monotonic_time rests_until{}; ///< it has no work, so it is not asked before
     bool doubted{};              ///< the last look got no answer: nothing new goes there until one does
     monotonic_time doubted_at{}; ///< since then
     bool recording{};            ///< ends wait for their commit; the next look waits for it
@@ -142,6 +143,11 @@
     std::map<run_ref, run_view> runs;
     std::map<run_ref, monotonic_time> late_starts; ///< orders that got no answer, by when that was clear
 
+    /// @brief For how long it has not been heard, beyond the time for which it was left alone on purpose.
+    [[nodiscard]] duration unheard_for(monotonic_time now) const
+    {
+        return now - std::max(heard, rests_until);
+    }
     /// @brief Notes the worker's clock as read by it no later than `now`.
     void note_clock(std::int64_t ms, monotonic_time now);
     /// @brief About the worker's clock now.
--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -305,7 +305,7 @@
 {
     for (auto& [id, view] : m_views)
     {
-        const bool silent = now - view.heard > m_settings.suspect_after + m_settings.look_wait;
+        const bool silent = view.unheard_for(now) > m_settings.suspect_after + m_settings.look_wait;
         std::vector<run_ref> again;
         for (auto& [run, known] : view.runs)
         {
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -53,7 +53,7 @@
     order.last_seen = worker->listed_up_to;
     // A worker that may hear us while we do not hear it must lose its lease some time: then only a question
     // goes.
-    const bool silent = now - view.heard > m_settings.suspect_after + m_settings.look_wait;
+    const bool silent = view.unheard_for(now) > m_settings.suspect_after + m_settings.look_wait;
     if (view.clock_known && !silent)
     {
         order.until_ms = view.grant(now, std::min(m_settings.lease, m_settings.lease_cap));
@@ -79,7 +79,7 @@
 // Only workers that live tell how many looks get lost.
 void dispatcher::note_look(const worker_view& view, bool lost, monotonic_time now)
 {
-    const bool lives = now - view.heard < m_settings.suspect_after + m_settings.look_wait;
+    const bool lives = view.unheard_for(now) < m_settings.suspect_after + m_settings.look_wait;
     if (lives)
     {
         m_lost_looks += look_weight * ((lost ? 1.0 : 0.0) - m_lost_looks);
@@ -382,7 +382,9 @@
 {
     for (auto& [id, view] : m_views)
     {
-        const bool silent = now - view.heard > m_settings.suspect_after + m_settings.look_wait;
+        // Whoever was not asked for want of a connection or of time has only not been heard: given up, its
+        // work would start again although it may be done.
+        const bool silent = view.doubted && view.unheard_for(now) > m_settings.suspect_after + m_settings.look_wait;
         if (!view.gone && silent && view.lease_surely_over(now, m_settings.clock_drift))
         {
             drop_worker_life(view, "its lease is over", false, now);
--- a/src/dispatch/host_reason.cpp
+++ b/src/dispatch/host_reason.cpp
@@ -18,7 +18,7 @@
     {
         return host_reason::unreported;
     }
-    if (now - view.heard >= settings.suspect_after + settings.look_wait)
+    if (view.unheard_for(now) >= settings.suspect_after + settings.look_wait)
     {
         return host_reason::silent;
     }
