Where connections are fewer than workers, those without work are asked seldom

Cause: each look waits for an end and keeps a connection meanwhile. With more workers than connections for looks each one took a connection from another worker, which was 0.53 new connections a second for each worker, and looks at workers with work came late.

Change: a worker without runs is asked each 5 s there, and that look keeps no connection; a start ends its rest. It counts as heard meanwhile. Fleets with a connection for each worker (all deployments so far) are looked at as before.

Nothing is known red. Ruled out: keeping the gap at 4 s, which is just over the bound of 600 a second at 3,000 workers.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -198,6 +198,9 @@
     // dispatcher_workers.cpp: looks, leases, ends; dispatcher_orders.cpp: starts, stops, retries
     void look_at_all(monotonic_time now);
     void look_at(worker_view& view, monotonic_time now);
+    [[nodiscard]] bool may_rest(const worker_view& view) const;
+    void rest(worker_view& view, monotonic_time now) const;
+    static void end_rest(worker_view& view, monotonic_time now);
     void note_look(const worker_view& view, bool lost, monotonic_time now);
     [[nodiscard]] bool looks_get_lost() const
     {
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -35,7 +35,9 @@
                                        ///< place of 1.9 s; ends of urgent runs come every 0.15 s
     milliseconds short_look_patience{200};  ///< an answer takes a few milliseconds, a lost packet 0.2 s
     std::size_t look_connections{SIZE_MAX}; ///< looks that may be under way at once; from the descriptors
-    milliseconds look_retry{150};           ///< after an unanswered look
+    milliseconds idle_look_gap{5000}; ///< where connections are fewer than workers, those without work are
+                                      ///< asked that seldom
+    milliseconds look_retry{150};     ///< after an unanswered look
     milliseconds start_window{2500}; ///< an order to start that is carried out later is refused by the worker
     milliseconds order_retry{250};   ///< before an unanswered order is sent again
     int start_tries = 3;             ///< unanswered ones before the run is stopped instead
@@ -120,10 +122,10 @@
     monotonic_time look_sent{};
     monotonic_time look_due{};
     monotonic_time rests_until{}; ///< it has no work, so it is not asked before
-    bool doubted{};              ///< the last look got no answer: nothing new goes there until one does
-    monotonic_time doubted_at{}; ///< since then
-    bool recording{};            ///< ends wait for their commit; the next look waits for it
-    bool gone{};                 ///< a drop is proposed
+    bool doubted{};               ///< the last look got no answer: nothing new goes there until one does
+    monotonic_time doubted_at{};  ///< since then
+    bool recording{};             ///< ends wait for their commit; the next look waits for it
+    bool gone{};                  ///< a drop is proposed
     bool draining{};
     monotonic_time leaves_at{}; ///< while draining: not before that
     int failures_in_row{};
--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -81,6 +81,7 @@
     order.presses = (queue != nullptr && queue->priority == 0) || (step != nullptr && step->gang);
     order.until_ms = view.grant(now, std::min(m_settings.start_window, m_settings.lease_cap));
     note_start(view, run, now);
+    end_rest(view, now);
     known.sent = now;
     known.order_in_flight = true;
     ++known.tries;
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -62,7 +62,7 @@
     const milliseconds wait = looks_get_lost() ? m_settings.short_look_wait
                               : shared         ? m_settings.sharing_look_wait
                                                : m_settings.look_wait;
-    order.wait_ms = view.answered && !view.settles() ? wait.count() : 0;
+    order.wait_ms = view.answered && !view.settles() && !may_rest(view) ? wait.count() : 0;
     order.patience = looks_get_lost() ? m_settings.short_look_patience : m_settings.look_patience;
     view.look_in_flight = true;
     view.look_sent = now;
@@ -76,6 +76,27 @@
                  });
 }
 
+// Where there are more workers than connections for looks, those without work are asked seldom and keep none:
+// each look would take a connection away from a worker that has work.
+bool dispatcher::may_rest(const worker_view& view) const
+{
+    return m_views.size() > m_settings.look_connections && view.runs.empty() && view.late_starts.empty();
+}
+
+void dispatcher::rest(worker_view& view, monotonic_time now) const
+{
+    // Spread, as all of them answer a new leader at about the same time.
+    const auto spread = m_settings.idle_look_gap / 4 * (view.id.value() % 4U) / 4;
+    view.look_due = now + m_settings.idle_look_gap + spread;
+    view.rests_until = view.look_due;
+}
+
+void dispatcher::end_rest(worker_view& view, monotonic_time now)
+{
+    view.look_due = std::min(view.look_due, now);
+    view.rests_until = std::min(view.rests_until, now);
+}
+
 // Only workers that live tell how many looks get lost.
 void dispatcher::note_look(const worker_view& view, bool lost, monotonic_time now)
 {
@@ -145,6 +166,10 @@
     {
         view->look_due = now + m_settings.look_retry; // the answers to the stops bring the next one forward
     }
+    else if (!view->recording && may_rest(*view))
+    {
+        rest(*view, now);
+    }
     else if (!view->recording)
     {
         look_at(*view, now);
@@ -384,7 +409,8 @@
     {
         // Whoever was not asked for want of a connection or of time has only not been heard: given up, its
         // work would start again although it may be done.
-        const bool silent = view.doubted && view.unheard_for(now) > m_settings.suspect_after + m_settings.look_wait;
+        const bool silent =
+            view.doubted && view.unheard_for(now) > m_settings.suspect_after + m_settings.look_wait;
         if (!view.gone && silent && view.lease_surely_over(now, m_settings.clock_drift))
         {
             drop_worker_life(view, "its lease is over", false, now);
