--- a/include/walkthread/dispatch/host_table.hpp
+++ b/include/walkthread/dispatch/host_table.hpp
@@ -65,6 +65,9 @@
     /// @brief Hosts of a pool that new work may go to, counted once a pass.
     [[nodiscard]] std::size_t usable_in(pool_number pool);
 
+    /// @brief What all hosts of a pool have together, whether or not they are usable now.
+    [[nodiscard]] resources room_of(pool_number pool) const;
+
     /// @brief Something changed on a host since its row was worked out.
     void touch(worker_life_id worker);
     /// @brief Keeps room on a host; `release` gives it back.
@@ -83,6 +86,7 @@
     std::unordered_map<worker_life_id, std::size_t> m_places;
     std::map<std::string, pool_number> m_pools;
     std::map<pool_number, std::size_t> m_usable; ///< of this pass
+    std::map<pool_number, resources> m_rooms;
     std::unordered_map<worker_life_id, resources> m_held;
     std::uint64_t m_version = 0; ///< of the workers that the rows are of
     std::uint64_t m_pass = 0;
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include <walkthread/dispatch/gathering.hpp>
 #include <walkthread/dispatch/mechanisms.hpp>
 #include <walkthread/dispatch/objective.hpp>
 #include <walkthread/dispatch/orders.hpp>
@@ -70,8 +71,7 @@
                                     ///< its next life: all that is there dies at once, a call takes 1 to 3 ms
     milliseconds stops_show{600}; ///< stops of an earlier leader are carried out by then: the platform allows
                                   ///< 400 ms
-    std::size_t most_gathering = 2; ///< gangs that gather room at a time: the advisor allows each of them
-                                    ///< about a third of the hosts; three and more hold each other up
+    gathering_bounds gathering{};
     milliseconds gang_lead{4000}; ///< from first look to start: two questions and the gathering between them
     double slow_below = 0.88;     ///< of the usual speed: urgent work goes to such hosts last; between the
                                   ///< users' hosts, which differ by 1 to 1.3
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include <walkthread/dispatch/gathering.hpp>
+
 #include <walkthread/workload/names.hpp>
 
 namespace walkthread
@@ -172,14 +174,19 @@
     {
         return true;
     }
-    std::size_t gathering = 0;
+    gathering_work others;
     for (const auto& [ref, hold] : m_holds)
     {
         const step_spec* step = m_state.find(ref);
         const bool before = item.missed() || !hold.missed; // those that are late leave room for others
-        gathering += hold.gathers && before && step != nullptr && hold.total < step->count ? 1 : 0;
+        if (hold.gathers && before && step != nullptr && hold.total < step->count)
+        {
+            ++others.gangs;
+            others.wanted += hold.each * step->count;
+        }
     }
-    return gathering < m_settings.most_gathering;
+    return may_join_gathering(others, room_of(*item.step) * item.step->count, m_hosts.room_of(item.pool),
+                              m_settings.gathering);
 }
 
 void dispatcher::set_hold(const candidate& item, room_hold next)
--- a/src/dispatch/host_table.cpp
+++ b/src/dispatch/host_table.cpp
@@ -21,6 +21,7 @@
 {
     m_rows.clear();
     m_places.clear();
+    m_rooms.clear();
     m_rows.reserve(m_state.workers().size());
     for (const auto& [id, worker] : m_state.workers())
     {
@@ -29,6 +30,7 @@
         row.view = &m_views.at(id);
         const auto next = static_cast<std::uint32_t>(m_pools.size() + 1);
         row.pool = m_pools.emplace(worker.facts.pool, pool_number{next}).first->second;
+        m_rooms[row.pool] += worker.facts.size;
         m_places.emplace(id, m_rows.size());
         m_rows.push_back(row);
     }
@@ -68,6 +70,12 @@
     return found == m_pools.end() ? pool_number{} : found->second;
 }
 
+resources host_table::room_of(pool_number pool) const
+{
+    const auto found = m_rooms.find(pool);
+    return found == m_rooms.end() ? resources{} : found->second;
+}
+
 std::size_t host_table::usable_in(pool_number pool)
 {
     const auto known = m_usable.find(pool);
--- /dev/null
+++ b/tests/src/unit-gathering.cpp
@@ -0,0 +1,45 @@
+#define BOOST_TEST_MODULE gathering
+#include <boost/test/unit_test.hpp>
+
+#include <walkthread/dispatch/gathering.hpp>
+
+using namespace walkthread;
+
+namespace
+{
+constexpr resources gang{180'000, 660'000, 0, 0}; // 20 tasks of 9 cores and 33 GB
+
+// How many such gangs gather at a time on a pool of that many hosts of 32 cores and 128 GB.
+std::size_t gathering_on(std::int64_t hosts)
+{
+    const resources pool = resources{32'000, 131'072, 0, 0} * hosts;
+    gathering_work others;
+    while (may_join_gathering(others, gang, pool, {}))
+    {
+        ++others.gangs;
+        others.wanted += gang;
+    }
+    return others.gangs;
+}
+} // namespace
+
+// A burst of wide gangs on a full pool: two gathered at a time on any pool, each for about a second, so those
+// behind waited for seconds on 350 hosts while room came free there.
+BOOST_AUTO_TEST_CASE(more_gangs_gather_on_a_larger_pool)
+{
+    BOOST_TEST(gathering_on(48) == 2);
+    BOOST_TEST(gathering_on(350) == 6);
+    BOOST_TEST(gathering_on(1100) == 19);
+}
+
+BOOST_AUTO_TEST_CASE(the_scarcer_of_processors_and_memory_counts)
+{
+    const resources pool{11'200'000, 6'600'000, 0, 0};
+    gathering_work others{2, gang + gang};
+    BOOST_TEST(!may_join_gathering(others, gang, pool, {}));
+}
+
+BOOST_AUTO_TEST_CASE(few_gather_where_nothing_is_known_of_the_pool)
+{
+    BOOST_TEST(may_join_gathering({1, gang}, gang, {}, {2, 0.0}));
+}
