--- /dev/null
+++ b/src/dispatch/dispatcher_rests.cpp
@@ -0,0 +1,31 @@
+// The part of dispatcher that leaves workers without work alone where connections are fewer than workers.
+
+#include <walkthread/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+
+namespace walkthread
+{
+
+// Where there are more workers than connections for looks, those without work are asked seldom and keep none:
+// each look would take a connection away from a worker that has work.
+bool dispatcher::may_rest(const worker_view& view) const
+{
+    return m_views.size() > m_settings.look_connections && view.runs.empty() && view.late_starts.empty();
+}
+
+void dispatcher::rest(worker_view& view, monotonic_time now) const
+{
+    // Spread, as all of them answer a new leader at about the same time.
+    const auto spread = m_settings.idle_look_gap / 4 * (view.id.value() % 4U) / 4;
+    view.look_due = now + m_settings.idle_look_gap + spread;
+    view.rests_until = view.look_due;
+}
+
+void dispatcher::end_rest(worker_view& view, monotonic_time now)
+{
+    view.look_due = std::min(view.look_due, now);
+    view.rests_until = std::min(view.rests_until, now);
+}
+
+} // namespace walkthread
--- a/tests/src/pool_stand_in.hpp
+++ b/tests/src/pool_stand_in.hpp
@@ -489,15 +489,4 @@
     workload_result m_last_result;
 };
 
-// One step of `count` tasks.
-inline step_spec make_step(std::uint32_t count, std::int64_t cpu, std::int64_t run_ms, bool gang = false)
-{
-    step_spec step;
-    step.count = count;
-    step.size = {cpu, 1000, 0, 0};
-    step.estimate_ms = run_ms;
-    step.gang = gang;
-    return step;
-}
-
 } // namespace walkthread::test
--- a/tests/src/worker_records.hpp
+++ b/tests/src/worker_records.hpp
@@ -246,4 +246,15 @@
     std::vector<std::string> m_broken;
 };
 
+// One step of `count` tasks.
+inline step_spec make_step(std::uint32_t count, std::int64_t cpu, std::int64_t run_ms, bool gang = false)
+{
+    step_spec step;
+    step.count = count;
+    step.size = {cpu, 1000, 0, 0};
+    step.estimate_ms = run_ms;
+    step.gang = gang;
+    return step;
+}
+
 } // namespace walkthread::test
