A call that met no connection is told apart from one that had none here; runs on unheard workers are a log line and a gauge

Three facts were one outcome: no connection was free here or no time; the address refused or did not answer a connection; asked, and no answer. They are three now (web_failure, order_outcome), counted for each worker since it was last heard (worker_contact), shown once a second by worker_unheard and as the gauge walkthread_unheard_runs. A connection that timed out while this process did not run, or for want of descriptors, is our own trouble.

No decision is changed: what never left this process still counts for nothing where workers are given up. unit-fabric's check of a dark address is stricter: it asks for the cause.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -80,6 +80,12 @@
     {
         return m_counters;
     }
+    /// @brief Runs that count as running on workers that were not heard for longer than a lease, about a
+    /// second ago.
+    [[nodiscard]] std::size_t unheard_runs() const
+    {
+        return m_unheard_runs;
+    }
     [[nodiscard]] const std::map<worker_life_id, worker_view>& views() const
     {
         return m_views;
@@ -104,6 +110,8 @@
     void note_waiting(monotonic_time now, wall_ms wall);
     void note_waiting_step(const step_ref& ref, const submission& owner, wall_ms waited_ms,
                            monotonic_time now);
+    void note_unheard(monotonic_time now);
+    [[nodiscard]] std::string_view why_kept(const worker_view& view, monotonic_time now) const;
     void stop_unwanted(monotonic_time now);
     void propose_starts(const candidate& item, const std::vector<planned_start>& starts,
                         const std::vector<std::string>& tickets, monotonic_time now);
@@ -269,6 +277,7 @@
     std::uint64_t m_synced_version = 0;
     monotonic_time m_tidy_due{};
     monotonic_time m_waiting_due{}; ///< when what waits for longest is told of next
+    std::size_t m_unheard_runs = 0; ///< on workers that were not heard for longer than a lease
     monotonic_time m_review_due{};
     monotonic_time m_full_due{};                   ///< when steps that are not urgent are looked at again
     double m_lost_looks = 0.0;                     ///< part of the last looks that got no answer
--- a/include/walkthread/dispatch/orders.hpp
+++ b/include/walkthread/dispatch/orders.hpp
@@ -20,18 +20,25 @@
 enum class order_outcome : std::uint8_t
 {
     accepted,
-    fenced,     ///< the worker has heard a newer leader
-    outdated,   ///< this run or a newer one was stopped or ended there
-    late,       ///< the order's time was over
-    no_room,    ///< the worker guards its room and has none
-    bad_ticket, ///< the advisor's ticket does not count (any more)
-    unhealthy,  ///< the worker did nothing and says it cannot
-    other_life, ///< another life of a worker answers at this address
-    rejected,   ///< the worker cannot read the order
-    unanswered, ///< it may have been done, or may still be done
-    not_sent,   ///< it never left this process: it was not done, and will not be
+    fenced,      ///< the worker has heard a newer leader
+    outdated,    ///< this run or a newer one was stopped or ended there
+    late,        ///< the order's time was over
+    no_room,     ///< the worker guards its room and has none
+    bad_ticket,  ///< the advisor's ticket does not count (any more)
+    unhealthy,   ///< the worker did nothing and says it cannot
+    other_life,  ///< another life of a worker answers at this address
+    rejected,    ///< the worker cannot read the order
+    unanswered,  ///< it may have been done, or may still be done
+    unreachable, ///< the worker's address took no connection: it was not done, and will not be
+    not_sent,    ///< no connection was free here, or no time: it was not done, and will not be
 };
 
+/// @brief Whether a call that ended so was surely not carried out, and will not be.
+[[nodiscard]] constexpr bool never_left(order_outcome outcome)
+{
+    return outcome == order_outcome::unreachable || outcome == order_outcome::not_sent;
+}
+
 /// @brief Where and under which authority an order goes.
 struct worker_address
 {
--- /dev/null
+++ b/include/walkthread/dispatch/worker_contact.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+/// @file
+/// @brief What calls to one worker's life tell of whether it can be reached.
+///
+/// Two questions about a call without an answer have different answers: whether it may have been carried out
+/// (`never_left`), and whether the worker can be reached (here). That this process had no connection for a
+/// call answers neither.
+/// @since 0.7
+
+#include <algorithm>
+#include <cstdint>
+
+#include <walkthread/dispatch/orders.hpp>
+#include <walkthread/units/time.hpp>
+
+namespace walkthread
+{
+
+/// @brief Calls that got no answer since the worker was last heard.
+struct failed_calls
+{
+    std::uint32_t not_sent{};    ///< for want of a connection here, or of time
+    std::uint32_t unreachable{}; ///< the address took no connection
+    std::uint32_t unanswered{};  ///< sent, and no answer that counts
+};
+
+/// @brief When a worker was last heard, and what has failed since.
+/// @since 0.7
+class worker_contact
+{
+  public:
+    worker_contact() = default;
+    /// @param from it counts as heard then, although nothing has been asked yet
+    explicit worker_contact(monotonic_time from) : m_heard(from)
+    {
+    }
+
+    /// @brief It answered a look.
+    void note_answer(monotonic_time now)
+    {
+        m_heard = now;
+        m_doubted = false;
+        m_failed = {};
+    }
+    /// @brief A call to it got no answer that counts.
+    /// @param outcome why; what is neither `not_sent` nor `unreachable` was sent
+    void note_failure(order_outcome outcome, monotonic_time now)
+    {
+        ++(outcome == order_outcome::not_sent      ? m_failed.not_sent
+           : outcome == order_outcome::unreachable ? m_failed.unreachable
+                                                   : m_failed.unanswered);
+        if (!never_left(outcome) && !m_doubted)
+        {
+            m_doubted = true;
+            m_doubted_since = now;
+        }
+    }
+    /// @brief It is not asked before `until`, on purpose, and counts as heard meanwhile.
+    void rest(monotonic_time until)
+    {
+        m_rests_until = until;
+    }
+    /// @brief It is asked again from now on.
+    void end_rest(monotonic_time now)
+    {
+        m_rests_until = std::min(m_rests_until, now);
+    }
+
+    [[nodiscard]] monotonic_time heard() const
+    {
+        return m_heard;
+    }
+    /// @brief For how long it has not been heard, beyond the time for which it was left alone on purpose.
+    [[nodiscard]] duration unheard_for(monotonic_time now) const
+    {
+        return now - std::max(m_heard, m_rests_until);
+    }
+    /// @brief Whether a call to it failed in a way that tells of the worker: nothing new goes there until it
+    /// is heard.
+    [[nodiscard]] bool doubted() const
+    {
+        return m_doubted;
+    }
+    /// @brief Since when it has been doubted without a break.
+    [[nodiscard]] monotonic_time doubted_since() const
+    {
+        return m_doubted_since;
+    }
+    /// @brief What has failed since it was last heard.
+    [[nodiscard]] const failed_calls& failed() const
+    {
+        return m_failed;
+    }
+
+  private:
+    monotonic_time m_heard{};
+    monotonic_time m_rests_until{};
+    monotonic_time m_doubted_since{};
+    bool m_doubted = false;
+    failed_calls m_failed;
+};
+
+} // namespace walkthread
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -13,6 +13,7 @@
 #include <walkthread/dispatch/mechanisms.hpp>
 #include <walkthread/dispatch/objective.hpp>
 #include <walkthread/dispatch/orders.hpp>
+#include <walkthread/dispatch/worker_contact.hpp>
 #include <walkthread/units/time.hpp>
 
 namespace walkthread
@@ -111,7 +112,7 @@
 {
     worker_life_id id{};
     bool answered{};                ///< under this leader's fence
-    monotonic_time heard{};         ///< last answer to a look
+    worker_contact contact;         ///< whether it can be reached
     monotonic_time answered_look{}; ///< when the newest look that was answered had been sent
     monotonic_time clock_at{};
     std::int64_t clock_ms{}; ///< the worker's clock at `clock_at` or a little before
@@ -121,11 +122,8 @@
     bool look_in_flight{};
     monotonic_time look_sent{};
     monotonic_time look_due{};
-    monotonic_time rests_until{}; ///< it has no work, so it is not asked before
-    bool doubted{};               ///< the last look got no answer: nothing new goes there until one does
-    monotonic_time doubted_at{};  ///< since then
-    bool recording{};             ///< ends wait for their commit; the next look waits for it
-    bool gone{};                  ///< a drop is proposed
+    bool recording{}; ///< ends wait for their commit; the next look waits for it
+    bool gone{};      ///< a drop is proposed
     bool draining{};
     monotonic_time leaves_at{}; ///< while draining: not before that
     int failures_in_row{};
@@ -145,11 +143,6 @@
     std::map<run_ref, run_view> runs;
     std::map<run_ref, monotonic_time> late_starts; ///< orders that got no answer, by when that was clear
 
-    /// @brief For how long it has not been heard, beyond the time for which it was left alone on purpose.
-    [[nodiscard]] duration unheard_for(monotonic_time now) const
-    {
-        return now - std::max(heard, rests_until);
-    }
     /// @brief Notes the worker's clock as read by it no later than `now`.
     void note_clock(std::int64_t ms, monotonic_time now);
     /// @brief About the worker's clock now.
--- a/include/walkthread/fabric/pooled_client.hpp
+++ b/include/walkthread/fabric/pooled_client.hpp
@@ -66,6 +66,7 @@
     std::uint64_t m_opened = 0;
     std::uint64_t m_replaced = 0;
     std::uint64_t m_not_sent = 0;
+    std::uint64_t m_unreachable = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/include/walkthread/fabric/web_client.hpp
+++ b/include/walkthread/fabric/web_client.hpp
@@ -22,8 +22,9 @@
 /// @brief Why there is no answer.
 enum class web_failure : std::uint8_t
 {
-    not_sent,   ///< no byte of the request left this process: it was surely not carried out
-    unanswered, ///< none came whole and in time: it may have been carried out, or may be yet
+    not_sent,    ///< this process had no connection for it, or no time: it was surely not carried out
+    unreachable, ///< the address refused a connection or did not answer: it was surely not carried out
+    unanswered,  ///< none came whole and in time: it may have been carried out, or may be yet
 };
 
 /// @brief An answer, or why there is none.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -95,7 +95,7 @@
 {
     worker_view view;
     view.id = worker.id;
-    view.heard = now;
+    view.contact = worker_contact(now);
     view.next_quarantine = m_settings.quarantine;
     view.draining = worker.leaving;
     view.sequence = worker.leaving_sequence;     // an older report that comes late changes nothing
--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -147,7 +147,7 @@
         view->late_starts[run] = now;
         return; // retry_orders decides
     }
-    if (answer.outcome == order_outcome::not_sent)
+    if (never_left(answer.outcome))
     {
         take_unsent_start(*view, run, now);
         return;
@@ -306,7 +306,7 @@
 {
     for (auto& [id, view] : m_views)
     {
-        const bool silent = view.unheard_for(now) > m_settings.suspect_after + m_settings.look_wait;
+        const bool silent = view.contact.unheard_for(now) > m_settings.suspect_after + m_settings.look_wait;
         std::vector<run_ref> again;
         for (auto& [run, known] : view.runs)
         {
@@ -371,7 +371,7 @@
                 std::max<duration>(m_settings.stuck_after, milliseconds(static_cast<std::int64_t>(expected)));
             const bool paced = known.pace < 100; // stands still on our own order
             // As of the last answer: a worker that is not heard may well go on.
-            const bool stuck = !step.lasting && !paced && view.heard - known.progressed > patience;
+            const bool stuck = !step.lasting && !paced && view.contact.heard() - known.progressed > patience;
             if (stuck)
             {
                 view.avoid_until = std::max(view.avoid_until, now + view.next_quarantine);
--- a/src/dispatch/dispatcher_restarts.cpp
+++ b/src/dispatch/dispatcher_restarts.cpp
@@ -18,7 +18,7 @@
          {{"from", from},
           {"born", born.value()},
           {"former", worker.facts.born.value()},
-          {"unheard_ms", now - former.heard},
+          {"unheard_ms", now - former.contact.heard()},
           {"ends_seen", worker.listed_up_to},
           {"runs", worker.occupied.size()},
           {"leaving", worker.leaving}});
--- a/src/dispatch/dispatcher_rests.cpp
+++ b/src/dispatch/dispatcher_rests.cpp
@@ -19,13 +19,13 @@
     // Spread, as all of them answer a new leader at about the same time.
     const auto spread = m_settings.idle_look_gap / 4 * (view.id.value() % 4U) / 4;
     view.look_due = now + m_settings.idle_look_gap + spread;
-    view.rests_until = view.look_due;
+    view.contact.rest(view.look_due);
 }
 
 void dispatcher::end_rest(worker_view& view, monotonic_time now)
 {
     view.look_due = std::min(view.look_due, now);
-    view.rests_until = std::min(view.rests_until, now);
+    view.contact.end_rest(now);
 }
 
 } // namespace walkthread
--- a/src/dispatch/dispatcher_sharing.cpp
+++ b/src/dispatch/dispatcher_sharing.cpp
@@ -147,7 +147,8 @@
     const auto known = view->runs.find(run_ref{ref, task->run});
     // An earlier leader may have stopped it a moment ago, which this one does not know: after a hand-over,
     // two tasks of which one may be away were away.
-    if (known != view->runs.end() && known->second.inherited && view->heard < m_began + m_settings.stops_show)
+    if (known != view->runs.end() && known->second.inherited &&
+        view->contact.heard() < m_began + m_settings.stops_show)
     {
         return false;
     }
--- /dev/null
+++ b/src/dispatch/dispatcher_unheard.cpp
@@ -0,0 +1,65 @@
+// The part of dispatcher that tells of runs on workers that nobody has heard for longer than a lease.
+
+#include <walkthread/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+
+#include <walkthread/workload/names.hpp>
+
+namespace walkthread
+{
+
+// Why an unheard worker's runs still count as running.
+std::string_view dispatcher::why_kept(const worker_view& view, monotonic_time now) const
+{
+    if (view.gone)
+    {
+        return "its drop waits for the commit";
+    }
+    if (!view.contact.doubted())
+    {
+        return "no call has told of it";
+    }
+    if (!view.lease_surely_over(now, m_settings.clock_drift))
+    {
+        return "its lease may hold";
+    }
+    return "it is given up next";
+}
+
+// One line a second at most: the worker with runs that has been unheard for longest.
+void dispatcher::note_unheard(monotonic_time now)
+{
+    const worker_view* longest = nullptr;
+    m_unheard_runs = 0;
+    for (const auto& [id, view] : m_views)
+    {
+        const worker_life* worker = m_state.find(id);
+        const bool unheard = view.contact.unheard_for(now) > m_settings.lease;
+        if (!unheard || worker == nullptr || worker->occupied.empty())
+        {
+            continue;
+        }
+        m_unheard_runs += worker->occupied.size();
+        const bool longer = longest == nullptr || longest->contact.heard() > view.contact.heard();
+        longest = longer ? &view : longest;
+    }
+    if (longest == nullptr)
+    {
+        return;
+    }
+    const worker_life& worker = *m_state.find(longest->id);
+    const failed_calls& failed = longest->contact.failed();
+    note(now, "worker_unheard", worker.facts.id,
+         {{"unheard_ms", longest->contact.unheard_for(now)},
+          {"kept_as", why_kept(*longest, now)},
+          {"runs", worker.occupied.size()},
+          {"run", name_of(worker.occupied.begin()->first)},
+          {"runs_on_unheard_workers", m_unheard_runs},
+          {"answered_this_leader", longest->answered},
+          {"not_sent", failed.not_sent},
+          {"unreachable", failed.unreachable},
+          {"unanswered", failed.unanswered}});
+}
+
+} // namespace walkthread
--- a/src/dispatch/dispatcher_waiting.cpp
+++ b/src/dispatch/dispatcher_waiting.cpp
@@ -24,6 +24,7 @@
         return;
     }
     m_waiting_due = now + told_every;
+    note_unheard(now);
     const submission* longest = nullptr;
     step_ref waiting;
     wall_ms since = wall - told_after;
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -53,7 +53,7 @@
     order.last_seen = worker->listed_up_to;
     // A worker that may hear us while we do not hear it must lose its lease some time: then only a question
     // goes.
-    const bool silent = view.unheard_for(now) > m_settings.suspect_after + m_settings.look_wait;
+    const bool silent = view.contact.unheard_for(now) > m_settings.suspect_after + m_settings.look_wait;
     if (view.clock_known && !silent)
     {
         order.until_ms = view.grant(now, std::min(m_settings.lease, m_settings.lease_cap));
@@ -79,7 +79,7 @@
 // Only workers that live tell how many looks get lost.
 void dispatcher::note_look(const worker_view& view, bool lost, monotonic_time now)
 {
-    const bool lives = view.unheard_for(now) < m_settings.suspect_after + m_settings.look_wait;
+    const bool lives = view.contact.unheard_for(now) < m_settings.suspect_after + m_settings.look_wait;
     if (lives)
     {
         m_lost_looks += look_weight * ((lost ? 1.0 : 0.0) - m_lost_looks);
@@ -108,16 +108,18 @@
     const bool foreign =
         answer.outcome == order_outcome::accepted && known != birth_ms{} && answer.born == birth_ms{};
     const bool lost = answer.outcome == order_outcome::unanswered || foreign;
-    if (answer.outcome != order_outcome::not_sent) // that tells of our connections, not of the worker's
+    if (!never_left(answer.outcome)) // that tells of our connections, not of the worker's
     {
         note_look(*view, lost, now);
     }
     if (answer.outcome != order_outcome::accepted || foreign)
     {
         // A connection that breaks may be all that is wrong: the next look tells, at once the first time.
-        const bool at_once = lost && (looks_get_lost() || !view->doubted);
-        view->doubted_at = lost && !view->doubted ? now : view->doubted_at;
-        view->doubted = view->doubted || lost;
+        const bool at_once = lost && (looks_get_lost() || !view->contact.doubted());
+        if (lost || never_left(answer.outcome))
+        {
+            view->contact.note_failure(answer.outcome, now);
+        }
         view->look_due = at_once ? now : now + m_settings.look_retry;
         return;
     }
@@ -125,15 +127,14 @@
     {
         // Of an answer that passed one of the known life on the way it cannot be told which is newer.
         view->look_due = now;
-        if (sent >= view->heard)
+        if (sent >= view->contact.heard())
         {
             take_restart(*view, answer, now);
         }
         return;
     }
     view->look_due = now;
-    view->heard = now;
-    view->doubted = false;
+    view->contact.note_answer(now);
     view->answered_look = std::max(view->answered_look, sent);
     view->note_clock(answer.clock_ms, now);
     take_runs(*view, answer, now);
@@ -388,8 +389,8 @@
     {
         // Whoever was not asked for want of a connection or of time has only not been heard: given up, its
         // work would start again although it may be done.
-        const bool silent =
-            view.doubted && view.unheard_for(now) > m_settings.suspect_after + m_settings.look_wait;
+        const bool silent = view.contact.doubted() &&
+                            view.contact.unheard_for(now) > m_settings.suspect_after + m_settings.look_wait;
         if (!view.gone && silent && view.lease_surely_over(now, m_settings.clock_drift))
         {
             drop_worker_life(view, "its lease is over", false, now);
@@ -412,7 +413,8 @@
         const double expected_ms = step == nullptr ? 0.0 : m_objectives.expected_ms(owner->queue, *step);
         return milliseconds(static_cast<std::int64_t>(expected_ms));
     };
-    return share_blame(view, m_settings.just_began, view.doubted ? view.doubted_at : now, run_time);
+    return share_blame(view, m_settings.just_began,
+                       view.contact.doubted() ? view.contact.doubted_since() : now, run_time);
 }
 
 // What went with a worker, and why it is or is not suspected of that. A line for each run, a few dozen at
@@ -428,7 +430,7 @@
              {{"worker", m_state.find(view.id)->facts.id},
               {"began", item.began},
               {"inherited", known.inherited},
-              {"sent_before_last_word_ms", view.heard - known.sent},
+              {"sent_before_last_word_ms", view.contact.heard() - known.sent},
               {"beside", lost.size() - 1},
               {"blame", item.blame},
               {"blame_before", before == nullptr ? 0 : before->blame}});
@@ -471,7 +473,7 @@
     }
     const worker_life& worker = *m_state.find(view.id);
     note(now, "worker_dropped", worker.facts.id,
-         {{"reason", reason}, {"unheard_ms", now - view.heard}, {"runs", worker.occupied.size()}});
+         {{"reason", reason}, {"unheard_ms", now - view.contact.heard()}, {"runs", worker.occupied.size()}});
     const auto again = [this, alive = m_alive, id = view.id](bool committed)
     {
         worker_view* later = *alive ? view_of(id) : nullptr;
--- a/src/dispatch/host_reason.cpp
+++ b/src/dispatch/host_reason.cpp
@@ -18,11 +18,11 @@
     {
         return host_reason::unreported;
     }
-    if (view.unheard_for(now) >= settings.suspect_after + settings.look_wait)
+    if (view.contact.unheard_for(now) >= settings.suspect_after + settings.look_wait)
     {
         return host_reason::silent;
     }
-    if (view.doubted)
+    if (view.contact.doubted())
     {
         return host_reason::doubted;
     }
--- a/src/dispatch/lost_runs.cpp
+++ b/src/dispatch/lost_runs.cpp
@@ -11,7 +11,7 @@
 // The last answer of any kind.
 monotonic_time last_word(const worker_view& view)
 {
-    monotonic_time latest = view.heard;
+    monotonic_time latest = view.contact.heard();
     for (const auto& [run, known] : view.runs)
     {
         latest = std::max(latest, known.inherited ? latest : known.settled.value_or(latest));
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -436,6 +436,9 @@
 {
     page.add_gauge("walkthread_advice_waiting", "Questions that wait for a process to ask them.",
                    static_cast<double>(m_desk.waiting()));
+    page.add_gauge("walkthread_unheard_runs",
+                   "Runs that count as running on workers not heard for longer than a lease.",
+                   m_dispatcher ? static_cast<double>(m_dispatcher->unheard_runs()) : 0.0);
     page.add(m_start_waits.collect());
     page.add(m_advice_times.collect());
     const dispatch_counters c = m_dispatcher ? m_dispatcher->counters() : dispatch_counters{};
--- a/src/fabric/pooled_client.cpp
+++ b/src/fabric/pooled_client.cpp
@@ -77,8 +77,12 @@
 // The connection is free before the handler runs: what it sends next may use it.
 void pooled_client::finish(pooled_id connection, const web_answer_handler& handler, const web_result& outcome)
 {
-    const bool not_sent = !ok(outcome) && error_of(outcome) == web_failure::not_sent;
-    m_not_sent += not_sent ? 1 : 0;
+    const auto failed_as = [&outcome](web_failure failure)
+    {
+        return !ok(outcome) && error_of(outcome) == failure;
+    };
+    m_not_sent += failed_as(web_failure::not_sent) ? 1 : 0;
+    m_unreachable += failed_as(web_failure::unreachable) ? 1 : 0;
     const auto channel = m_channels.find(connection);
     const bool open = channel != m_channels.end() && channel->second->is_open();
     if (!open)
@@ -162,6 +166,8 @@
                    "Idle connections closed as another address needed one.", static_cast<double>(m_replaced));
     page.add_count(prefix + "not_sent_total", "Calls that got no connection.",
                    static_cast<double>(m_not_sent));
+    page.add_count(prefix + "unreachable_total", "Calls whose address took no connection.",
+                   static_cast<double>(m_unreachable));
 }
 
 } // namespace walkthread
--- a/src/fabric/web_client.cpp
+++ b/src/fabric/web_client.cpp
@@ -23,9 +23,19 @@
 
 constexpr milliseconds connect_patience{
     700}; // a new connection takes a few ms; a lost first packet is not waited for
-constexpr int user_timeout_ms = 1500;                // unacknowledged bytes: the peer or the link is gone
+constexpr duration own_delay = milliseconds(200); // a time-out noticed that late: this process did not run,
+                                                  // which tells nothing of the peer
+constexpr int user_timeout_ms = 1500;             // unacknowledged bytes: the peer or the link is gone
 constexpr std::size_t most_answer_bytes = 4U << 20U; // a worker's list of 500 ends is about 60 KB
 
+// Whether a connection failed for want of something on this machine, so that it tells nothing of the peer.
+bool lacks_resources(const beast::error_code& failed)
+{
+    return failed == asio::error::no_descriptors || failed == asio::error::no_buffer_space ||
+           failed == asio::error::no_memory || failed == boost::system::errc::too_many_files_open_in_system ||
+           failed == boost::system::errc::address_not_available;
+}
+
 class channel final : public web_channel
 {
   public:
@@ -91,9 +101,15 @@
         attempt();
     }
 
-    [[nodiscard]] web_failure no_answer() const
+    [[nodiscard]] web_failure no_connection(const beast::error_code& failed) const
     {
-        return m_sent ? web_failure::unanswered : web_failure::not_sent;
+        if (m_sent)
+        {
+            return web_failure::unanswered; // on the connection before
+        }
+        const bool late = failed == beast::error::timeout &&
+                          asio::steady_timer::clock_type::now() > m_connect_deadline + own_delay;
+        return m_closed || late || lacks_resources(failed) ? web_failure::not_sent : web_failure::unreachable;
     }
 
     void attempt()
@@ -108,16 +124,19 @@
         const std::optional<tcp::endpoint> endpoint = detail::parse_endpoint(m_address);
         if (!endpoint)
         {
-            finish(no_answer());
+            finish(web_failure::unreachable);
             return;
         }
-        m_stream->expires_after(std::min(connect_patience, m_current.patience));
+        m_connect_deadline =
+            asio::steady_timer::clock_type::now() + std::min(connect_patience, m_current.patience);
+        m_stream->expires_at(m_connect_deadline);
         m_stream->async_connect(*endpoint,
                                 [keep = self()](beast::error_code failed)
                                 {
                                     if (failed)
                                     {
-                                        keep->fail();
+                                        keep->drop_connection();
+                                        keep->finish(keep->no_connection(failed));
                                         return;
                                     }
                                     keep->prepare_socket();
@@ -215,7 +234,7 @@
             attempt();
             return;
         }
-        finish(no_answer());
+        finish(web_failure::unanswered);
     }
 
     void drop_connection()
@@ -248,6 +267,7 @@
     std::deque<waiting_request> m_queue;
     waiting_request m_current;
     std::chrono::steady_clock::time_point m_deadline;
+    std::chrono::steady_clock::time_point m_connect_deadline;
     std::string m_known_as; ///< the recipient that has answered on the present connection
     bool m_asks = false;    ///< the question that goes ahead of a request is under way
     bool m_busy = false;
--- a/tests/src/unit-fabric.cpp
+++ b/tests/src/unit-fabric.cpp
@@ -426,7 +426,7 @@
     loop.run_for(seconds(20));
     BOOST_TEST(called);
     BOOST_REQUIRE(!ok(out));
-    BOOST_TEST((error_of(out) == web_failure::not_sent)); // nobody can have carried it out
+    BOOST_TEST((error_of(out) == web_failure::unreachable)); // nobody can have carried it out
 }
 
 // ---------------------------------------------------------------------------------------------------------
--- a/tests/src/unit-rooms.cpp
+++ b/tests/src/unit-rooms.cpp
@@ -30,7 +30,7 @@
         state.apply(0, admit_worker{{name, "h" + name, name + ":1", pool, "hall", {}, {16000, 65536, 0, 0}}});
         worker_view& view = views[state.find_id(name)->id];
         view.answered = true;
-        view.heard = now;
+        view.contact = worker_contact(now);
     }
     [[nodiscard]] worker_life_id id(std::uint32_t number) const
     {
