Test, red: a leader that never had a connection to a worker that is gone never gives it up

The stand-in answered a call to a silent worker as sent and unanswered, also to a leader that had never spoken to it, which no real connection does; so no test could see the fault. It knows now to which workers a leader has a connection: a call to a silent one leaves on it once, and the next finds no connection.

--- a/tests/src/pool_settings.hpp
+++ b/tests/src/pool_settings.hpp
@@ -23,6 +23,7 @@
     double refuse = 0.0;        // share of starts that are refused, nothing done
     double unsent = 0.0;        // share of starts that never leave the leader, for want of a connection
     bool unasked = false;       // looks never leave the leader
+    bool rejects_looks = false; // answers them, and neither renews its lease nor tells what runs
     bool unheard = false;       // its own reports do not arrive
     bool fails_all = false;     // every run fails after 100 ms
     bool stands_still = false;  // runs never end
--- a/tests/src/pool_stand_in.hpp
+++ b/tests/src/pool_stand_in.hpp
@@ -160,6 +160,25 @@
         m_workers[life].running.clear();
         add_worker(next, host, reports);
     }
+    // The worker goes for good. Its machine refuses connections from then on, or is silent.
+    void lose(const std::string& life, bool refuses)
+    {
+        sim_worker& worker = m_workers[life];
+        worker.gone = true;
+        worker.refuses = refuses;
+        for (const auto& [run, state] : std::exchange(worker.running, {}))
+        {
+            break_gang(run);
+        }
+        if (auto handler = std::exchange(worker.waiting_look, nullptr); handler)
+        {
+            at(refuses ? duration(m_settings.way) : silence,
+               [handler]
+               {
+                   handler({order_outcome::unanswered, {}, 0, {}, {}});
+               });
+        }
+    }
     // The worker's process dies, and starts again under its old id after a while: it knows nothing of before,
     // and all that it counts begins anew. Its connections break, or fall silent as its machine lost power.
     void restart(const std::string& life, duration down, bool silent = false, bool reports = true)
--- /dev/null
+++ b/tests/src/unit-lost-workers.cpp
@@ -0,0 +1,147 @@
+#define BOOST_TEST_MODULE lost_workers
+#include <boost/test/unit_test.hpp>
+
+#include "small_pool.hpp"
+
+using namespace walkthread;
+using namespace walkthread::test;
+
+// Workers that go for good about when the leader changes: the next leader never had a connection to them.
+
+namespace
+{
+// Longer than any lease there may be, with a drop, its commit and a start elsewhere.
+constexpr seconds given_up_by{12};
+
+std::vector<std::string> workers_with_runs(const pool_stand_in& pool, std::size_t workers)
+{
+    std::vector<std::string> out;
+    for (std::size_t i = 0; i < workers; ++i)
+    {
+        const std::string life = "w" + std::to_string(i);
+        if (pool.running_on(life) > 0)
+        {
+            out.push_back(life);
+        }
+    }
+    return out;
+}
+
+// One of the workers that run something goes while nobody leads.
+void lose_one_between_leaders(pool_stand_in& pool, std::size_t workers, bool refuses)
+{
+    const std::vector<std::string> busy = workers_with_runs(pool, workers);
+    BOOST_REQUIRE(!busy.empty());
+    pool.unlead();
+    pool.lose(busy.front(), refuses);
+    pool.run(milliseconds(700));
+    pool.lead();
+}
+
+void play_single_tasks(bool refuses)
+{
+    pool_stand_in pool(small(8));
+    pool.lead();
+    pool.run(seconds(1));
+    const submission_id id = pool.submit("plain", {make_step(16, 4000, 3000)});
+    pool.run(milliseconds(500));
+    lose_one_between_leaders(pool, 8, refuses);
+    pool.run(given_up_by + seconds(4));
+    BOOST_TEST((pool.phase(id) == submission_phase::completed));
+    check_unbroken(pool);
+}
+
+void play_gang(bool refuses)
+{
+    pool_stand_in pool(small(8));
+    pool.lead();
+    pool.run(seconds(1));
+    step_spec gang = make_step(6, 6000, 3000);
+    gang.gang = true;
+    const submission_id id = pool.submit("plain", {gang});
+    pool.run(seconds(1));
+    lose_one_between_leaders(pool, 8, refuses);
+    pool.run(given_up_by + seconds(5));
+    BOOST_TEST((pool.phase(id) == submission_phase::completed));
+    check_unbroken(pool);
+}
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_new_leader_gives_up_a_worker_that_refuses_connections)
+{
+    play_single_tasks(true);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_leader_gives_up_a_worker_that_answers_no_connection)
+{
+    play_single_tasks(false);
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_runs_again_when_the_worker_of_a_member_is_gone)
+{
+    play_gang(true);
+    play_gang(false);
+}
+
+// A leader that reaches no worker is cut off itself: their work may go on, and nobody else could take it.
+BOOST_AUTO_TEST_CASE(a_leader_that_reaches_nobody_gives_up_nobody)
+{
+    pool_stand_in pool(small(4));
+    pool.lead();
+    pool.run(seconds(1));
+    const submission_id id = pool.submit("plain", {make_step(8, 4000, 1500)});
+    pool.run(milliseconds(300));
+    for (int i = 0; i < 4; ++i)
+    {
+        pool.faults("w" + std::to_string(i)).dark = true;
+    }
+    pool.run(seconds(20));
+    BOOST_TEST(pool.leader().counters().lost_workers == 0U);
+    for (int i = 0; i < 4; ++i)
+    {
+        pool.faults("w" + std::to_string(i)).dark = false;
+    }
+    pool.run(seconds(6));
+    BOOST_TEST((pool.phase(id) == submission_phase::completed));
+    for (std::uint32_t i = 0; i < 8; ++i)
+    {
+        BOOST_TEST(pool.starts_of(task_ref{{id}, i}) == 1U);
+    }
+    check_unbroken(pool);
+}
+
+// The lease of a worker that rejects each look is not renewed, so nothing runs there once it is over.
+BOOST_AUTO_TEST_CASE(a_worker_that_rejects_every_look_is_given_up)
+{
+    pool_stand_in pool(small(8));
+    pool.lead();
+    pool.run(seconds(1));
+    const submission_id id = pool.submit("plain", {make_step(16, 4000, 3000)});
+    pool.run(milliseconds(500));
+    pool.faults(workers_with_runs(pool, 8).front()).rejects_looks = true;
+    pool.run(given_up_by + seconds(4));
+    BOOST_TEST((pool.phase(id) == submission_phase::completed));
+    check_unbroken(pool);
+}
+
+// An order whose connection is refused tells of the worker: nothing more is placed there until it is heard.
+BOOST_AUTO_TEST_CASE(a_refused_order_keeps_further_work_away)
+{
+    pool_stand_in pool(small(8));
+    pool.lead();
+    pool.run(seconds(1));
+    pool.lose("w0", true);
+    std::vector<submission_id> all;
+    for (int i = 0; i < 40; ++i)
+    {
+        all.push_back(pool.submit("plain", {make_step(1, 500, 200)}));
+        pool.run(milliseconds(50));
+    }
+    pool.run(seconds(2));
+    for (const submission_id id : all)
+    {
+        BOOST_TEST((pool.phase(id) == submission_phase::completed));
+    }
+    BOOST_TEST(pool.leader().counters().unsent_orders < 8U);
+    check_unbroken(pool);
+}
--- a/tests/src/worker_records.hpp
+++ b/tests/src/worker_records.hpp
@@ -226,6 +226,8 @@
     pool_settings m_settings;
     std::mt19937_64 m_random;
     workload_state m_state;
+    // Workers and terms of leaders that have a connection to them.
+    std::set<std::pair<std::string, std::uint64_t>> m_connected;
     std::map<std::string, sim_worker> m_workers;
     std::map<std::pair<step_ref, std::string>, monotonic_time> m_tickets;
     static constexpr milliseconds limit_known{2000};
--- a/tests/src/worker_stand_in.hpp
+++ b/tests/src/worker_stand_in.hpp
@@ -50,16 +50,22 @@
                                        });
         const auto meant = m_workers.find(to.id);
         const bool refused = meant != m_workers.end() && meant->second.refuses;
-        const order_outcome outcome = other     ? order_outcome::other_life
-                                      : refused ? order_outcome::not_sent
-                                                : order_outcome::unanswered;
-        at(other || refused ? duration(m_settings.way) : patience,
+        // On a connection that the leader still has, a call leaves; then there is none to that address.
+        const bool connected = !refused && m_connected.contains({to.id, to.fence});
+        m_connected.erase({to.id, to.fence});
+        const order_outcome outcome = other       ? order_outcome::other_life
+                                      : connected ? order_outcome::unanswered
+                                                  : order_outcome::unreachable;
+        at(other || refused ? duration(m_settings.way)
+           : connected      ? patience
+                            : duration(connect_patience),
            [handler, outcome]
            {
                handler({outcome, {}, false});
            });
     }
     static constexpr milliseconds order_patience{600};
+    static constexpr milliseconds connect_patience{700};
 
     [[nodiscard]] double unsent_share(const std::string& life) const
     {
@@ -390,7 +396,17 @@
                });
             return;
         }
+        if (worker->faults.rejects_looks)
+        {
+            at(m_settings.way,
+               [handler]
+               {
+                   handler({order_outcome::rejected, {}, 0, {}, {}});
+               });
+            return;
+        }
         worker->fence = order.to.fence;
+        m_connected.emplace(order.to.id, order.to.fence);
         lapse_if_over(*worker);
         // Another life than the one that is meant gets a bare question.
         const bool meant = order.to.born == worker->facts.born;
