A worker whose address takes no connection is doubted, and given up once its lease is over

What callers saw: accepted work stands still for ever beside idle workers (LOST).

A leader that never had a connection to a worker that is gone sends none: each look ends at the refused or silent address. It counted as 'not sent', like a want of connections here, so the worker was never doubted, and its runs counted as running until the end of the term and of the next.

Class: a wait whose end depends on an event that may never come.

Mend: three facts, two questions (worker_contact, order_outcome). Whether an order may have been carried out: only if it was sent. Whether the worker can be reached: a refused or silent address says no, for looks, starts and stops alike; a want of connections here says nothing. Given up as before: doubted, unheard, and every lease that there may be is over.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -241,6 +241,7 @@
     void take_start(worker_life_id worker, const run_ref& run, const order_answer& answer,
                     monotonic_time now);
     void take_unsent_start(worker_view& view, const run_ref& run, monotonic_time now);
+    static void note_no_connection(worker_view& view, order_outcome outcome, monotonic_time now);
     void send_stop(worker_view& view, const run_ref& run, monotonic_time now);
     void take_stop(worker_life_id worker, const run_ref& run, const order_answer& answer, monotonic_time now);
     void retry_orders(monotonic_time now);
--- a/include/walkthread/dispatch/worker_contact.hpp
+++ b/include/walkthread/dispatch/worker_contact.hpp
@@ -50,7 +50,7 @@
         ++(outcome == order_outcome::not_sent      ? m_failed.not_sent
            : outcome == order_outcome::unreachable ? m_failed.unreachable
                                                    : m_failed.unanswered);
-        if (!never_left(outcome) && !m_doubted)
+        if (outcome != order_outcome::not_sent && !m_doubted)
         {
             m_doubted = true;
             m_doubted_since = now;
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -108,7 +108,7 @@
     const bool foreign =
         answer.outcome == order_outcome::accepted && known != birth_ms{} && answer.born == birth_ms{};
     const bool lost = answer.outcome == order_outcome::unanswered || foreign;
-    if (!never_left(answer.outcome)) // that tells of our connections, not of the worker's
+    if (!never_left(answer.outcome)) // else nothing got lost on its way
     {
         note_look(*view, lost, now);
     }
@@ -387,8 +387,8 @@
 {
     for (auto& [id, view] : m_views)
     {
-        // Whoever was not asked for want of a connection or of time has only not been heard: given up, its
-        // work would start again although it may be done.
+        // Whoever was not asked, as this process had no connection or no time, has only not been heard: given
+        // up, its work would start again although it may be done.
         const bool silent = view.contact.doubted() &&
                             view.contact.unheard_for(now) > m_settings.suspect_after + m_settings.look_wait;
         if (!view.gone && silent && view.lease_surely_over(now, m_settings.clock_drift))
