A leader that hears no worker at all gives none up

Cause: a leader cut off from all workers read its own trouble as theirs: it dropped them all once their leases were over, and what they had finished meanwhile started again. Mend: a worker is given up only if some worker answered since it has been doubted. One that is gone for good is given up as soon as any other is heard.

unit-lost-workers, a_leader_that_reaches_nobody_gives_up_nobody: red before (all four workers dropped, each of 8 tasks started twice), green after.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -279,6 +279,7 @@
     monotonic_time m_tidy_due{};
     monotonic_time m_waiting_due{}; ///< when what waits for longest is told of next
     std::size_t m_unheard_runs = 0; ///< on workers that were not heard for longer than a lease
+    monotonic_time m_last_heard{};  ///< when any worker answered a look last
     monotonic_time m_review_due{};
     monotonic_time m_full_due{};                   ///< when steps that are not urgent are looked at again
     double m_lost_looks = 0.0;                     ///< part of the last looks that got no answer
--- a/src/dispatch/dispatcher_unheard.cpp
+++ b/src/dispatch/dispatcher_unheard.cpp
@@ -20,6 +20,10 @@
     {
         return "no call has told of it";
     }
+    if (m_last_heard <= view.contact.doubted_since())
+    {
+        return "no worker is heard";
+    }
     if (!view.lease_surely_over(now, m_settings.clock_drift))
     {
         return "its lease may hold";
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -135,6 +135,7 @@
     }
     view->look_due = now;
     view->contact.note_answer(now);
+    m_last_heard = now;
     view->answered_look = std::max(view->answered_look, sent);
     view->note_clock(answer.clock_ms, now);
     take_runs(*view, answer, now);
@@ -388,8 +389,10 @@
     for (auto& [id, view] : m_views)
     {
         // Whoever was not asked, as this process had no connection or no time, has only not been heard: given
-        // up, its work would start again although it may be done.
-        const bool silent = view.contact.doubted() &&
+        // up, its work would start again although it may be done. A leader that hears nobody is cut off
+        // itself.
+        const bool others_heard = m_last_heard > view.contact.doubted_since();
+        const bool silent = view.contact.doubted() && others_heard &&
                             view.contact.unheard_for(now) > m_settings.suspect_after + m_settings.look_wait;
         if (!view.gone && silent && view.lease_surely_over(now, m_settings.clock_drift))
         {
