A worker that refuses every look is doubted like one that does not answer

Cause, of the same class: only looks without an answer counted. A worker that answers each look with a refusal (unhealthy, rejected, a fence) renewed no lease, told no run and no end, and was kept for ever with its runs.

unit-lost-workers, a_worker_that_rejects_every_look_is_given_up: red before, green after.

--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -116,10 +116,7 @@
     {
         // A connection that breaks may be all that is wrong: the next look tells, at once the first time.
         const bool at_once = lost && (looks_get_lost() || !view->contact.doubted());
-        if (lost || never_left(answer.outcome))
-        {
-            view->contact.note_failure(answer.outcome, now);
-        }
+        view->contact.note_failure(answer.outcome, now); // a look that is refused renews no lease either
         view->look_due = at_once ? now : now + m_settings.look_retry;
         return;
     }
