A call that a leader without its lease holds back counts as not sent

Cause: a process that has no lease just now answered its own dispatcher 'unanswered' for calls that it had not made: a doubt about every worker, and 12 s in which each start may yet be carried out. They never left: not sent. Found by reading for the cause of the incident; no test drives this path alone, the unit tests of the dispatcher have both outcomes.

--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -295,8 +295,8 @@
 
 dispatch_hooks core_node::make_hooks()
 {
-    const auto unanswered_look = look_answer{order_outcome::unanswered, {}, 0, {}, {}};
-    const auto unanswered = order_answer{order_outcome::unanswered, std::nullopt, false};
+    const auto no_look = look_answer{order_outcome::not_sent, {}, 0, {}, {}};
+    const auto no_order = order_answer{order_outcome::not_sent, std::nullopt, false};
     dispatch_hooks hooks;
     hooks.now = monotonic_now;
     hooks.propose = [this](const workload_command& command, const std::function<void(bool)>& handler)
@@ -308,30 +308,30 @@
                 });
     };
     // After a pause this process may lead no longer: each order checks that first.
-    hooks.look = [this, unanswered_look](const look_order& order,
-                                         const std::function<void(const look_answer&)>& handler)
+    hooks.look =
+        [this, no_look](const look_order& order, const std::function<void(const look_answer&)>& handler)
     {
-        leads(monotonic_now()) ? m_outside.look(order, handler) : handler(unanswered_look);
+        leads(monotonic_now()) ? m_outside.look(order, handler) : handler(no_look);
     };
-    hooks.start = [this, unanswered](const start_task_order& order,
-                                     const std::function<void(const order_answer&)>& handler)
+    hooks.start = [this, no_order](const start_task_order& order,
+                                   const std::function<void(const order_answer&)>& handler)
     {
-        leads(monotonic_now()) ? m_outside.start(order, handler) : handler(unanswered);
+        leads(monotonic_now()) ? m_outside.start(order, handler) : handler(no_order);
     };
-    hooks.stop = [this, unanswered](const stop_task_order& order,
-                                    const std::function<void(const order_answer&)>& handler)
+    hooks.stop = [this, no_order](const stop_task_order& order,
+                                  const std::function<void(const order_answer&)>& handler)
     {
-        leads(monotonic_now()) ? m_outside.stop(order, handler) : handler(unanswered);
+        leads(monotonic_now()) ? m_outside.stop(order, handler) : handler(no_order);
     };
-    hooks.pace = [this, unanswered](const pace_task_order& order,
-                                    const std::function<void(const order_answer&)>& handler)
+    hooks.pace = [this, no_order](const pace_task_order& order,
+                                  const std::function<void(const order_answer&)>& handler)
     {
-        leads(monotonic_now()) ? m_outside.pace(order, handler) : handler(unanswered);
+        leads(monotonic_now()) ? m_outside.pace(order, handler) : handler(no_order);
     };
-    hooks.order_upkeep = [this, unanswered](const std::string& host, std::uint64_t wave, std::uint64_t fence,
-                                            const std::function<void(const order_answer&)>& handler)
+    hooks.order_upkeep = [this, no_order](const std::string& host, std::uint64_t wave, std::uint64_t fence,
+                                          const std::function<void(const order_answer&)>& handler)
     {
-        leads(monotonic_now()) ? m_outside.order_upkeep(host, wave, fence, handler) : handler(unanswered);
+        leads(monotonic_now()) ? m_outside.order_upkeep(host, wave, fence, handler) : handler(no_order);
     };
     hooks.advise = [this](const advice_question& question, bool urgent,
                           const std::function<void(const advice_answer&)>& handler)
