Process tests keep the logs, the time line and the records of a run that fails

The logs, the time line and the stand-ins' records are copied to kept/ in the build folder; workers also write down each answer that brings orders, with what they had said when they asked. No check is changed.

--- a/tests/fakes/cell.py
+++ b/tests/fakes/cell.py
@@ -92,6 +92,7 @@
 
     def __init__(self, build, nodes=3, halls=("santiago-1", "aarhus-1"), timing=None, with_relays=False, limits=None,
                  gateways=0):
+        self.build = build
         self.daemon = os.path.join(build, "walkthreadd")
         self.ctl_path = os.path.join(build, "walkthreadctl")
         self.folder = tempfile.mkdtemp(prefix="walkthread-")
@@ -240,6 +241,20 @@
             worker.stop()
         return codes
 
+    def keep(self, name):
+        """Copies the daemons' logs, their time line and the stand-ins' records into the build folder."""
+        kept = os.path.join(self.build, "kept", "%s-%d" % (name, os.getpid()))
+        os.makedirs(kept)
+        for path in [node.log for node in self.nodes] + [os.path.join(self.folder, "records.txt")]:
+            shutil.copy(path, kept)
+        try:
+            timeline = self.operate("admin", "GET", "/v1/timeline", tries=6)[2]
+        except (AssertionError, ValueError) as error:
+            timeline = ["No time line: %s" % error]
+        with open(os.path.join(kept, "timeline.txt"), "w") as f:
+            f.writelines("%s\n" % event for event in timeline)
+        return kept
+
     def remove(self):
         shutil.rmtree(self.folder, ignore_errors=True)
 
--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -138,13 +138,14 @@
                     connection = http.client.HTTPConnection(host, port, timeout=self.wait_ms / 1000 + 0.6)
                     connection.connect()
                     connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                connection.request("POST", f"/v1/halls/{self.hall}/renew", json.dumps(self.renewal()),
+                sent = self.renewal()
+                connection.request("POST", f"/v1/halls/{self.hall}/renew", json.dumps(sent),
                                    {"Authorization": "Bearer " + self.token})
                 reply = connection.getresponse()
                 body = json.loads(reply.read())
                 if reply.status != 200:
                     raise OSError(body)
-                self.take(asked, body)
+                self.take(asked, sent, body)
             except (OSError, ValueError, http.client.HTTPException):
                 connection, gateway = None, gateway + 1
                 time.sleep(0.1)
@@ -162,7 +163,11 @@
                      "stopping": s["stopping"], "throttled": s["throttled"]} for run, s in self.runs.items()]
         return {"worker": self.number, "epoch": self.epoch, "wait_ms": self.wait_ms, "runs": runs}
 
-    def take(self, asked, body):
+    def take(self, asked, sent, body):
+        if self.epoch == 0 or any(body.get(key) for key in ("register", "start", "stop", "forget")):
+            runs = ["%s %s" % (r["run"], r["state"]) for r in sent.get("runs", [])]
+            self.records.add("told", host=self.number, asked=asked, asked_as=sent["epoch"], said=runs, mine=self.epoch,
+                             answer=body)
         if body.get("register"):
             self.drop_all("lease")
             self.epoch = 0
--- a/tests/process/common.py
+++ b/tests/process/common.py
@@ -10,7 +10,7 @@
 
 
 def with_cell(test, **options):
-    """Runs a test on a fresh cell; on a failure it shows the daemons' logs."""
+    """Runs a test on a fresh cell; on a failure it shows the daemons' logs and keeps them with the records."""
     cell = Cell(sys.argv[1], **options)
     failed = True
     try:
@@ -22,6 +22,7 @@
             for node in cell.nodes:
                 with open(node.log) as log:
                     print("-- node %d\n%s" % (node.number, log.read()[-3000:]))
+            print("Logs and records are kept in %s." % cell.keep(test.__name__))
         cell.stop()
         cell.remove()
     print("%s passed." % test.__name__)
