--- a/tests/src/unit-hall.cpp
+++ b/tests/src/unit-hall.cpp
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE hall
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 #include <walkthread/policy/lease_table.hpp>
 
 #include "hall_fixture.hpp"
@@ -19,6 +21,22 @@
     const epoch_id epoch = const_cast<hall_fixture&>(hall).state().workers().at(worker_id{worker}).epoch;
     return {run_id{{job, index}, run}, worker_id{worker}, epoch};
 }
+
+bool second_run_of_not_repeatable(const hall_state& state)
+{
+    const auto again = [](const task_record& task)
+    {
+        return task.run > 1;
+    };
+    return std::any_of(state.jobs().begin(), state.jobs().end(),
+                       [&again](const auto& item)
+                       {
+                           const hall_job& job = item.second;
+                           const bool once =
+                               !job.spec.repeatable && job.spec.workload() != workload_kind::service;
+                           return once && std::any_of(job.tasks.begin(), job.tasks.end(), again);
+                       });
+}
 } // namespace
 
 // A stale leader's plan: applying it again, or after the host filled up, has no effect.
@@ -79,6 +97,50 @@
     BOOST_TEST(hall.state().jobs().at(spec.id).outcome == static_cast<std::uint8_t>(job_outcome::unknown));
 }
 
+// Whoever stops it: a run that had begun may have done its work in part.
+BOOST_AUTO_TEST_CASE(a_not_repeatable_task_that_was_stopped_never_runs_again)
+{
+    for (const run_event end : {run_event::stopped, run_event::checkpointed})
+    {
+        for (const bool ordered : {false, true})
+        {
+            hall_fixture hall;
+            hall.add_workers(2, 4, 0);
+            job_spec spec = hall.make_job(workload_kind::batch, 1, whole);
+            spec.repeatable = false;
+            hall.submit(spec);
+            hall.plan();
+            hall.report_all(spec.id, run_event::started);
+            if (ordered)
+            {
+                const auto reason = static_cast<std::uint8_t>(stop_reason::overused);
+                hall.apply(stop_runs{{{run_id{{spec.id, 0}, 1}, reason}}});
+            }
+            hall.report_all(spec.id, end);
+            hall.plan_all();
+            const hall_job& job = hall.state().jobs().at(spec.id);
+            const job_outcome expected = ordered ? job_outcome::failed : job_outcome::unknown;
+            BOOST_TEST(job.tasks[0].run == 1U);
+            BOOST_TEST(job.over());
+            BOOST_TEST(job.outcome == static_cast<std::uint8_t>(expected));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_cancelled_task_that_was_stopped_counts_as_cancelled)
+{
+    hall_fixture hall;
+    hall.add_workers(1, 4, 0);
+    job_spec spec = hall.make_job(workload_kind::batch, 1, whole);
+    spec.repeatable = false;
+    hall.submit(spec);
+    hall.plan();
+    hall.report_all(spec.id, run_event::started);
+    hall.apply(cancel_hall_jobs{{spec.id}});
+    hall.report_all(spec.id, run_event::stopped);
+    BOOST_TEST(hall.state().jobs().at(spec.id).outcome == static_cast<std::uint8_t>(job_outcome::cancelled));
+}
+
 BOOST_AUTO_TEST_CASE(a_word_from_an_earlier_epoch_or_run_is_ignored)
 {
     hall_fixture hall;
@@ -135,7 +197,7 @@
 }
 
 // Random work, reports, losses, drains, cancellations and stale repeats: after each step the books must
-// balance.
+// balance, and nothing that is not repeatable has a second run.
 BOOST_AUTO_TEST_CASE(no_host_is_over_its_size_whatever_happens)
 {
     for (std::uint64_t seed = 1; seed <= 200; ++seed)
@@ -201,6 +263,7 @@
             BOOST_TEST_CONTEXT("seed " << seed << " step " << i)
             {
                 BOOST_REQUIRE_EQUAL(hall.state().check(), "");
+                BOOST_REQUIRE(!second_run_of_not_repeatable(hall.state()));
             }
         }
     }
