The stand-in worker takes an answer for nothing once the lease it asked under is over

Cause: one thread of the stand-in drops the runs and goes back to epoch 0 when the lease ends; the other, which waits for the answer to a renewal, took that answer for the one to a registration, and the old epoch was in force again without its runs. That breaks docs/WORKERS.md, rule 1, which is what the program relies on. Now the epoch that was asked under is compared, and the end of the lease, the renewal and the taking of an answer are one step each under one lock.

No check is changed.

--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -151,41 +151,47 @@
                 time.sleep(0.1)
 
     def renewal(self):
-        if self.epoch == 0:
-            with self.lock:
-                self.runs.clear()
+        with self.lock:
+            self.end_lease()
+            return self.renewal_of(self.epoch)
+
+    def renewal_of(self, epoch):
+        if epoch == 0:
+            self.runs.clear()
             cpu, memory, accelerators, slots = self.size
             return {"worker": self.number, "epoch": 0, "previous": self.previous, "rack": self.rack, "address": "127.0.0.1",
                     "port": self.endpoint.server_address[1],
                     "size": {"cpu_millicores": cpu, "memory_mib": memory, "accelerators": accelerators, "slots": slots}}
-        with self.lock:
-            runs = [{"run": run, "state": s["state"], "port": s["port"], "cpu_millicores": s["cpu"],
-                     "stopping": s["stopping"], "throttled": s["throttled"]} for run, s in self.runs.items()]
-        return {"worker": self.number, "epoch": self.epoch, "wait_ms": self.wait_ms, "runs": runs}
+        runs = [{"run": run, "state": s["state"], "port": s["port"], "cpu_millicores": s["cpu"],
+                 "stopping": s["stopping"], "throttled": s["throttled"]} for run, s in self.runs.items()]
+        return {"worker": self.number, "epoch": epoch, "wait_ms": self.wait_ms, "runs": runs}
 
     def take(self, asked, sent, body):
         if self.epoch == 0 or any(body.get(key) for key in ("register", "start", "stop", "forget")):
             runs = ["%s %s" % (r["run"], r["state"]) for r in sent.get("runs", [])]
             self.records.add("told", host=self.number, asked=asked, asked_as=sent["epoch"], said=runs, mine=self.epoch,
                              answer=body)
-        if body.get("register"):
-            self.drop_all("lease")
-            self.epoch = 0
-            return
-        if self.epoch != 0 and time.monotonic() > self.lease_until:
-            return  # the answer came after the lease was over
+        with self.lock:
+            self.end_lease()
+            if self.epoch != sent["epoch"]:
+                return  # the lease under which it asked is over
+            if body.get("register"):
+                self.drop_all("lease")
+            else:
+                self.follow(asked, body)
+
+    def follow(self, asked, body):
         self.epoch = self.previous = body["epoch"]
         self.lease_until = max(self.lease_until, asked + body["lease_ms"] / 1000)
-        with self.lock:
-            for run in body.get("forget", []):
-                self.runs.pop(run, None)
-            for order in body.get("start", []):
-                self.start(order)
-            for order in body.get("stop", []):
-                self.halt(order)
-            for run in body.get("throttle", []):
-                if run in self.runs:
-                    self.runs[run]["throttled"] = True
+        for run in body.get("forget", []):
+            self.runs.pop(run, None)
+        for order in body.get("start", []):
+            self.start(order)
+        for order in body.get("stop", []):
+            self.halt(order)
+        for run in body.get("throttle", []):
+            if run in self.runs:
+                self.runs[run]["throttled"] = True
 
     # Tasks ------------------------------------------------------------------------------------------------
 
@@ -221,23 +227,24 @@
         self.runs[run]["stopping"] = True
         self.records.add("end", run=run, host=self.number, how=how)
 
+    def end_lease(self):
+        if self.epoch != 0 and time.monotonic() > self.lease_until:
+            self.records.add("lease_over", host=self.number)
+            self.drop_all("lease")
+
     def drop_all(self, why):
-        with self.lock:
-            for run, state in self.runs.items():
-                if state["state"] == "started":
-                    self.records.add("end", run=run, host=self.number, how=why)
-            self.runs.clear()
+        for run, state in self.runs.items():
+            if state["state"] == "started":
+                self.records.add("end", run=run, host=self.number, how=why)
+        self.runs.clear()
+        self.epoch = 0
 
     def run_loop(self):
         while not self.stopping:
             time.sleep(0.02)
-            now = time.monotonic()
-            if self.epoch != 0 and now > self.lease_until:
-                self.records.add("lease_over", host=self.number)
-                self.drop_all("lease")
-                self.epoch = 0
-                continue
             with self.lock:
+                self.end_lease()
+                now = time.monotonic()
                 for run, state in list(self.runs.items()):
                     if state["state"] == "started" and (now >= state["ends"] or (state["fails"] and not state["service"])):
                         self.end(run, "failed" if state["fails"] else "completed")
