A not-repeatable task that was stopped once it may have begun has no second run

Cause: hall_state made a task pending again whenever its run was reported as stopped or checkpointed. Now such a job ends: as failed after a stop for overuse, else as unknown, like a task that was lost with its worker. A cancelled job stays cancelled. Services and repeatable jobs are as before. Class: an end whose effect is not known, taken for no start.

Looked for elsewhere in the older part: end_failed and end_lost held already; preemption, draining and the stop of a gang are ordered for repeatable jobs alone; claims of requests are never given twice. Ruled out by reading: copies of renewals (orders that answer one reach no worker, as its call is over), an admission from an older root (compared by its index).

Replicas of one hall have to run the same version of this: what applying an entry does has changed.

--- a/include/walkthread/state/hall.hpp
+++ b/include/walkthread/state/hall.hpp
@@ -103,6 +103,12 @@
     {
         return ended == tasks.size();
     }
+    /// @brief Whether a task may run again after a run whose effect is not known. Complexity: constant.
+    /// @since 0.6
+    [[nodiscard]] bool may_run_again() const
+    {
+        return spec.repeatable || spec.workload() == workload_kind::service;
+    }
     /// @brief Whether it failed on so many hosts that it gets no more of them.
     [[nodiscard]] bool held() const;
 };
@@ -376,6 +382,7 @@
     void release(wall_ms at, hall_job& job, std::uint32_t index, task_phase next);
     void apply_report(wall_ms at, const run_report& report);
     void end_well(wall_ms at, hall_job& job, std::uint32_t index);
+    void end_stopped(wall_ms at, hall_job& job, std::uint32_t index, bool checkpointed);
     void end_failed(wall_ms at, hall_job& job, std::uint32_t index);
     void end_lost(wall_ms at, hall_job& job, std::uint32_t index);
     void order_stop(wall_ms at, hall_job& job, std::uint32_t index, stop_reason reason);
--- a/src/state/hall_runs.cpp
+++ b/src/state/hall_runs.cpp
@@ -176,9 +176,7 @@
         return;
     case run_event::stopped:
     case run_event::checkpointed:
-        task->checkpointed = static_cast<run_event>(report.event) == run_event::checkpointed;
-        task->preempted_once |= task->reason == static_cast<std::uint8_t>(stop_reason::preempted);
-        release(at, *job, index, task_phase::pending);
+        end_stopped(at, *job, index, static_cast<run_event>(report.event) == run_event::checkpointed);
         return;
     }
 }
@@ -204,6 +202,21 @@
     }
 }
 
+// A run that may have begun and is not repeatable has no next one, whoever stopped it.
+void hall_state::end_stopped(wall_ms at, hall_job& job, std::uint32_t index, bool checkpointed)
+{
+    task_record& task = job.tasks[index];
+    const auto reason = static_cast<stop_reason>(task.reason);
+    task.checkpointed = checkpointed;
+    task.preempted_once |= reason == stop_reason::preempted;
+    const bool over = !job.may_run_again() && !job.cancelled;
+    release(at, job, index, over ? task_phase::ended : task_phase::pending);
+    if (over)
+    {
+        cancel(at, job, reason == stop_reason::overused ? job_outcome::failed : job_outcome::unknown);
+    }
+}
+
 void hall_state::end_failed(wall_ms at, hall_job& job, std::uint32_t index)
 {
     worker_record& worker = m_workers.at(job.tasks[index].worker);
@@ -211,8 +224,7 @@
     job.failed_on.insert(worker.id);
     ++job.failures;
     const bool probe_failed = worker.state() == worker_phase::probing;
-    const bool service = job.spec.workload() == workload_kind::service;
-    const bool again = job.spec.repeatable || service;
+    const bool again = job.may_run_again();
     release(at, job, index, again ? task_phase::pending : task_phase::ended);
     if (!again)
     {
@@ -230,7 +242,7 @@
 
 void hall_state::end_lost(wall_ms at, hall_job& job, std::uint32_t index)
 {
-    const bool again = job.spec.repeatable || job.spec.workload() == workload_kind::service;
+    const bool again = job.may_run_again();
     release(at, job, index, again ? task_phase::pending : task_phase::ended);
     if (!again)
     {
