--- a/tests/src/unit-routing.cpp
+++ b/tests/src/unit-routing.cpp
@@ -50,6 +50,23 @@
     }
 }
 
+// Halls that share a service number their tasks alike.
+BOOST_AUTO_TEST_CASE(the_tasks_of_one_hall_neither_hide_nor_take_away_those_of_another)
+{
+    endpoint_directory directory = make_directory(2);
+    service_endpoints other = told(2);
+    for (endpoint& item : other.endpoints)
+    {
+        item.worker = worker_id{item.worker.value() + 100};
+    }
+    directory.set(hall_id{2}, other);
+    BOOST_TEST(directory.count(service) == 4U);
+    other.endpoints.clear();
+    directory.set(hall_id{2}, other);
+    BOOST_TEST(directory.count(service) == 2U);
+    BOOST_TEST(directory.begin(service, 0, {}, start).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_workers_connections_are_bounded)
 {
     endpoint_directory directory = make_directory(8, 1);
