Calls of two lives of a process have different numbers

Cause: process_core numbered its calls from 1 in each life, and a reply is matched by that number alone. A reply to the former life that comes over the new connection (a renewal waits up to a poll at the leader; a process is back in 0.3 s in process-leader_killed) answered another call. Now a life begins at a random number. Class: an identity that outlives what is kept by it, as in docs/incidents/workers-that-keep-their-ids.md. Looked for elsewhere in the older part: attempts are random numbers already; ids of jobs, templates and teams are replicated. Whether it ever was behind a failure of process-leader_killed is not shown.

--- a/include/walkthread/node/core.hpp
+++ b/include/walkthread/node/core.hpp
@@ -139,6 +139,7 @@
     void handle_frame(node_id from, const replica_frame& frame);
     void handle_frame(node_id from, const call_frame& frame);
     void handle_frame(const reply_frame& frame);
+    [[nodiscard]] static std::uint64_t first_call_number();
     void begin_call(pending_call call);
     void send_call(std::uint64_t id, pending_call& call);
     void finish_call(std::uint64_t id, reply_body reply);
@@ -164,7 +165,7 @@
     std::map<std::uint64_t, pending_call> m_calls;
     std::map<group_id, node_id> m_leader_hints;
     std::vector<group_id> m_announce;
-    std::uint64_t m_next_call = 1;
+    std::uint64_t m_next_call = first_call_number();
 
     std::thread m_thread;
     std::mutex m_mutex;
--- a/src/node/core_calls.cpp
+++ b/src/node/core_calls.cpp
@@ -2,6 +2,8 @@
 
 #include <walkthread/node/core.hpp>
 
+#include <random>
+
 #include <walkthread/node/clock.hpp>
 #include <walkthread/wire/codec.hpp>
 
@@ -12,8 +14,16 @@
 {
 constexpr milliseconds retry_pause{100};
 constexpr milliseconds silent_leader{1000};
+constexpr unsigned half_of_a_number = 32;
 } // namespace
 
+// Replies to calls of the former life still come, so this life's calls begin somewhere else.
+std::uint64_t process_core::first_call_number()
+{
+    std::random_device source;
+    return (std::uint64_t{source()} << half_of_a_number) | source();
+}
+
 void process_core::call(group_id group, call_body body, milliseconds timeout, reply_handler handler)
 {
     pending_call call;
