Gateways tell endpoints apart by worker and run

Cause: a service is divided among halls that number their tasks alike, and gateways kept endpoints by run. Of two with the same run one was hidden, and one hall's news took the other's away until that one had news. Now by worker and run; a worker is in one hall. Class: an identity that is unique in a smaller circle than it is used in. Hashing by Maglev, which is not in use, names endpoints by run still: equal names share their places there.

--- a/include/walkthread/node/endpoint_feed.hpp
+++ b/include/walkthread/node/endpoint_feed.hpp
@@ -41,7 +41,7 @@
     /// @brief Whether the configuration here was confirmed within its staleness.
     [[nodiscard]] bool confirmed(monotonic_time now) const;
     [[nodiscard]] std::optional<endpoint> begin(const endpoint_directory::service_key& service,
-                                                std::uint64_t hash, const std::vector<run_id>& tried,
+                                                std::uint64_t hash, const std::vector<endpoint_key>& tried,
                                                 monotonic_time now);
     void end(const endpoint_directory::service_key& service, const endpoint& used, endpoint_verdict verdict,
              monotonic_time now);
--- a/include/walkthread/routing/endpoints.hpp
+++ b/include/walkthread/routing/endpoints.hpp
@@ -19,6 +19,10 @@
 namespace walkthread
 {
 
+/// @brief Tells endpoints apart; halls that share a service number their tasks alike.
+/// @since 0.6
+using endpoint_key = std::pair<worker_id, run_id>;
+
 /// @brief A task of a service that answers requests.
 /// @since 0.1
 struct endpoint
@@ -28,6 +32,11 @@
     std::string ip{};
     std::uint16_t port{};
     MSGPACK_DEFINE(run, worker, ip, port)
+
+    [[nodiscard]] endpoint_key key() const
+    {
+        return {worker, run};
+    }
 };
 
 /// @brief The endpoints of one service in one hall, as the hall's leader tells them. Leaving ones are not in
@@ -94,10 +103,10 @@
     void confirm(hall_id hall, monotonic_time at);
     /// @brief Picks an endpoint and counts an exchange with it.
     /// @param hash of the request, for choices by hash
-    /// @param tried runs that this request already tried
+    /// @param tried endpoints that this request already tried
     /// @return no value if none takes requests at the moment
     [[nodiscard]] std::optional<endpoint> begin(const service_key& service, std::uint64_t hash,
-                                                const std::vector<run_id>& tried, monotonic_time now);
+                                                const std::vector<endpoint_key>& tried, monotonic_time now);
     /// @brief Ends an exchange that `begin` counted. A gone endpoint is avoided for a while; one that breaks
     /// several exchanges in a row is used only if no other is left.
     void end(const service_key& service, const endpoint& used, endpoint_verdict verdict, monotonic_time now);
@@ -108,14 +117,14 @@
     static constexpr duration avoid_time = seconds(2);
 
   private:
-    [[nodiscard]] bool usable(const endpoint_state& state, const std::vector<run_id>& tried,
+    [[nodiscard]] bool usable(const endpoint_state& state, const std::vector<endpoint_key>& tried,
                               monotonic_time now) const;
 
     endpoint_choice m_choice;
     duration m_staleness;
     std::uint32_t m_worker_connections;
-    std::map<service_key, std::map<run_id, endpoint_state>> m_services;
-    std::map<std::pair<hall_id, job_id>, std::vector<run_id>> m_told;
+    std::map<service_key, std::map<endpoint_key, endpoint_state>> m_services;
+    std::map<std::pair<hall_id, job_id>, std::vector<endpoint_key>> m_told;
     std::map<hall_id, monotonic_time> m_confirmed;
     std::map<worker_id, std::uint32_t> m_connections;
 };
--- a/src/node/endpoint_feed.cpp
+++ b/src/node/endpoint_feed.cpp
@@ -120,7 +120,7 @@
 }
 
 std::optional<endpoint> endpoint_feed::begin(const endpoint_directory::service_key& service,
-                                             std::uint64_t hash, const std::vector<run_id>& tried,
+                                             std::uint64_t hash, const std::vector<endpoint_key>& tried,
                                              monotonic_time now)
 {
     const std::scoped_lock lock(m_mutex);
--- a/src/node/request_router.cpp
+++ b/src/node/request_router.cpp
@@ -266,7 +266,7 @@
     }
     routed_end end;
     bool any_broken = false;
-    std::vector<run_id> tried;
+    std::vector<endpoint_key> tried;
     while (tried.size() < most_attempts)
     {
         const monotonic_time now = monotonic_now();
@@ -288,7 +288,7 @@
         {
             break;
         }
-        tried.push_back(to->run);
+        tried.push_back(to->key());
         const attempt_id attempt = tried.size() == 1 ? request.attempt : next_attempt();
         note(event_kind::request_sent, request, to_string(to->run));
         end.exchange = m_connections.run(
--- a/src/routing/endpoints.cpp
+++ b/src/routing/endpoints.cpp
@@ -14,29 +14,29 @@
 void endpoint_directory::set(hall_id hall, const service_endpoints& news)
 {
     auto& known = m_services[{news.organisation, news.service}];
-    std::vector<run_id>& told = m_told[{hall, news.job}];
-    const auto still_there = [&news](const run_id& run)
+    std::vector<endpoint_key>& told = m_told[{hall, news.job}];
+    const auto still_there = [&news](const endpoint_key& key)
     {
         return std::any_of(news.endpoints.begin(), news.endpoints.end(),
-                           [&run](const endpoint& e)
+                           [&key](const endpoint& e)
                            {
-                               return e.run == run;
+                               return e.key() == key;
                            });
     };
-    for (const run_id& run : told)
+    for (const endpoint_key& key : told)
     {
-        if (!still_there(run))
+        if (!still_there(key))
         {
-            known.erase(run);
+            known.erase(key);
         }
     }
     told.clear();
     for (const endpoint& item : news.endpoints)
     {
-        endpoint_state& state = known[item.run];
+        endpoint_state& state = known[item.key()];
         state.where = item;
         state.hall = hall;
-        told.push_back(item.run);
+        told.push_back(item.key());
     }
 }
 
@@ -63,19 +63,19 @@
     confirmed = std::max(confirmed, at);
 }
 
-bool endpoint_directory::usable(const endpoint_state& state, const std::vector<run_id>& tried,
+bool endpoint_directory::usable(const endpoint_state& state, const std::vector<endpoint_key>& tried,
                                 monotonic_time now) const
 {
     const auto confirmed = m_confirmed.find(state.hall);
     const bool fresh = confirmed != m_confirmed.end() && now - confirmed->second < m_staleness;
     const auto connections = m_connections.find(state.where.worker);
     const bool room = connections == m_connections.end() || connections->second < m_worker_connections;
-    const bool untried = std::find(tried.begin(), tried.end(), state.where.run) == tried.end();
+    const bool untried = std::find(tried.begin(), tried.end(), state.where.key()) == tried.end();
     return fresh && room && untried && now >= state.avoid_until;
 }
 
 std::optional<endpoint> endpoint_directory::begin(const service_key& service, std::uint64_t hash,
-                                                  const std::vector<run_id>& tried, monotonic_time now)
+                                                  const std::vector<endpoint_key>& tried, monotonic_time now)
 {
     const auto found = m_services.find(service);
     if (found == m_services.end())
@@ -84,7 +84,7 @@
     }
     std::vector<const endpoint_state*> candidates;
     std::vector<const endpoint_state*> suspects;
-    for (const auto& [run, state] : found->second)
+    for (const auto& [key, state] : found->second)
     {
         if (usable(state, tried, now))
         {
@@ -100,7 +100,7 @@
         return std::nullopt;
     }
     const endpoint chosen = candidates[m_choice(candidates, hash)]->where;
-    ++found->second.at(chosen.run).outstanding;
+    ++found->second.at(chosen.key()).outstanding;
     ++m_connections[chosen.worker];
     return chosen;
 }
@@ -118,7 +118,7 @@
     {
         return;
     }
-    const auto state = found->second.find(used.run);
+    const auto state = found->second.find(used.key());
     if (state == found->second.end())
     {
         return;
--- a/tests/src/unit-routing.cpp
+++ b/tests/src/unit-routing.cpp
@@ -96,9 +96,9 @@
 {
     endpoint_directory directory = make_directory(2);
     const endpoint first = *directory.begin(service, 0, {}, start);
-    const endpoint second = *directory.begin(service, 0, {first.run}, start);
+    const endpoint second = *directory.begin(service, 0, {first.key()}, start);
     BOOST_TEST((first.run != second.run));
-    BOOST_TEST(!directory.begin(service, 0, {first.run, second.run}, start).has_value());
+    BOOST_TEST(!directory.begin(service, 0, {first.key(), second.key()}, start).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(a_not_repeatable_request_goes_on_only_if_it_surely_did_not_run)
