Red tests: questions to the advisor go to processes that never answer, for ever

Cause: advice_desk::free_asker takes the first process by name that is not busy and whose pause of 1 s after a failure is over. A question is given up after 2.5 s and put again 0.25 s later. Two processes that the leader hears and cannot reach (a cut one way, a slow machine, no path to the advisor) come first by name in turn: while one keeps the question for 2.5 s, the pause of the other ends. A process that answers is never asked.

--- a/tests/src/unit-fabric.cpp
+++ b/tests/src/unit-fabric.cpp
@@ -234,6 +234,49 @@
     BOOST_TEST(answers == 1);
 }
 
+// Two processes that can be heard but not reached were asked in turn for ever, beside one that answers.
+BOOST_FIXTURE_TEST_CASE(a_question_reaches_the_one_process_that_answers, desk_fixture)
+{
+    constexpr milliseconds patience{2500};
+    constexpr milliseconds retry{250};
+    const monotonic_time end = now + seconds(30);
+    bool answered = false;
+    while (!answered && now < end)
+    {
+        for (const char* name : {"a", "b", "c"})
+        {
+            desk.note_asker(name, now);
+        }
+        const std::size_t before = asked.size();
+        put(true);
+        BOOST_REQUIRE(asked.size() == before + 1);
+        answered = asked.back().first == "c";
+        now += answered ? milliseconds(10) : patience;
+        asked.back().second({answered, {}, {}, 0});
+        now += retry;
+    }
+    BOOST_TEST(answered);
+    BOOST_TEST(asked.size() <= 3U);
+}
+
+// Each question of a gang cost the patience with a process that cannot be reached, whenever its pause was
+// over.
+BOOST_FIXTURE_TEST_CASE(a_process_that_answers_is_asked_before_one_that_did_not, desk_fixture)
+{
+    std::size_t lost = 0;
+    for (int i = 0; i < 10; ++i)
+    {
+        desk.note_asker("a", now);
+        desk.note_asker("b", now);
+        put(true);
+        const bool answers_it = asked.back().first == "b";
+        lost += answers_it ? 0 : 1;
+        asked.back().second({answers_it, {}, {}, 0});
+        now += seconds(2);
+    }
+    BOOST_TEST(lost == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_process_that_reports_no_more_is_not_asked, desk_fixture)
 {
     desk.note_asker("a", now);
