A process that answered is asked before one that did not

Cause: see the red tests before: the desk took the first free process by name, and a pause of 1 s after a failure is shorter than the 2.5 s that the next failure takes.

Mend: of the processes that are free, the one whose failure is longest ago is asked, those without a failure first; an answer clears the failure. With k processes that never answer a question is lost k times at most before one that answers has it, and then goes there.

Ruled out: a longer pause, which only moves the number of silent processes at which it happens; counting a process that was not reached as gone, since the leader still hears it and may reach it a moment later.

--- a/include/walkthread/fabric/advice_desk.hpp
+++ b/include/walkthread/fabric/advice_desk.hpp
@@ -57,13 +57,13 @@
     struct asker_state
     {
         monotonic_time seen{};
-        monotonic_time avoid_until{};
+        monotonic_time avoid_until{}; ///< set by a failure, cleared by an answer
         bool busy{};
     };
 
     void send_next(monotonic_time now);
     void send(const std::string& asker, const open_question& item, bool urgent, monotonic_time now);
-    [[nodiscard]] std::string free_asker(monotonic_time now);
+    [[nodiscard]] std::string free_asker(monotonic_time now) const;
     [[nodiscard]] std::size_t live_askers(monotonic_time now) const;
 
     std::function<void(const std::string&, const advice_question&, answer_handler)> m_ask;
--- a/src/fabric/advice_desk.cpp
+++ b/src/fabric/advice_desk.cpp
@@ -71,16 +71,21 @@
     return static_cast<double>(idle) >= idle_part * static_cast<double>(live_askers(now));
 }
 
-std::string advice_desk::free_asker(monotonic_time now)
+// Those that failed go last, the latest failure at the end: some may be heard and never be reached.
+std::string advice_desk::free_asker(monotonic_time now) const
 {
+    std::string best;
+    monotonic_time failed{};
     for (const auto& [name, state] : m_askers)
     {
-        if (!state.busy && now - state.seen < asker_lasts && now >= state.avoid_until)
+        const bool free = !state.busy && now - state.seen < asker_lasts && now >= state.avoid_until;
+        if (free && (best.empty() || state.avoid_until < failed))
         {
-            return name;
+            best = name;
+            failed = state.avoid_until;
         }
     }
-    return {};
+    return best;
 }
 
 void advice_desk::send_next(monotonic_time now)
@@ -122,10 +127,7 @@
               state.busy = false;
               --m_busy;
               m_busy_normal -= urgent ? 0 : 1;
-              if (!answer.answered)
-              {
-                  state.avoid_until = then + pause_after_failure;
-              }
+              state.avoid_until = answer.answered ? monotonic_time{} : then + pause_after_failure;
               advice_answer timed = answer;
               timed.took = then - now;
               handler(timed);
