Red tests: ends of runs that never began are proposed once, and their orders go out again meanwhile

Cause: dispatcher::end_run proposes that a run never began and forgets that it did. 1. If the proposal is refused while this process leads on (too many entries wait for a quorum), nothing proposes it again where no order ever left: retry_orders passes over such runs, and a look rules out only runs with an answer. The task counts as running until its worker goes, or the leader changes. 2. Until the commit, retry_orders takes the run for one without an answer: after 250 ms it sends the order that the worker refused once more. If the worker takes it then, the run begins, the commit says that it never did, and the task is started elsewhere beside it.

The stand-in of the replicated log can refuse proposals for that.

--- a/tests/src/pool_stand_in.hpp
+++ b/tests/src/pool_stand_in.hpp
@@ -251,6 +251,11 @@
     }
 
   protected:
+    // Whether the replicated log takes what this leader proposes now.
+    [[nodiscard]] virtual bool takes_proposals() const
+    {
+        return true;
+    }
     // A look on its way to its worker.
     virtual void carry_look(const look_order& order, const std::function<void(const look_answer&)>& handler)
     {
@@ -402,7 +407,7 @@
             at(m_settings.commit,
                [this, command, handler, term = m_term]
                {
-                   const bool leads = m_leader && term == m_term;
+                   const bool leads = m_leader && term == m_term && takes_proposals();
                    if (leads)
                    {
                        commit(command);
--- /dev/null
+++ b/tests/src/unit-waits.cpp
@@ -0,0 +1,101 @@
+#define BOOST_TEST_MODULE waits
+#include <boost/test/unit_test.hpp>
+
+#include "small_pool.hpp"
+
+using namespace walkthread;
+using namespace walkthread::test;
+
+// Waits for an answer or an event that may never come: each ends within a bound.
+
+namespace
+{
+// A leader whose proposals are refused for a while, as too many entries wait for a quorum.
+class overloaded_pool final : public pool_stand_in
+{
+  public:
+    using pool_stand_in::pool_stand_in;
+    void refuse_proposals(bool refused)
+    {
+        m_refused = refused;
+    }
+
+  protected:
+    [[nodiscard]] bool takes_proposals() const override
+    {
+        return !m_refused;
+    }
+
+  private:
+    bool m_refused = false;
+};
+} // namespace
+
+// ---------------------------------------------------------------------------------------------------------
+// Proposals
+// ---------------------------------------------------------------------------------------------------------
+
+// That no order for the run ever left was proposed once; the refusal left the task running in the record.
+BOOST_AUTO_TEST_CASE(a_task_whose_orders_never_left_goes_elsewhere_although_a_proposal_is_refused)
+{
+    overloaded_pool pool(small(2));
+    pool.lead();
+    pool.run(seconds(1));
+    pool.faults("w0").unsent = 1.0;
+    const submission_id id = pool.submit("plain", {make_step(1, 1000, 500)});
+    pool.run(milliseconds(50)); // its start is recorded by then
+    pool.refuse_proposals(true);
+    pool.run(seconds(2));
+    pool.refuse_proposals(false);
+    pool.faults("w0").unsent = 0.0;
+    pool.run(seconds(5));
+    BOOST_TEST((pool.phase(id) == submission_phase::completed));
+    check_unbroken(pool);
+}
+
+// The worker withdrew between the plan and the commit; the end of the run that never began was refused.
+BOOST_AUTO_TEST_CASE(a_start_that_is_withdrawn_ends_although_a_proposal_is_refused)
+{
+    overloaded_pool pool(small(2));
+    pool.lead();
+    pool.run(seconds(1));
+    pool.report("w1", true, 60'000);
+    pool.run(milliseconds(100));
+    const submission_id id = pool.submit("plain", {make_step(1, 1000, 500)});
+    pool.run(milliseconds(16)); // planned, not committed
+    pool.report("w0", true, 60'000);
+    pool.run(milliseconds(8)); // its start is recorded, and withdrawn
+    BOOST_TEST(pool.state().find(id)->active == 1U);
+    pool.refuse_proposals(true);
+    pool.run(milliseconds(500));
+    pool.refuse_proposals(false);
+    pool.report("w1", false);
+    pool.run(seconds(5));
+    BOOST_TEST((pool.phase(id) == submission_phase::completed));
+    check_unbroken(pool);
+}
+
+// The worker refused the only order, and while the end of that run waited for a slow commit the order went
+// out again: the run began, and the task was started elsewhere beside it.
+BOOST_AUTO_TEST_CASE(a_refused_order_is_not_sent_again_while_its_end_waits_for_the_commit)
+{
+    for (std::uint64_t seed = 1; seed <= seed_count(20); ++seed)
+    {
+        pool_settings settings = small(4);
+        settings.seed = seed;
+        settings.commit = milliseconds(400);
+        pool_stand_in pool(settings);
+        pool.lead();
+        pool.run(seconds(3));
+        for (const char* life : {"w0", "w1", "w2", "w3"})
+        {
+            pool.faults(life).refuse = 0.5;
+        }
+        for (int i = 0; i < 10; ++i)
+        {
+            pool.submit("plain", {make_step(4, 1000, 2000)});
+        }
+        pool.run(seconds(15));
+        check_unbroken(pool);
+    }
+}
