A run that never began is ended until the record has it, and not ordered meanwhile

Mend: run_view::ending says that the end waits for its commit. While it does, no order for the run goes out; if the proposal is refused, retry_orders goes on as before, and a run none of whose orders left, or whose start was withdrawn, is ended again.

Ruled out: to erase the run's view before the commit, as a refused proposal would then leave nobody to propose it again; to wait for a commit with a longer retry, since commits may take seconds on slow disks.

--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -88,8 +88,9 @@
     monotonic_time sent{};                 ///< the last order to start it
     std::optional<monotonic_time> settled; ///< when the worker gave a definite answer about it
     bool order_in_flight{};
-    int tries{};  ///< orders that left this process
-    int unsent{}; ///< orders that did not
+    int tries{};   ///< orders that left this process
+    int unsent{};  ///< orders that did not
+    bool ending{}; ///< that it never began waits for its commit: no order for it goes out any more
     bool stopping{};
     bool stop_in_flight{};
     monotonic_time stop_retry{};
--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -202,6 +202,7 @@
     record_ends command;
     command.worker = worker;
     command.ends.push_back({run, static_cast<std::uint8_t>(how), {}});
+    m_views[worker].runs[run].ending = true;
     m_hooks.propose(command,
                     [this, alive = m_alive, worker, run](bool committed)
                     {
@@ -213,6 +214,10 @@
                             stop_rest_of_gang(run, m_hooks.now());
                             m_hooks.wake();
                         }
+                        else if (later != nullptr && later->runs.contains(run))
+                        {
+                            later->runs[run].ending = false; // retry_orders proposes it again
+                        }
                     });
 }
 
@@ -315,10 +320,8 @@
                 send_stop(view, run, now);
             }
             const bool open = !known.settled && !known.inherited && !known.carried &&
-                              !known.order_in_flight && !known.stopping;
-            const bool tried =
-                known.tries > 0 || (known.unsent > 0 && known.unsent < m_settings.unsent_tries);
-            if (open && !silent && tried && now - known.sent >= m_settings.order_retry)
+                              !known.order_in_flight && !known.stopping && !known.ending;
+            if (open && !silent && now - known.sent >= m_settings.order_retry)
             {
                 again.push_back(run);
             }
@@ -328,7 +331,10 @@
             const bool left = m_state.wants(run) && !may_still_start(view, run);
             m_counters.starts_withdrawn += left ? 1 : 0;
             const run_view& known = view.runs[run];
-            const bool again_now = known.tries < m_settings.start_tries && may_still_start(view, run);
+            const bool sendable = known.tries > 0
+                                      ? known.tries < m_settings.start_tries
+                                      : known.unsent > 0 && known.unsent < m_settings.unsent_tries;
+            const bool again_now = sendable && may_still_start(view, run);
             if (again_now)
             {
                 send_start(id, run, now);
--- a/src/dispatch/worker_view.cpp
+++ b/src/dispatch/worker_view.cpp
@@ -49,6 +49,7 @@
         known = before;
         known.carried = true;
         known.listed = known.order_in_flight = known.stop_in_flight = known.pace_in_flight = false;
+        known.ending = false; // what waits for its commit is about the former life
         known.stop_retry = {};
         known.stop_settled.reset();
         // Where one order was sent and answered, there is none that may come late.
