Red test: a worker that refuses every look is never given up

Cause: dispatcher::take_look doubts a worker after a look that got no answer, or a list of another writer. An answer that is no list (503 or 429: unhealthy; 4xx: rejected; 409: no room, late, ticket) neither renews 'heard' nor sets 'doubted', and drop_lost gives up doubted workers only. Looks that are refused grant nothing, so the lease ends and the runs with it; in the record they run for ever.

What would do: an answer that is no list counts as a doubt, as a look without an answer does, with the lease's end as the bound as before.

--- a/tests/src/unit-waits.cpp
+++ b/tests/src/unit-waits.cpp
@@ -10,6 +10,37 @@
 
 namespace
 {
+// One worker answers every look with the same refusal from some time on; its orders are not touched.
+class refusing_pool final : public pool_stand_in
+{
+  public:
+    using pool_stand_in::pool_stand_in;
+    void refuse_looks(const std::string& life, order_outcome outcome)
+    {
+        m_life = life;
+        m_outcome = outcome;
+    }
+
+  protected:
+    void carry_look(const look_order& order, const std::function<void(const look_answer&)>& handler) override
+    {
+        if (order.to.id != m_life)
+        {
+            pool_stand_in::carry_look(order, handler);
+            return;
+        }
+        at(m_settings.way,
+           [this, handler]
+           {
+               handler({m_outcome, {}, 0, {}, {}});
+           });
+    }
+
+  private:
+    std::string m_life;
+    order_outcome m_outcome{};
+};
+
 // A leader whose proposals are refused for a while, as too many entries wait for a quorum.
 class overloaded_pool final : public pool_stand_in
 {
@@ -31,6 +62,34 @@
 };
 } // namespace
 
+// ---------------------------------------------------------------------------------------------------------
+// Looks
+// ---------------------------------------------------------------------------------------------------------
+
+// The lease ran out, the runs ended, and the leader took them for running as long as the refusals came.
+BOOST_AUTO_TEST_CASE(a_worker_that_refuses_every_look_is_given_up)
+{
+    for (const order_outcome outcome : {order_outcome::unhealthy, order_outcome::rejected,
+                                        order_outcome::no_room, order_outcome::bad_ticket})
+    {
+        BOOST_TEST_CONTEXT("outcome " << static_cast<int>(outcome))
+        {
+            refusing_pool pool(small(2));
+            pool.lead();
+            pool.run(seconds(1));
+            pool.report("w1", true);
+            const submission_id id = pool.submit("plain", {make_step(4, 4000, 500)});
+            pool.run(milliseconds(200));
+            BOOST_TEST(pool.running_on("w0") == 4U);
+            pool.refuse_looks("w0", outcome);
+            pool.report("w1", false);
+            pool.run(seconds(20));
+            BOOST_TEST((pool.phase(id) == submission_phase::completed));
+            check_unbroken(pool);
+        }
+    }
+}
+
 // ---------------------------------------------------------------------------------------------------------
 // Proposals
 // ---------------------------------------------------------------------------------------------------------
