Red test: a wave stands still behind a host that is gone for good

Cause: dispatcher::advance_wave counts every host that was ordered, or whose upkeep is under way, among the hosts that may be down at once, whether or not a worker of it is still known. A host that is lost between the record of its order and the platform's answer keeps its place until a worker comes back there; with at_once of 1 no other host of the wave gets its turn.

Measured (build/tests/unit-waits): with h0 gone, h1 and h2 of a wave with at_once 1 have not begun 30 s later. The second case (a host that was passed over comes back and keeps to the limit) passes today, as nothing passes it over; it guards the mend.

--- a/tests/src/unit-waits.cpp
+++ b/tests/src/unit-waits.cpp
@@ -158,3 +158,45 @@
         check_unbroken(pool);
     }
 }
+
+// ---------------------------------------------------------------------------------------------------------
+// Upkeep
+// ---------------------------------------------------------------------------------------------------------
+
+// The host whose turn it was had died a moment before, and kept its place in the wave for good.
+BOOST_AUTO_TEST_CASE(a_wave_goes_on_behind_a_host_that_is_gone_for_good)
+{
+    pool_settings settings = small(3);
+    settings.upkeep = seconds(2);
+    pool_stand_in pool(settings);
+    pool.lead();
+    pool.run(seconds(1));
+    pool.leave("w0", [] {}); // it never said before that it leaves
+    pool.begin_upkeep({"h0", "h1", "h2"}, 30, 1);
+    pool.run(seconds(30));
+    const auto& hosts = pool.state().waves().at(1).hosts;
+    BOOST_TEST(hosts.at("h1") == static_cast<std::uint8_t>(upkeep_phase::finished));
+    BOOST_TEST(hosts.at("h2") == static_cast<std::uint8_t>(upkeep_phase::finished));
+    BOOST_TEST(pool.most_down() == 1U);
+}
+
+// The host that was passed over comes back while another one is down: it waits for its turn again.
+BOOST_AUTO_TEST_CASE(a_host_that_was_passed_over_and_comes_back_keeps_to_the_limit)
+{
+    for (const duration away : {seconds(12), seconds(18), seconds(20), seconds(22), seconds(24)})
+    {
+        pool_settings settings = small(4);
+        settings.upkeep = seconds(2);
+        pool_stand_in pool(settings);
+        pool.lead();
+        pool.run(seconds(1));
+        pool.leave("w0", [] {});
+        pool.begin_upkeep({"h0", "h1", "h2", "h3"}, 60, 1);
+        pool.run(away);
+        pool.add_worker("w0-again", "h0");
+        pool.run(seconds(40));
+        BOOST_TEST(pool.state().waves().at(1).complete());
+        BOOST_TEST(pool.most_down() == 1U);
+        check_unbroken(pool);
+    }
+}
