Waves: hosts being ordered count, and one that is gone for good lets others pass

Mend: choose_hosts says whose turn it is. Hosts under way count as down; then come those that are ordered or whose order waits for its commit or its answer, then those that were ordered and let others pass, then those that wait. A leader that finds more hosts ordered than may be down waits for as long before it orders one: it cannot know which of them an earlier leader took down.

Ruled out: to take the record of the order back, since phases only grow and an order without an answer may have been done.

--- a/src/dispatch/dispatcher_upkeep.cpp
+++ b/src/dispatch/dispatcher_upkeep.cpp
@@ -3,6 +3,7 @@
 #include <walkthread/dispatch/dispatcher.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace walkthread
 {
@@ -25,39 +26,82 @@
     }
 }
 
-void dispatcher::advance_wave(const upkeep_wave& wave, monotonic_time now, wall_ms wall)
+// Whether nobody has come back there for so long that the host is not down for its upkeep: it does not keep
+// others from their turn.
+bool dispatcher::lost_in_upkeep(const std::string& host, monotonic_time now)
+{
+    if (m_state.find_host(host) != nullptr)
+    {
+        m_upkeep_absent.erase(host);
+        return false;
+    }
+    const bool lost = now - m_upkeep_absent.emplace(host, now).first->second > m_settings.upkeep_lost;
+    if (lost)
+    {
+        m_upkeep_passed.insert(host);
+    }
+    return lost;
+}
+
+// The hosts whose turn it is: first those that are being ordered, then those that were and let others pass,
+// then those that wait.
+std::set<std::string> dispatcher::choose_hosts(const upkeep_wave& wave, monotonic_time now)
 {
-    std::uint32_t busy = 0;
+    std::array<std::vector<std::string>, 3> turns;
+    std::size_t down = 0;
     for (const auto& [host, phase] : wave.hosts)
     {
-        const bool begun = phase == static_cast<std::uint8_t>(upkeep_phase::ordered) ||
-                           phase == static_cast<std::uint8_t>(upkeep_phase::under_way);
-        busy += begun ? 1 : 0;
+        const auto stage = static_cast<upkeep_phase>(phase);
+        const bool ordered = stage == upkeep_phase::ordered;
+        const bool in_flight = m_upkeep_in_flight.contains(host);
+        const bool begun = ordered || in_flight || stage == upkeep_phase::under_way;
+        const bool there = begun ? !lost_in_upkeep(host, now) : m_state.find_host(host) != nullptr;
+        down += there && stage == upkeep_phase::under_way ? 1 : 0;
+        if (there && (ordered || stage == upkeep_phase::waiting))
+        {
+            const bool first = in_flight || (ordered && !m_upkeep_passed.contains(host));
+            turns.at(first ? 0 : ordered ? 1 : 2).push_back(host);
+        }
+    }
+    // An earlier leader let hosts pass: which of those ordered are down is not known, until all surely are
+    // back.
+    if (down + turns[0].size() > wave.at_once && now - m_began <= m_settings.upkeep_lost)
+    {
+        return {};
+    }
+    std::set<std::string> chosen;
+    for (const auto& hosts : turns)
+    {
+        for (const std::string& host : hosts)
+        {
+            if (down + chosen.size() < wave.at_once)
+            {
+                chosen.insert(host);
+            }
+        }
     }
+    return chosen;
+}
+
+void dispatcher::advance_wave(const upkeep_wave& wave, monotonic_time now, wall_ms wall)
+{
     const bool hurry =
         static_cast<double>(wall - wave.asked) > hurry_part * 1000.0 * static_cast<double>(wave.within_s);
+    const std::set<std::string> chosen = choose_hosts(wave, now);
     for (const auto& [host, phase] : wave.hosts)
     {
-        const auto life = std::find_if(m_state.workers().begin(), m_state.workers().end(),
-                                       [&host = host](const auto& item)
-                                       {
-                                           return item.second.facts.host == host;
-                                       });
-        const auto stage = static_cast<upkeep_phase>(phase);
-        if (stage == upkeep_phase::under_way && life != m_state.workers().end())
+        const worker_life* life = m_state.find_host(host);
+        if (life != nullptr && phase == static_cast<std::uint8_t>(upkeep_phase::under_way))
         {
-            await_return(wave, life->second, now);
+            await_return(wave, *life, now);
             continue;
         }
-        const bool chosen =
-            stage == upkeep_phase::ordered || (stage == upkeep_phase::waiting && busy < wave.at_once);
-        if (!chosen || life == m_state.workers().end() || m_upkeep_in_flight.contains(host))
+        if (!chosen.contains(host) || life == nullptr || m_upkeep_in_flight.contains(host))
         {
             continue;
         }
-        busy += stage == upkeep_phase::waiting ? 1 : 0;
         m_upkeep_hosts.insert(host);
-        if (!empty_host(life->second, now, hurry) || now < m_upkeep_retry[host])
+        if (!empty_host(*life, now, hurry) || now < m_upkeep_retry[host])
         {
             continue;
         }
@@ -75,6 +119,7 @@
             if (answer.outcome == order_outcome::accepted)
             {
                 m_upkeep_taken[host] = m_hooks.now();
+                m_upkeep_passed.erase(host);
                 m_hooks.propose(
                     advance_upkeep{number, host, static_cast<std::uint8_t>(upkeep_phase::under_way)},
                     [](bool /*committed*/) {}); // asked again after a change of leader; that is harmless
