--- /dev/null
+++ b/tests/src/unit-waits.cpp
@@ -0,0 +1,283 @@
+#define BOOST_TEST_MODULE waits
+#include <boost/test/unit_test.hpp>
+
+#include "small_pool.hpp"
+
+using namespace walkthread;
+using namespace walkthread::test;
+
+// Waits for an answer or an event that may never come: each ends within a bound.
+
+namespace
+{
+// One worker answers every look with the same refusal from some time on; its orders are not touched.
+class refusing_pool final : public pool_stand_in
+{
+  public:
+    using pool_stand_in::pool_stand_in;
+    void refuse_looks(const std::string& life, order_outcome outcome)
+    {
+        m_life = life;
+        m_outcome = outcome;
+    }
+
+  protected:
+    void carry_look(const look_order& order, const std::function<void(const look_answer&)>& handler) override
+    {
+        if (order.to.id != m_life)
+        {
+            pool_stand_in::carry_look(order, handler);
+            return;
+        }
+        at(m_settings.way,
+           [this, handler]
+           {
+               handler({m_outcome, {}, 0, {}, {}});
+           });
+    }
+
+  private:
+    std::string m_life;
+    order_outcome m_outcome{};
+};
+
+// A leader whose proposals are refused for a while, as too many entries wait for a quorum.
+class overloaded_pool final : public pool_stand_in
+{
+  public:
+    using pool_stand_in::pool_stand_in;
+    void refuse_proposals(bool refused)
+    {
+        m_refused = refused;
+    }
+
+  protected:
+    [[nodiscard]] bool takes_proposals() const override
+    {
+        return !m_refused;
+    }
+
+  private:
+    bool m_refused = false;
+};
+
+constexpr resources half_host{8000, 65536, 0, 0};
+
+step_spec make_lasting(std::uint32_t count, std::uint32_t may_miss)
+{
+    step_spec step = make_step(count, 8000, 0);
+    step.lasting = true;
+    step.may_miss = may_miss;
+    return step;
+}
+} // namespace
+
+// ---------------------------------------------------------------------------------------------------------
+// Looks
+// ---------------------------------------------------------------------------------------------------------
+
+// The lease ran out, the runs ended, and the leader took them for running as long as the refusals came.
+BOOST_AUTO_TEST_CASE(a_worker_that_refuses_every_look_is_given_up)
+{
+    for (const order_outcome outcome : {order_outcome::unhealthy, order_outcome::rejected,
+                                        order_outcome::no_room, order_outcome::bad_ticket})
+    {
+        BOOST_TEST_CONTEXT("outcome " << static_cast<int>(outcome))
+        {
+            refusing_pool pool(small(2));
+            pool.lead();
+            pool.run(seconds(1));
+            pool.report("w1", true);
+            const submission_id id = pool.submit("plain", {make_step(4, 4000, 500)});
+            pool.run(milliseconds(200));
+            BOOST_TEST(pool.running_on("w0") == 4U);
+            pool.refuse_looks("w0", outcome);
+            pool.report("w1", false);
+            pool.run(seconds(20));
+            BOOST_TEST((pool.phase(id) == submission_phase::completed));
+            check_unbroken(pool);
+        }
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// Proposals
+// ---------------------------------------------------------------------------------------------------------
+
+// That no order for the run ever left was proposed once; the refusal left the task running in the record.
+BOOST_AUTO_TEST_CASE(a_task_whose_orders_never_left_goes_elsewhere_although_a_proposal_is_refused)
+{
+    overloaded_pool pool(small(2));
+    pool.lead();
+    pool.run(seconds(1));
+    pool.faults("w0").unsent = 1.0;
+    const submission_id id = pool.submit("plain", {make_step(1, 1000, 500)});
+    pool.run(milliseconds(50)); // its start is recorded by then
+    pool.refuse_proposals(true);
+    pool.run(seconds(2));
+    pool.refuse_proposals(false);
+    pool.faults("w0").unsent = 0.0;
+    pool.run(seconds(5));
+    BOOST_TEST((pool.phase(id) == submission_phase::completed));
+    check_unbroken(pool);
+}
+
+// The worker withdrew between the plan and the commit; the end of the run that never began was refused.
+BOOST_AUTO_TEST_CASE(a_start_that_is_withdrawn_ends_although_a_proposal_is_refused)
+{
+    overloaded_pool pool(small(2));
+    pool.lead();
+    pool.run(seconds(1));
+    pool.report("w1", true, 60'000);
+    pool.run(milliseconds(100));
+    const submission_id id = pool.submit("plain", {make_step(1, 1000, 500)});
+    pool.run(milliseconds(16)); // planned, not committed
+    pool.report("w0", true, 60'000);
+    pool.run(milliseconds(8)); // its start is recorded, and withdrawn
+    BOOST_TEST(pool.state().find(id)->active == 1U);
+    pool.refuse_proposals(true);
+    pool.run(milliseconds(500));
+    pool.refuse_proposals(false);
+    pool.report("w1", false);
+    pool.run(seconds(5));
+    BOOST_TEST((pool.phase(id) == submission_phase::completed));
+    check_unbroken(pool);
+}
+
+// The worker refused the only order, and while the end of that run waited for a slow commit the order went
+// out again: the run began, and the task was started elsewhere beside it.
+BOOST_AUTO_TEST_CASE(a_refused_order_is_not_sent_again_while_its_end_waits_for_the_commit)
+{
+    for (std::uint64_t seed = 1; seed <= seed_count(20); ++seed)
+    {
+        pool_settings settings = small(4);
+        settings.seed = seed;
+        settings.commit = milliseconds(400);
+        pool_stand_in pool(settings);
+        pool.lead();
+        pool.run(seconds(3));
+        for (const char* life : {"w0", "w1", "w2", "w3"})
+        {
+            pool.faults(life).refuse = 0.5;
+        }
+        for (int i = 0; i < 10; ++i)
+        {
+            pool.submit("plain", {make_step(4, 1000, 2000)});
+        }
+        pool.run(seconds(15));
+        check_unbroken(pool);
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// Upkeep
+// ---------------------------------------------------------------------------------------------------------
+
+// The host whose turn it was had died a moment before, and kept its place in the wave for good.
+BOOST_AUTO_TEST_CASE(a_wave_goes_on_behind_a_host_that_is_gone_for_good)
+{
+    pool_settings settings = small(3);
+    settings.upkeep = seconds(2);
+    pool_stand_in pool(settings);
+    pool.lead();
+    pool.run(seconds(1));
+    pool.leave("w0", [] {}); // it never said before that it leaves
+    pool.begin_upkeep({"h0", "h1", "h2"}, 30, 1);
+    pool.run(seconds(30));
+    const auto& hosts = pool.state().waves().at(1).hosts;
+    BOOST_TEST(hosts.at("h1") == static_cast<std::uint8_t>(upkeep_phase::finished));
+    BOOST_TEST(hosts.at("h2") == static_cast<std::uint8_t>(upkeep_phase::finished));
+    BOOST_TEST(pool.most_down() == 1U);
+}
+
+// While the record of one host's order waited for its commit, the host was not counted, and the next one was
+// ordered.
+BOOST_AUTO_TEST_CASE(a_wave_keeps_to_its_limit_although_commits_are_slow)
+{
+    for (const milliseconds commit : {milliseconds(60), milliseconds(120), milliseconds(400)})
+    {
+        pool_settings settings = small(4);
+        settings.upkeep = seconds(2);
+        settings.commit = commit;
+        pool_stand_in pool(settings);
+        pool.lead();
+        pool.run(seconds(3));
+        pool.begin_upkeep({"h0", "h1", "h2", "h3"}, 60, 1);
+        pool.run(seconds(30));
+        BOOST_TEST(pool.state().waves().at(1).complete());
+        BOOST_TEST(pool.most_down() == 1U);
+        check_unbroken(pool);
+    }
+}
+
+// Two of a wave are ordered where one may be down: a host that others were let pass, and one that is down
+// since before that is recorded. Commits are slow, so that this lasts.
+namespace
+{
+void check_limit_of_a_wave(milliseconds returns_after, bool next_leader)
+{
+    pool_settings settings = small(4);
+    settings.upkeep = seconds(2);
+    settings.commit = milliseconds(400);
+    pool_stand_in pool(settings);
+    pool.lead();
+    pool.run(seconds(3));
+    pool.leave("w0", [] {});
+    pool.begin_upkeep({"h0", "h1", "h2", "h3"}, 60, 1);
+    pool.run(returns_after);
+    pool.add_worker("w0-again", "h0");
+    pool.run(milliseconds(500)); // it is admitted
+    if (next_leader)
+    {
+        pool.lead();
+    }
+    pool.run(seconds(50));
+    BOOST_TEST(pool.state().waves().at(1).complete());
+    BOOST_TEST(pool.most_down() == 1U);
+    check_unbroken(pool);
+}
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_host_that_was_passed_over_and_comes_back_keeps_to_the_limit)
+{
+    for (milliseconds after = seconds(12); after < seconds(32); after += milliseconds(100))
+    {
+        check_limit_of_a_wave(after, false);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_wave_that_let_a_host_pass_keeps_to_the_limit_under_the_next_leader)
+{
+    for (milliseconds after = seconds(12); after < seconds(32); after += milliseconds(100))
+    {
+        check_limit_of_a_wave(after, true);
+    }
+}
+
+// One task of a lasting step can run nowhere, so the other may not be ended: the hosts without work waited
+// behind the one that has it.
+BOOST_AUTO_TEST_CASE(a_wave_goes_on_behind_a_host_that_it_may_not_empty)
+{
+    pool_settings settings = small(3);
+    settings.upkeep = seconds(2);
+    pool_stand_in pool(settings);
+    pool.lead();
+    pool.run(seconds(1));
+    pool.report("w1", true, 60'000);
+    pool.report("w2", true, 60'000);
+    step_spec step = make_lasting(2, 1);
+    step.size = {16000, 1000, 0, 0};
+    pool.submit("plain", {step});
+    pool.run(seconds(1));
+    pool.resize("w1", half_host);
+    pool.resize("w2", half_host);
+    pool.report("w1", false);
+    pool.report("w2", false);
+    BOOST_TEST(pool.running_on("w0") == 1U);
+    pool.begin_upkeep({"h0", "h1", "h2"}, 20, 1);
+    pool.run(seconds(20));
+    const auto& hosts = pool.state().waves().at(1).hosts;
+    BOOST_TEST(hosts.at("h1") == static_cast<std::uint8_t>(upkeep_phase::finished));
+    BOOST_TEST(hosts.at("h2") == static_cast<std::uint8_t>(upkeep_phase::finished));
+    check_unbroken(pool);
+}
