--- /dev/null
+++ b/tests/src/narrow_pool.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+// A pool whose leader has connections for looks at only so many workers at a time.
+
+#include <functional>
+#include <map>
+#include <utility>
+
+#include <walkthread/fabric/connection_pool.hpp>
+
+#include "pool_stand_in.hpp"
+
+namespace walkthread::test
+{
+
+// Looks go over a bounded number of connections, each to one worker.
+class narrow_pool : public pool_stand_in
+{
+  public:
+    explicit narrow_pool(pool_settings settings)
+        : pool_stand_in(settings), m_connections(connection_pool_settings{settings.look_connections})
+    {
+        expire();
+    }
+    [[nodiscard]] std::size_t opened() const
+    {
+        return m_opened;
+    }
+
+  protected:
+    using look_handler = std::function<void(const look_answer&)>;
+
+    void carry_look(const look_order& order, const look_handler& handler) override
+    {
+        const pooled_call call{++m_calls};
+        m_waiting[call] = {order, handler};
+        const duration patience = milliseconds(order.wait_ms) + order.patience;
+        if (const auto grant =
+                m_connections.want(call, order.to.address, call_need::usual, now() + patience, now()))
+        {
+            begin(*grant);
+        }
+    }
+
+  private:
+    void begin(const pool_grant& grant)
+    {
+        m_opened += grant.fresh ? 1 : 0;
+        const auto [order, handler] = m_waiting.extract(grant.call).mapped();
+        pool_stand_in::carry_look(
+            order,
+            [this, handler = handler, connection = grant.connection](const look_answer& answer)
+            {
+                const bool open = answer.outcome != order_outcome::unanswered &&
+                                  answer.outcome != order_outcome::unreachable;
+                if (const auto next = m_connections.release(connection, open, now()))
+                {
+                    begin(*next);
+                }
+                handler(answer);
+            });
+    }
+    void expire()
+    {
+        for (const pool_grant& grant : m_connections.open_more(now()))
+        {
+            begin(grant);
+        }
+        for (const pooled_call call : m_connections.expire(now()))
+        {
+            m_waiting.extract(call).mapped().second({order_outcome::not_sent, {}, 0, {}, {}});
+        }
+        at(milliseconds(25),
+           [this]
+           {
+               expire();
+           });
+    }
+
+    connection_pool m_connections;
+    std::map<pooled_call, std::pair<look_order, look_handler>> m_waiting;
+    std::uint64_t m_calls = 0;
+    std::size_t m_opened = 0;
+};
+
+} // namespace walkthread::test
--- a/tests/src/pool_stand_in.hpp
+++ b/tests/src/pool_stand_in.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -76,11 +77,18 @@
             }
         }
         m_pass_due = false;
+        m_leads_since = m_now;
         wake();
     }
     void unlead()
     {
         m_leader.reset();
+        m_leads_since.reset();
+    }
+    // Since when the same leader has been at work; nothing while there is none.
+    [[nodiscard]] virtual std::optional<monotonic_time> works_since() const
+    {
+        return m_leads_since;
     }
     void report(const std::string& life, bool draining, std::int64_t remaining_ms = 3000)
     {
@@ -100,7 +108,7 @@
         return out;
     }
     // `then` is called when the report is acknowledged.
-    void deliver(
+    virtual void deliver(
         const worker_report& report, const std::function<void()>& then = [] {})
     {
         m_leader->take_report(report, m_now,
@@ -279,11 +287,19 @@
                take_look(order, handler);
            });
     }
-
-  private:
+    [[nodiscard]] std::uint64_t term() const
+    {
+        return m_term;
+    }
+    // For how long the leader makes no pass yet.
+    [[nodiscard]] virtual duration frozen_for() const
+    {
+        return duration{0};
+    }
     // A look that waits for an end is given up then, where nothing breaks its connection.
     static constexpr milliseconds silence{1700};
 
+  private:
     // A member of a gang was lost: the others end.
     void break_gang(const run_ref& lost)
     {
@@ -395,6 +411,11 @@
                {
                    return;
                }
+               if (const duration still = frozen_for(); still > duration{0})
+               {
+                   pass_at(m_now + still);
+                   return;
+               }
                m_pass_due = false;
                ++m_passes;
                m_leader->pass(m_now, wall());
@@ -405,7 +426,8 @@
            });
     }
 
-    dispatch_hooks hooks()
+  protected:
+    virtual dispatch_hooks hooks()
     {
         dispatch_hooks out;
         out.now = [this]
@@ -498,8 +520,10 @@
         return out;
     }
 
+  private:
     std::unique_ptr<decision_log> m_log = make_pool_log(m_settings);
     std::unique_ptr<dispatcher> m_leader;
+    std::optional<monotonic_time> m_leads_since;
     std::uint64_t m_term = 0;
     std::uint64_t m_next_id = 1000;
     bool m_pass_due = false;
--- /dev/null
+++ b/tests/src/standstill_check.hpp
@@ -0,0 +1,288 @@
+#pragma once
+
+// Accepted tasks whose turn has come and that stand still although there is room: looked for at every step of
+// virtual time, from what really runs on workers.
+
+#include <boost/test/unit_test.hpp>
+
+#include <cmath>
+#include <limits>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "pool_stand_in.hpp"
+
+namespace walkthread::test
+{
+
+// The longest that a task may stand still, part by part.
+struct standstill_bounds
+{
+    milliseconds longest_lease{6000};  // a new leader has to assume that the worker got one just now
+    double clock_drift = 0.02;         // by which the worker's clock may run slower
+    milliseconds lost_look{1700};      // one under way, with its wait: behind it the worker is doubted
+    milliseconds drop_and_commit{300}; // a pass, the entry, and the pass behind it
+    milliseconds question{500};        // to the advisor, once more if hosts were taken meanwhile
+    milliseconds start{1000};          // the entry, and the order, which may be refused at a first host
+    milliseconds gang_gathers{4000};   // it holds room for so long before it gives up and asks again
+    milliseconds suspect_rests{8000};  // a task that was lost three times or more
+    std::uint32_t losses_before_rest = 3;
+    int workers_in_a_row = 1; // that a task may be sent to as they become unreachable; a lease each
+
+    [[nodiscard]] duration of_task(bool gang, bool suspect) const
+    {
+        const double lease = static_cast<double>(longest_lease.count()) * (1 + clock_drift);
+        const duration each =
+            milliseconds(static_cast<std::int64_t>(lease)) + lost_look + drop_and_commit + question + start;
+        return each * workers_in_a_row + (gang ? gang_gathers : milliseconds(0)) +
+               (suspect ? suspect_rests : milliseconds(0));
+    }
+};
+
+class standstill_check
+{
+  public:
+    explicit standstill_check(pool_stand_in& pool, standstill_bounds bounds = {})
+        : m_pool(pool), m_bounds(bounds)
+    {
+        pool.every(between_looks,
+                   [this]
+                   {
+                       look();
+                   });
+    }
+    standstill_check(const standstill_check&) = delete;
+    standstill_check& operator=(const standstill_check&) = delete;
+    ~standstill_check() = default;
+
+    // One line for each task that stood still for too long.
+    [[nodiscard]] const std::vector<std::string>& found() const
+    {
+        return m_found;
+    }
+    // The longest that any task has stood still with room free.
+    [[nodiscard]] duration longest() const
+    {
+        return m_longest;
+    }
+    void check() const
+    {
+        for (const std::string& line : m_found)
+        {
+            BOOST_TEST_MESSAGE(line); // shown with --log_level=message
+        }
+        BOOST_TEST(m_found.empty(), m_found.size() << " tasks stood still");
+    }
+
+  private:
+    static constexpr milliseconds between_looks{100};
+    static constexpr std::uint32_t room_needed = 2; // as many times as there are tasks that stand still
+    static constexpr double most_used = 0.5;        // of what workers that may take the step have
+
+    struct room
+    {
+        std::uint64_t places{};
+        resources used;
+        resources whole;
+    };
+
+    struct stand
+    {
+        monotonic_time since{};
+        std::size_t starts{}; // by then: a run may end between two looks
+    };
+
+    void look()
+    {
+        const auto works_since = m_pool.works_since();
+        if (!works_since)
+        {
+            m_since.clear();
+            return;
+        }
+        find_runs();
+        std::map<task_ref, stand> next;
+        for (const auto& [id, owner] : m_pool.state().submissions())
+        {
+            for (std::uint32_t round = 0; !owner.final() && round < owner.rounds.size(); ++round)
+            {
+                look_at_round(owner, round_id{round}, *works_since, next);
+            }
+        }
+        m_since = std::move(next);
+    }
+    void look_at_round(const submission& owner, round_id round, monotonic_time works_since,
+                       std::map<task_ref, stand>& next)
+    {
+        const round_progress& progress = owner.rounds[round.value()];
+        for (std::uint32_t step = 0; step < progress.steps.size(); ++step)
+        {
+            const step_spec& spec = owner.spec.steps[step];
+            const bool turn =
+                owner.spec.due_at(round) == 0 && std::all_of(spec.after.begin(), spec.after.end(),
+                                                             [&progress](std::uint32_t earlier)
+                                                             {
+                                                                 return progress.steps[earlier].complete();
+                                                             });
+            const std::vector<task_ref> still =
+                turn ? standing(spec, {owner.id, round, step}, progress.steps[step])
+                     : std::vector<task_ref>{};
+            if (!still.empty() && has_room(owner, spec, still))
+            {
+                note(spec, still, works_since, next);
+            }
+        }
+    }
+    void note(const step_spec& spec, const std::vector<task_ref>& still, monotonic_time works_since,
+              std::map<task_ref, stand>& next)
+    {
+        for (const task_ref& task : still)
+        {
+            const std::size_t starts = starts_of(spec, task);
+            const auto known = m_since.find(task);
+            const bool same = known != m_since.end() && known->second.starts == starts;
+            const monotonic_time since = std::max(same ? known->second.since : m_pool.now(), works_since);
+            next.emplace(task, stand{since, starts});
+            const duration stood = m_pool.now() - since;
+            m_longest = std::max(m_longest, stood);
+            if (stood > m_bounds.of_task(spec.gang, is_suspect(task)) && m_told.insert(task).second)
+            {
+                m_found.push_back(name_of(task) +
+                                  (spec.gang      ? " of a gang"
+                                   : spec.lasting ? " that lasts"
+                                                  : "") +
+                                  " stands still since " + time_of(since) + " at " + time_of(m_pool.now()));
+            }
+        }
+    }
+    // Of the task; of a gang, how often all of it was started.
+    [[nodiscard]] std::size_t starts_of(const step_spec& spec, const task_ref& task) const
+    {
+        std::size_t out = m_pool.starts_of(task);
+        for (std::uint32_t index = 0; spec.gang && index < spec.count; ++index)
+        {
+            out = std::min(out, m_pool.starts_of({task.step, index}));
+        }
+        return out;
+    }
+    static std::string time_of(monotonic_time when)
+    {
+        return std::to_string(std::chrono::duration_cast<milliseconds>(when.time_since_epoch()).count()) +
+               " ms";
+    }
+    [[nodiscard]] bool is_suspect(const task_ref& task) const
+    {
+        const suspicion* against = m_pool.state().crashes().find(task);
+        return against != nullptr &&
+               against->crashes + against->unclear + against->unproven >= m_bounds.losses_before_rest;
+    }
+
+    // What runs on workers that are up, each within its lease.
+    void find_runs()
+    {
+        m_runs.clear();
+        for (const auto& [life, worker] : m_pool.workers())
+        {
+            for (const auto& [run, state] : worker.running)
+            {
+                if (!worker.gone && m_pool.lease_holds_on(life))
+                {
+                    m_runs.insert(run);
+                }
+            }
+        }
+    }
+    [[nodiscard]] bool runs(const task_ref& task) const
+    {
+        const auto found = m_runs.lower_bound(run_ref{task, 0});
+        return found != m_runs.end() && found->task == task;
+    }
+    // All of a gang, unless one run has all of its members; else each task without a run.
+    [[nodiscard]] std::vector<task_ref> standing(const step_spec& spec, const step_ref& step,
+                                                 const step_progress& progress) const
+    {
+        std::vector<task_ref> out;
+        for (std::uint32_t index = 0; index < spec.count; ++index)
+        {
+            const task_ref task{step, index};
+            const bool done = progress.tasks[index].state() == work_phase::completed;
+            if (!done && !runs(task) && m_pool.may_come_until(task) < m_pool.now())
+            {
+                out.push_back(task);
+            }
+        }
+        if (spec.gang && !out.empty())
+        {
+            out.clear();
+            for (std::uint32_t index = 0; index < spec.count; ++index)
+            {
+                out.push_back({step, index});
+            }
+        }
+        return out;
+    }
+
+    // Workers that may take the step have room for it twice over, and most of their room is free.
+    [[nodiscard]] bool has_room(const submission& owner, const step_spec& spec,
+                                const std::vector<task_ref>& still) const
+    {
+        const step_ref step = still.front().step;
+        const bool advised = m_pool.state().find_queue(owner.queue)->advised;
+        room sum;
+        for (const auto& [life, worker] : m_pool.workers())
+        {
+            if (takes_work(worker) && (!advised || m_pool.is_good(step, life)))
+            {
+                add_room(worker, spec, step, sum);
+            }
+        }
+        return sum.places >= room_needed * still.size() && dominant_share(sum.used, sum.whole) < most_used;
+    }
+    template <class Worker>
+    [[nodiscard]] static bool takes_work(const Worker& worker)
+    {
+        const worker_faults& wrong = worker.faults;
+        const double chance = wrong.late + wrong.late_stops + wrong.deaf + wrong.refuse + wrong.unsent;
+        return !worker.gone && !worker.draining && !wrong.dark && !wrong.unasked && !wrong.rejects_looks &&
+               !wrong.unheard && !wrong.fails_all && !wrong.stands_still && !wrong.resets && chance == 0.0;
+    }
+    template <class Worker>
+    void add_room(const Worker& worker, const step_spec& spec, const step_ref& step, room& sum) const
+    {
+        resources used;
+        std::uint64_t here = 0;
+        for (const auto& [run, state] : worker.running)
+        {
+            const step_spec* other = m_pool.state().find(run.task.step);
+            used += other == nullptr ? resources{} : other->size;
+            here += run.task.step == step ? 1 : 0;
+        }
+        const resources free = worker.facts.size - used;
+        std::uint64_t places = 0;
+        while (places < spec.count * room_needed &&
+               fits(spec.size * static_cast<std::int64_t>(places + 1), free))
+        {
+            ++places;
+        }
+        if (spec.per_host_limit > 0)
+        {
+            places = std::min<std::uint64_t>(places, spec.per_host_limit -
+                                                         std::min<std::uint64_t>(spec.per_host_limit, here));
+        }
+        sum.places += places;
+        sum.used += used;
+        sum.whole += worker.facts.size;
+    }
+
+    pool_stand_in& m_pool;
+    standstill_bounds m_bounds;
+    std::set<run_ref> m_runs;
+    std::map<task_ref, stand> m_since;
+    std::set<task_ref> m_told;
+    std::vector<std::string> m_found;
+    duration m_longest{};
+};
+
+} // namespace walkthread::test
--- /dev/null
+++ b/tests/src/troubled_pool.hpp
@@ -0,0 +1,134 @@
+#pragma once
+
+// A pool whose leader is frozen, or cut off from workers, for a while.
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "narrow_pool.hpp"
+
+namespace walkthread::test
+{
+
+class troubled_pool : public narrow_pool
+{
+  public:
+    using narrow_pool::narrow_pool;
+
+    // The leader's process stands still: it makes no pass and takes no answer and no report until then. Its
+    // calls that are under way go on.
+    void freeze(duration span)
+    {
+        m_thaws = now() + span;
+        m_frozen_term = term();
+    }
+    // Neither calls to the worker nor what it sends arrive for so long; what runs there goes on.
+    void cut_off(const std::string& life, duration span)
+    {
+        sim_worker& worker = m_workers[life];
+        worker.faults.dark = true;
+        const monotonic_time until = std::max(m_cut_until[life], now() + span);
+        m_cut_until[life] = until;
+        if (auto handler = std::exchange(worker.waiting_look, nullptr); handler)
+        {
+            at(silence,
+               [handler]
+               {
+                   handler({order_outcome::unanswered, {}, 0, {}, {}});
+               });
+        }
+        at(until - now(),
+           [this, life]
+           {
+               m_workers[life].faults.dark = now() < m_cut_until[life];
+           });
+    }
+    [[nodiscard]] std::optional<monotonic_time> works_since() const override
+    {
+        const std::optional<monotonic_time> leads = narrow_pool::works_since();
+        return !leads || frozen_for() > duration{0} ? std::nullopt
+               : m_frozen_term == term()            ? std::optional(std::max(*leads, m_thaws))
+                                                    : leads;
+    }
+    void deliver(
+        const worker_report& report, const std::function<void()>& then = [] {}) override
+    {
+        when_thawed(
+            [this, report, then]
+            {
+                narrow_pool::deliver(report, then);
+            });
+    }
+
+  protected:
+    [[nodiscard]] duration frozen_for() const override
+    {
+        return m_frozen_term == term() ? std::max<duration>(m_thaws - now(), duration{0}) : duration{0};
+    }
+    dispatch_hooks hooks() override
+    {
+        dispatch_hooks out = narrow_pool::hooks();
+        delay_answers<bool>(out.propose);
+        delay_answers<const look_answer&>(out.look);
+        delay_answers<const order_answer&>(out.start);
+        delay_answers<const order_answer&>(out.stop);
+        delay_answers<const order_answer&>(out.pace);
+        out.advise = [this, inner = out.advise](const advice_question& question, bool urgent,
+                                                const std::function<void(const advice_answer&)>& handler)
+        {
+            inner(question, urgent, thawed<const advice_answer&>(handler));
+        };
+        return out;
+    }
+
+  private:
+    template <class Answer>
+    using taker = std::function<void(Answer)>;
+
+    // Done at once, or as soon as the process that leads now goes on; never if it is replaced before.
+    void when_thawed(const std::function<void()>& work)
+    {
+        const duration still = frozen_for();
+        if (still == duration{0})
+        {
+            work();
+            return;
+        }
+        at(still,
+           [this, work, term = term()]
+           {
+               if (term == this->term() && narrow_pool::works_since())
+               {
+                   when_thawed(work);
+               }
+           });
+    }
+    template <class Answer>
+    taker<Answer> thawed(const taker<Answer>& handler)
+    {
+        return [this, handler](Answer answer)
+        {
+            when_thawed(
+                [handler, answer = std::decay_t<Answer>(answer)]
+                {
+                    handler(answer);
+                });
+        };
+    }
+    template <class Answer, class Call>
+    void delay_answers(std::function<void(Call, taker<Answer>)>& hook)
+    {
+        hook = [this, inner = hook](const Call& call, const taker<Answer>& handler)
+        {
+            inner(call, thawed<Answer>(handler));
+        };
+    }
+
+    monotonic_time m_thaws{};
+    std::uint64_t m_frozen_term = 0;
+    std::map<std::string, monotonic_time> m_cut_until;
+};
+
+} // namespace walkthread::test
--- a/tests/src/unit-fleet-connections.cpp
+++ b/tests/src/unit-fleet-connections.cpp
@@ -1,9 +1,9 @@
 #define BOOST_TEST_MODULE fleet_connections
 #include <boost/test/unit_test.hpp>
 
-#include <walkthread/fabric/connection_pool.hpp>
-
+#include "narrow_pool.hpp"
 #include "small_pool.hpp"
+#include "standstill_check.hpp"
 
 using namespace walkthread;
 using namespace walkthread::test;
@@ -18,74 +18,6 @@
 
 namespace
 {
-// Looks go over a bounded number of connections, each to one worker.
-class narrow_pool : public pool_stand_in
-{
-  public:
-    explicit narrow_pool(pool_settings settings)
-        : pool_stand_in(settings), m_connections(connection_pool_settings{settings.look_connections})
-    {
-        expire();
-    }
-    [[nodiscard]] std::size_t opened() const
-    {
-        return m_opened;
-    }
-
-  protected:
-    using look_handler = std::function<void(const look_answer&)>;
-
-    void carry_look(const look_order& order, const look_handler& handler) override
-    {
-        const pooled_call call{++m_calls};
-        m_waiting[call] = {order, handler};
-        const duration patience = milliseconds(order.wait_ms) + order.patience;
-        if (const auto grant =
-                m_connections.want(call, order.to.address, call_need::usual, now() + patience, now()))
-        {
-            begin(*grant);
-        }
-    }
-
-  private:
-    void begin(const pool_grant& grant)
-    {
-        m_opened += grant.fresh ? 1 : 0;
-        const auto [order, handler] = m_waiting.extract(grant.call).mapped();
-        pool_stand_in::carry_look(
-            order,
-            [this, handler = handler, connection = grant.connection](const look_answer& answer)
-            {
-                if (const auto next = m_connections.release(connection, true, now()))
-                {
-                    begin(*next);
-                }
-                handler(answer);
-            });
-    }
-    void expire()
-    {
-        for (const pool_grant& grant : m_connections.open_more(now()))
-        {
-            begin(grant);
-        }
-        for (const pooled_call call : m_connections.expire(now()))
-        {
-            m_waiting.extract(call).mapped().second({order_outcome::not_sent, {}, 0, {}, {}});
-        }
-        at(milliseconds(25),
-           [this]
-           {
-               expire();
-           });
-    }
-
-    connection_pool m_connections;
-    std::map<pooled_call, std::pair<look_order, look_handler>> m_waiting;
-    std::uint64_t m_calls = 0;
-    std::size_t m_opened = 0;
-};
-
 // More workers than connections by the same share as at 3,000 of them, a third of which have work.
 pool_settings crowded()
 {
@@ -143,6 +75,7 @@
 BOOST_AUTO_TEST_CASE(connections_fewer_than_workers_stay_with_those_that_have_work)
 {
     narrow_pool pool(crowded());
+    const standstill_check standing(pool);
     pool.lead();
     pool.run(seconds(4));
     std::vector<submission_id> all;
@@ -156,11 +89,13 @@
         BOOST_TEST((pool.phase(id) == submission_phase::completed));
     }
     check_unbroken(pool);
+    standing.check();
 }
 
 BOOST_AUTO_TEST_CASE(ends_are_seen_as_soon_with_few_connections)
 {
     narrow_pool pool(crowded());
+    const standstill_check standing(pool);
     pool.lead();
     pool.run(seconds(4));
     std::vector<submission_id> all;
@@ -174,4 +109,5 @@
     }
     BOOST_TEST(late < 10U); // one in ten
     check_unbroken(pool);
+    standing.check();
 }
--- /dev/null
+++ b/tests/src/unit-never-back.cpp
@@ -0,0 +1,395 @@
+#define BOOST_TEST_MODULE never_back
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <random>
+
+#include "small_pool.hpp"
+#include "standstill_check.hpp"
+#include "troubled_pool.hpp"
+
+using namespace walkthread;
+using namespace walkthread::test;
+
+// Workers that never come back, beside each kind of trouble of the leader: whatever they ran goes on
+// elsewhere in a bounded time.
+
+namespace
+{
+enum class leader_trouble : std::uint8_t
+{
+    replaced_at_once,
+    replaced_late,
+    core_dark,
+    frozen,
+    frozen_and_replaced,
+    cut_from_some,
+    cut_from_all,
+    none,
+};
+constexpr std::uint64_t leader_troubles = 8;
+
+enum class way_to_go : std::uint8_t
+{
+    refuses,
+    silent,
+    rack_refuses,
+    rack_silent,
+    leaves,
+};
+constexpr std::uint64_t ways_to_go = 5;
+
+enum class load : std::uint8_t
+{
+    single_tasks,
+    gangs,
+    lasting_tasks,
+    advised,
+    advised_gangs,
+};
+
+constexpr std::size_t workers = 24;
+constexpr std::size_t rack_size = 8;
+constexpr std::size_t kept = 12;           // so many never go: all work has room there
+constexpr std::size_t few_connections = 9; // under half of the workers
+constexpr int episodes = 3;
+constexpr seconds calm{20}; // behind each: above any bound
+
+class day
+{
+  public:
+    day(load kind, std::uint64_t seed, bool narrow, leader_trouble trouble)
+        : m_pool(settings(seed, narrow)), m_check(m_pool, bounds(narrow, trouble)), m_load(kind),
+          m_trouble(trouble), m_random(seed * 7919 + 13)
+    {
+    }
+    void play(way_to_go way)
+    {
+        m_pool.lead();
+        m_pool.run(seconds(1));
+        submit_lasting();
+        for (int episode = 0; episode < episodes; ++episode)
+        {
+            work_for(seconds(2));
+            strike(m_trouble, way);
+            work_for(seconds(4));
+            m_pool.run(calm);
+        }
+        m_pool.run(calm);
+        check_done();
+    }
+
+  private:
+    static pool_settings settings(std::uint64_t seed, bool narrow)
+    {
+        pool_settings out = small(workers);
+        out.seed = seed;
+        out.good_share = 0.85; // so that each gang has hosts enough that may run it
+        out.look_connections = narrow ? few_connections : SIZE_MAX;
+        return out;
+    }
+    // Idle workers that are asked seldom may be cut off unseen: a task of a lost worker is sent to one.
+    static standstill_bounds bounds(bool narrow, leader_trouble trouble)
+    {
+        standstill_bounds out;
+        out.workers_in_a_row = narrow && trouble == leader_trouble::cut_from_some ? 2 : 1;
+        return out;
+    }
+    std::uint64_t draw(std::uint64_t below)
+    {
+        return m_random() % below;
+    }
+    milliseconds between(std::uint64_t least, std::uint64_t most)
+    {
+        return milliseconds(least + draw(most - least));
+    }
+
+    void submit_lasting()
+    {
+        for (int i = 0; m_load == load::lasting_tasks && i < 4; ++i)
+        {
+            step_spec step = make_step(3, 2000, 0);
+            step.lasting = true;
+            step.per_host_limit = 1;
+            m_lasting.push_back(m_pool.submit(i % 2 == 0 ? "plain" : "batch", {step}));
+        }
+    }
+    void submit_one()
+    {
+        const auto count = static_cast<std::uint32_t>(1 + draw(6));
+        step_spec second = make_step(2, 1500, 400);
+        second.after = {0};
+        switch (m_load)
+        {
+        case load::single_tasks:
+            m_all.push_back(m_pool.submit("plain", {make_step(count, 2000, 2500), second}));
+            return;
+        case load::gangs:
+            m_all.push_back(m_pool.submit("plain", {make_step(count + 1, 4000, 2000, true)}));
+            return;
+        case load::lasting_tasks:
+            m_all.push_back(m_pool.submit("plain", {make_step(1, 1000, 500)}));
+            return;
+        case load::advised:
+            m_all.push_back(
+                m_pool.submit(draw(2) == 0 ? "urgent" : "batch", {make_step(count, 2000, 2500), second}));
+            return;
+        case load::advised_gangs:
+            m_all.push_back(m_pool.submit("gangs", {make_step(count + 1, 4000, 2000, true)}));
+            return;
+        }
+    }
+    void work_for(duration span)
+    {
+        for (const monotonic_time end = m_pool.now() + span; m_pool.now() < end;)
+        {
+            submit_one();
+            m_pool.run(between(200, 600));
+        }
+    }
+
+    // What the leader meets and what the workers do come at about the same time, in either order.
+    void strike(leader_trouble trouble, way_to_go way)
+    {
+        const bool workers_first = draw(2) == 0;
+        const milliseconds apart = between(0, 500);
+        if (way == way_to_go::leaves)
+        {
+            say_that_some_leave();
+        }
+        if (workers_first)
+        {
+            go(way);
+            m_pool.run(apart);
+        }
+        begin(trouble);
+        if (!workers_first)
+        {
+            m_pool.run(apart);
+            go(way);
+        }
+        end(trouble);
+    }
+    void begin(leader_trouble trouble)
+    {
+        switch (trouble)
+        {
+        case leader_trouble::replaced_at_once:
+        case leader_trouble::replaced_late:
+        case leader_trouble::core_dark:
+            m_pool.unlead();
+            return;
+        case leader_trouble::frozen:
+        case leader_trouble::frozen_and_replaced:
+            m_pool.freeze(between(1000, 7000));
+            return;
+        case leader_trouble::cut_from_some:
+        case leader_trouble::cut_from_all:
+            for (std::size_t i = 0; i < workers; ++i)
+            {
+                if (trouble == leader_trouble::cut_from_all || draw(2) == 0)
+                {
+                    m_pool.cut_off(name(i), between(1000, 9000));
+                }
+            }
+            return;
+        case leader_trouble::none:
+            return;
+        }
+    }
+    void end(leader_trouble trouble)
+    {
+        switch (trouble)
+        {
+        case leader_trouble::replaced_at_once:
+            m_pool.run(between(50, 500));
+            m_pool.lead();
+            return;
+        case leader_trouble::replaced_late:
+            m_pool.run(between(1000, 4000));
+            m_pool.lead();
+            return;
+        case leader_trouble::core_dark:
+            m_pool.run(between(6000, 12000));
+            m_pool.lead();
+            return;
+        case leader_trouble::frozen_and_replaced:
+            m_pool.run(between(300, 2000));
+            m_pool.lead();
+            return;
+        default:
+            return;
+        }
+    }
+
+    static std::string name(std::size_t index)
+    {
+        return "w" + std::to_string(index);
+    }
+    [[nodiscard]] std::size_t live() const
+    {
+        std::size_t out = 0;
+        for (const auto& [life, worker] : m_pool.workers())
+        {
+            out += worker.gone ? 0 : 1;
+        }
+        return out;
+    }
+    void say_that_some_leave()
+    {
+        m_leaving = chosen(2 + draw(3));
+        for (const std::string& life : m_leaving)
+        {
+            m_pool.report(life, true, 4000);
+        }
+        m_pool.run(between(100, 1500));
+    }
+    // Workers that are up, busy ones first.
+    std::vector<std::string> chosen(std::size_t count)
+    {
+        std::vector<std::string> busy;
+        std::vector<std::string> idle;
+        for (const auto& [life, worker] : m_pool.workers())
+        {
+            if (!worker.gone)
+            {
+                (worker.running.empty() ? idle : busy).push_back(life);
+            }
+        }
+        std::shuffle(busy.begin(), busy.end(), m_random);
+        busy.insert(busy.end(), idle.begin(), idle.end());
+        const std::size_t spare = live() - std::min(live(), kept);
+        busy.resize(std::min({busy.size(), count, spare}));
+        return busy;
+    }
+    void go(way_to_go way)
+    {
+        const bool rack = way == way_to_go::rack_refuses || way == way_to_go::rack_silent;
+        std::vector<std::string> going;
+        if (way == way_to_go::leaves)
+        {
+            going = m_leaving;
+        }
+        else if (rack && live() >= kept + rack_size)
+        {
+            const std::size_t first = draw(workers / rack_size) * rack_size;
+            for (std::size_t i = first; i < first + rack_size; ++i)
+            {
+                going.push_back(name(i));
+            }
+        }
+        else
+        {
+            going = chosen(1 + draw(3));
+        }
+        const bool refuses = way == way_to_go::refuses || way == way_to_go::rack_refuses ||
+                             (way == way_to_go::leaves && draw(2) == 0);
+        for (const std::string& life : going)
+        {
+            if (!m_pool.workers().at(life).gone)
+            {
+                m_pool.lose(life, refuses);
+            }
+        }
+    }
+
+    void check_done()
+    {
+        m_check.check();
+        check_unbroken(m_pool);
+        for (const submission_id id : m_all)
+        {
+            BOOST_TEST((m_pool.phase(id) == submission_phase::completed),
+                       name_of(id) << " is " << name_of(m_pool.phase(id)));
+        }
+        for (const submission_id id : m_lasting)
+        {
+            BOOST_TEST(running_of(id) == 3U, name_of(id) << " runs " << running_of(id) << " tasks");
+        }
+    }
+    // On workers that are up, whatever the state says.
+    [[nodiscard]] std::size_t running_of(submission_id id) const
+    {
+        std::size_t out = 0;
+        for (const auto& [life, worker] : m_pool.workers())
+        {
+            for (const auto& [run, state] : worker.running)
+            {
+                out += !worker.gone && run.task.step.submission == id ? 1 : 0;
+            }
+        }
+        return out;
+    }
+
+    troubled_pool m_pool;
+    standstill_check m_check;
+    load m_load;
+    leader_trouble m_trouble;
+    std::mt19937_64 m_random;
+    std::vector<submission_id> m_all;
+    std::vector<submission_id> m_lasting;
+    std::vector<std::string> m_leaving;
+};
+
+// Each seed is one pair of troubles; so many cover all of them once.
+constexpr std::uint64_t pairs = leader_troubles * ways_to_go;
+
+void play_days(load kind, bool narrow = false)
+{
+    for (std::uint64_t seed = first_seed(); seed < first_seed() + seed_count(pairs); ++seed)
+    {
+        BOOST_TEST_CONTEXT("seed " << seed << ", leader " << seed % leader_troubles << ", workers "
+                                   << seed / leader_troubles % ways_to_go)
+        {
+            day made(kind, seed, narrow, static_cast<leader_trouble>(seed % leader_troubles));
+            made.play(static_cast<way_to_go>(seed / leader_troubles % ways_to_go));
+        }
+    }
+}
+} // namespace
+
+BOOST_AUTO_TEST_CASE(single_tasks_of_workers_that_never_come_back_go_on)
+{
+    play_days(load::single_tasks);
+}
+
+BOOST_AUTO_TEST_CASE(gangs_of_workers_that_never_come_back_go_on)
+{
+    play_days(load::gangs);
+}
+
+BOOST_AUTO_TEST_CASE(lasting_tasks_of_workers_that_never_come_back_go_on)
+{
+    play_days(load::lasting_tasks);
+}
+
+BOOST_AUTO_TEST_CASE(advised_tasks_of_workers_that_never_come_back_go_on)
+{
+    play_days(load::advised);
+}
+
+BOOST_AUTO_TEST_CASE(advised_gangs_of_workers_that_never_come_back_go_on)
+{
+    play_days(load::advised_gangs);
+}
+
+// The leader has connections for looks at under half of its workers.
+BOOST_AUTO_TEST_CASE(work_goes_on_where_connections_are_fewer_than_workers)
+{
+    play_days(load::single_tasks, true);
+}
+
+BOOST_AUTO_TEST_CASE(gangs_go_on_where_connections_are_fewer_than_workers)
+{
+    play_days(load::gangs, true);
+}
+
+BOOST_AUTO_TEST_CASE(lasting_tasks_go_on_where_connections_are_fewer_than_workers)
+{
+    play_days(load::lasting_tasks, true);
+}
+
+BOOST_AUTO_TEST_CASE(advised_tasks_go_on_where_connections_are_fewer_than_workers)
+{
+    play_days(load::advised, true);
+}
--- a/tests/src/virtual_events.hpp
+++ b/tests/src/virtual_events.hpp
@@ -33,6 +33,16 @@
     {
         return m_now;
     }
+    // Does the work over and over, from now on.
+    void every(duration gap, const std::function<void()>& work)
+    {
+        at(gap,
+           [this, gap, work]
+           {
+               work();
+               every(gap, work);
+           });
+    }
 
   protected:
     struct event
--- a/tests/src/worker_records.hpp
+++ b/tests/src/worker_records.hpp
@@ -93,7 +93,28 @@
     [[nodiscard]] std::int64_t tail_on(const std::string& life) const
     {
         return tail_on(m_workers.at(life));
-    } // The longest that a run was seen on a worker after its submission's cancel was committed.
+    }
+    // All lives that there ever were, as they really are.
+    [[nodiscard]] const auto& workers() const
+    {
+        return m_workers;
+    }
+    [[nodiscard]] const workload_state& state() const
+    {
+        return m_state;
+    }
+    // Whether what is listed there really runs.
+    [[nodiscard]] bool lease_holds_on(const std::string& life) const
+    {
+        return lease_holds(m_workers.at(life));
+    }
+    // Until when an order for the task may be carried out that got no answer.
+    [[nodiscard]] monotonic_time may_come_until(const task_ref& task) const
+    {
+        const auto found = m_may_come.find(task);
+        return found == m_may_come.end() ? monotonic_time{} : found->second;
+    }
+    // The longest that a run was seen on a worker after its submission's cancel was committed.
     [[nodiscard]] duration longest_after_cancel() const
     {
         return m_longest_after_cancel;
@@ -119,6 +140,7 @@
         std::int64_t length_ms{};
         monotonic_time began{};
         std::int32_t pace = 100;
+        bool whole{}; // of a gang all of whose members are present
     };
     struct sim_worker
     {
@@ -238,6 +260,7 @@
     std::set<task_ref> m_noted;                             // and the leader said that it knows
     std::map<task_ref, std::set<std::string>> m_started_at; // lives that ever carried out an order for it
     std::map<task_ref, monotonic_time> m_last_start;
+    std::map<task_ref, monotonic_time> m_may_come; // orders without an answer may be carried out until then
     std::map<task_ref, std::size_t> m_starts;
     std::map<task_ref, std::size_t> m_crashes; // workers that went down under it
     std::map<submission_id, monotonic_time> m_cancelled;
--- a/tests/src/worker_stand_in.hpp
+++ b/tests/src/worker_stand_in.hpp
@@ -20,15 +20,16 @@
         const run_ref run = worker.running.begin()->first; // a copy: the end erases it
         end(worker, run, run_end::failed);
     }
-
-  protected:
-    using worker_records::worker_records;
-
+    // Whether the advisor allows the step there.
     [[nodiscard]] bool is_good(const step_ref& step, const std::string& life) const
     {
         const std::size_t mixed = std::hash<std::string>{}(name_of(step) + m_workers.at(life).facts.host);
         return static_cast<double>(mixed % 1000U) < m_settings.good_share * 1000.0;
     }
+
+  protected:
+    using worker_records::worker_records;
+
     void answer_later(const std::function<void(const order_answer&)>& handler, order_answer answer)
     {
         at(m_settings.way,
@@ -66,6 +67,7 @@
     }
     static constexpr milliseconds order_patience{600};
     static constexpr milliseconds connect_patience{700};
+    static constexpr milliseconds late_bound{12000}; // the platform's, for orders without an answer
 
     [[nodiscard]] double unsent_share(const std::string& life) const
     {
@@ -88,6 +90,7 @@
         }
         if (!late && unit() < worker->faults.late)
         {
+            m_may_come[order.run.task] = m_now + late_bound;
             at(order_patience,
                [handler]
                {
@@ -192,6 +195,7 @@
         if (step.gang)
         {
             begin_gang(run, step, made.length_ms);
+            end_if_alone(worker.facts.id, run);
         }
         if (crash_a_worker.contains(owner.id) && run.task.index == 0)
         {
@@ -231,10 +235,26 @@
         {
             for (const auto& [life, member] : members)
             {
+                m_workers[life].running[member].whole = true;
                 finish_at(life, member, milliseconds(static_cast<std::int64_t>(length)));
             }
         }
     }
+    // A member waits only so long for the others.
+    void end_if_alone(const std::string& life, const run_ref& run)
+    {
+        at(gang_patience,
+           [this, life, run, born = m_workers[life].facts.born]
+           {
+               sim_worker& worker = m_workers[life];
+               const auto found = worker.running.find(run);
+               if (found != worker.running.end() && !found->second.whole && worker.facts.born == born)
+               {
+                   end(worker, run, run_end::lonely);
+               }
+           });
+    }
+    static constexpr milliseconds gang_patience{3000}; // the platform's
     void finish_at(const std::string& life, const run_ref& run, duration in)
     {
         at(in,
