--- a/tests/src/unit-dispatch.cpp
+++ b/tests/src/unit-dispatch.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "small_pool.hpp"
+#include "standstill_check.hpp"
 
 using namespace walkthread;
 using namespace walkthread::test;
@@ -342,6 +343,7 @@
         settings.mechanisms = mechanisms;
         settings.good_share = 0.85; // so that each gang has hosts enough that may run it
         pool_stand_in pool(settings);
+        const standstill_check standing(pool);
         std::mt19937_64 random(seed * 977);
         const auto draw = [&random](std::uint64_t below)
         {
@@ -433,6 +435,7 @@
         BOOST_TEST_CONTEXT("seed " << seed)
         {
             check_unbroken(pool);
+            standing.check();
             for (const submission_id id : all)
             {
                 const submission* known = pool.state().find(id);
