--- /dev/null
+++ b/tests/src/crash_day.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+// A day on which some submissions crash each worker that starts their first task.
+
+#include "small_pool.hpp"
+
+namespace walkthread::test
+{
+
+// Three crashes show what a task does. One or two starts more may be on their way until that is known.
+inline constexpr std::size_t most_starts = 5;
+
+struct crash_day
+{
+    pool_stand_in pool;
+    std::vector<task_ref> poison;
+    std::vector<submission_id> ordinary;
+
+    explicit crash_day(std::size_t hosts, std::uint64_t seed = 1, duration restart = seconds(3))
+        : pool(settings(hosts, seed, restart))
+    {
+        pool.lead();
+        pool.run(seconds(1));
+    }
+    static pool_settings settings(std::size_t hosts, std::uint64_t seed, duration restart)
+    {
+        pool_settings out = small(hosts);
+        out.seed = seed;
+        out.restart = restart;
+        return out;
+    }
+    void submit_poison(const std::string& queue, std::vector<step_spec> steps)
+    {
+        const submission_id id = pool.submit(queue, std::move(steps));
+        pool.crash_a_worker.insert(id);
+        poison.push_back({{id, round_id{0}, 0}, 0});
+    }
+    void submit_ordinary(const std::string& queue, std::vector<step_spec> steps)
+    {
+        ordinary.push_back(pool.submit(queue, std::move(steps)));
+    }
+    void check_poison_given_up()
+    {
+        for (const task_ref& task : poison)
+        {
+            BOOST_TEST(pool.starts_of(task) <= most_starts);
+            BOOST_TEST(pool.crashes_under(task) >= 2U); // one crash alone tells nothing
+            BOOST_TEST((pool.phase(task.step.submission) == submission_phase::failed));
+        }
+    }
+    void check_ordinary_completed()
+    {
+        for (const submission_id id : ordinary)
+        {
+            BOOST_TEST(name_of(pool.phase(id)) == "completed", name_of(id)
+                                                                   << " is " << name_of(pool.phase(id)));
+        }
+        check_unbroken(pool);
+    }
+};
+
+} // namespace walkthread::test
--- /dev/null
+++ b/tests/src/unit-crash-days.cpp
@@ -0,0 +1,57 @@
+#define BOOST_TEST_MODULE crash_days
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <random>
+
+#include "crash_day.hpp"
+#include "standstill_check.hpp"
+
+using namespace walkthread;
+using namespace walkthread::test;
+
+// Random days: a share of the submissions is poison, in all queues, at two sizes of a pool. The restart takes
+// longer than the lease on some, so that a crash is only known after the task runs again.
+BOOST_AUTO_TEST_CASE(random_days_lose_no_ordinary_submission)
+{
+    for (std::uint64_t seed = first_seed(); seed < first_seed() + seed_count(20); ++seed)
+    {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            std::mt19937_64 random(seed);
+            const auto draw = [&random](std::uint64_t below)
+            {
+                return random() % below;
+            };
+            const std::size_t hosts = draw(2) == 0 ? 48 : 24;
+            crash_day day(hosts, seed, milliseconds(2000 + static_cast<std::int64_t>(draw(6)) * 1000));
+            const standstill_check standing(day.pool);
+            const std::uint64_t percent = std::array{1, 5, 30}.at(seed % 3);
+            for (int i = 0; i < 60; ++i)
+            {
+                const auto kind = draw(3);
+                std::vector<step_spec> steps = kind == 0   ? std::vector{make_step(2, 1400, 1000)}
+                                               : kind == 1 ? std::vector{make_step(10, 980, 2000)}
+                                                           : std::vector{make_step(4, 4500, 3000, true)};
+                const std::string queue = kind == 0 ? "urgent" : kind == 1 ? "batch" : "gangs";
+                if (draw(100) < percent)
+                {
+                    day.submit_poison(queue, std::move(steps));
+                }
+                else
+                {
+                    day.submit_ordinary(queue, std::move(steps));
+                }
+                day.pool.run(milliseconds(300));
+                if (draw(20) == 0)
+                {
+                    day.pool.lead();
+                }
+            }
+            day.pool.run(seconds(90));
+            day.check_poison_given_up();
+            day.check_ordinary_completed();
+            standing.check();
+        }
+    }
+}
