A log line tells what the gang that waits for longest has on its good hosts

Cause: step_waits names the step that has waited for longest and what keeps hosts from it, but not whether a gang knows of good workers, what of them is free, whether it may gather and which gangs hold room before it.

gang_waits, once a second at most, names at most four holders. No decision changed: unit-gangs, -gathering, -reservations, -dispatch, -decision-cost, -quotas, -crash-loops, -acknowledged, -restarts pass as before.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -93,6 +93,7 @@
     void sync_views(monotonic_time now);
     [[nodiscard]] worker_view make_view(const worker_life& worker, monotonic_time now);
     void tidy(monotonic_time now, wall_ms wall);
+    [[nodiscard]] candidate make_candidate(const step_ref& ref) const;
     [[nodiscard]] std::vector<candidate> order_candidates(wall_ms wall, bool all);
     [[nodiscard]] bool rate(candidate& item, wall_ms wall) const;
     [[nodiscard]] int rank(const candidate& item) const;
@@ -104,6 +105,7 @@
     void note_waiting(monotonic_time now, wall_ms wall);
     void note_waiting_step(const step_ref& ref, const submission& owner, wall_ms waited_ms,
                            monotonic_time now);
+    void note_waiting_gang(monotonic_time now, wall_ms wall);
     void stop_unwanted(monotonic_time now);
     void propose_starts(const candidate& item, const std::vector<planned_start>& starts,
                         const std::vector<std::string>& tickets, monotonic_time now);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -232,18 +232,25 @@
     return 2 + static_cast<int>(item.chance);
 }
 
+// A step that may be started, not rated yet.
+dispatcher::candidate dispatcher::make_candidate(const step_ref& ref) const
+{
+    candidate item;
+    item.ref = ref;
+    item.owner = m_state.find(ref.submission);
+    item.step = &item.owner->spec.steps[ref.step];
+    item.queue = m_state.find_queue(item.owner->queue);
+    item.pool = m_hosts.number_of(item.owner->pool);
+    return item;
+}
+
 std::vector<dispatcher::candidate> dispatcher::order_candidates(wall_ms wall, bool all)
 {
     std::vector<candidate> out;
     m_full_wanted = false;
     for (const step_ref& ref : m_state.ready())
     {
-        candidate item;
-        item.ref = ref;
-        item.owner = m_state.find(ref.submission);
-        item.step = &item.owner->spec.steps[ref.step];
-        item.queue = m_state.find_queue(item.owner->queue);
-        item.pool = m_hosts.number_of(item.owner->pool);
+        candidate item = make_candidate(ref);
         if (!all && !item.urgent() && !item.step->lasting)
         {
             m_full_wanted = true;
--- a/src/dispatch/dispatcher_waiting.cpp
+++ b/src/dispatch/dispatcher_waiting.cpp
@@ -3,6 +3,7 @@
 #include <walkthread/dispatch/dispatcher.hpp>
 
 #include <algorithm>
+#include <optional>
 
 #include <walkthread/workload/names.hpp>
 
@@ -13,6 +14,7 @@
 {
 constexpr wall_ms told_after = 3000; // callers may expect work to run by then where most room is free
 constexpr duration told_every = seconds(1);
+constexpr std::size_t most_named = 4; // gangs in one line that gather before another
 } // namespace
 
 // One line a second at most: the step that has waited for longest, and what keeps work off each host that has
@@ -42,6 +44,69 @@
     {
         note_waiting_step(waiting, *longest, wall - since, now);
     }
+    note_waiting_gang(now, wall);
+}
+
+// One line a second at most: the gang that has waited for longest, what its good hosts have, and which gangs
+// gather before it.
+void dispatcher::note_waiting_gang(monotonic_time now, wall_ms wall)
+{
+    std::optional<candidate> longest;
+    wall_ms since = wall - told_after;
+    for (const step_ref& ref : m_state.ready())
+    {
+        candidate item = make_candidate(ref);
+        const wall_ms from = std::max(item.owner->spec.due_at(ref.round), item.owner->accepted);
+        const bool waits = item.step->gang && !item.urgent() && waiting_tasks(item) == item.step->count;
+        if (waits && from < since)
+        {
+            since = from;
+            longest = std::move(item);
+        }
+    }
+    if (!longest)
+    {
+        return;
+    }
+    static_cast<void>(rate(*longest, wall)); // the outlook decides which gangs go before it
+    longest->placed = placed_tasks(*longest);
+    std::uint32_t free = 0;
+    std::uint32_t open = 0;
+    std::uint32_t whole = 0;
+    const std::vector<offer> good = find_good_offers(*longest, now);
+    for (const offer& o : good)
+    {
+        const host_row& row = *m_hosts.find(o.worker->id);
+        free += o.slots;
+        open += slots(*longest, o.worker->id, row.open);
+        whole += o.whole;
+    }
+    std::string gathering;
+    std::size_t named = 0;
+    for (const auto& [ref, hold] : m_holds)
+    {
+        const bool gathers = hold.gathers && !(ref == longest->ref);
+        if (gathers && named++ < most_named)
+        {
+            gathering.append(gathering.empty() ? 0 : 1, ' ').append(name_of(ref));
+        }
+    }
+    const auto rests = m_hold_after.find(longest->ref);
+    note(now, "gang_waits", name_of(longest->ref),
+         {{"waited_ms", wall - since},
+          {"tasks", longest->step->count},
+          {"permitted", permitted_tasks(*longest)},
+          {"missed", longest->missed()},
+          {"good_hosts", good.size()},
+          {"free", free},
+          {"open", open},
+          {"empty", whole},
+          {"held", held_tasks(longest->ref)},
+          {"may_gather", may_gather(*longest)},
+          {"rests", rests != m_hold_after.end() && now < rests->second},
+          {"advisors_idle", !m_hooks.advisors_idle || m_hooks.advisors_idle()},
+          {"gather", named},
+          {"gathering", gathering}});
 }
 
 void dispatcher::note_waiting_step(const step_ref& ref, const submission& owner, wall_ms waited_ms,
