Gangs that have waited for long get a reservation; others backfill

Cause: a gang only held what was free at the moment it looked, two at a time, and asked about hosts only while most askers were idle if it was late. So it could stand still for ever (a) beside small work that takes each gap, (b) behind wide gangs that cannot gather enough, (c) beside busy askers. All three were confirmed by directed tests; none was ruled out.

Mend: as in EASY backfilling, the gang that has waited for longest gets a reservation on the good hosts that have room for all of its tasks soonest, also where it is not free yet; others use it for runs that end before it is due, and the due time promised first is never moved back. After 1 s while under 0.6 of the pool is in use, for as many as fit; after 30 s otherwise, for a quarter of the pool and one late gang. Gangs that know of too few hosts ask about all others without waiting for idle askers; those that can never fit are passed over. dispatch/gang_reservations decides and is pure.

Passed: unit-gangs, -gathering, -reservations, -dispatch, -decision-cost, -quotas, -crash-loops, -acknowledged, -restarts, -standstill, -gang-reservations.

--- a/include/walkthread/dispatch/candidate.hpp
+++ b/include/walkthread/dispatch/candidate.hpp
@@ -6,6 +6,7 @@
 /// @since 0.6
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <string_view>
@@ -27,7 +28,9 @@
     pool_number pool{};
     outlook chance{};
     double slack_ms{};
-    std::uint32_t permitted{}; ///< tasks that its organisation may still start
+    double run_ms = std::numeric_limits<double>::infinity(); ///< of one task, expected
+    bool reserved{};                                         ///< a gang with room reserved for it
+    std::uint32_t permitted{};                               ///< tasks that its organisation may still start
     /// Tasks of this step and round that run on a host or are about to, where the step limits them.
     std::map<worker_life_id, std::uint32_t> placed;
     [[nodiscard]] bool missed() const
@@ -55,6 +58,9 @@
     bool missed{};                                 ///< the gang was late when it began to hold
     monotonic_time grew{};                         ///< when `total` last rose
     bool gathers = true;                           ///< a gang's; false: hosts kept for large tasks
+    bool ahead{};              ///< a reservation for all tasks of a gang, also where the room is not free yet
+    monotonic_time due{};      ///< of a reservation: when all of the room is there, as forecast last
+    monotonic_time promised{}; ///< the earliest forecast of that: others use the room until then only
 };
 
 /// @brief A worker that a step's tasks may go to.
--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -20,6 +20,7 @@
 #include <walkthread/dispatch/lost_runs.hpp>
 #include <walkthread/dispatch/objective.hpp>
 #include <walkthread/dispatch/orders.hpp>
+#include <walkthread/dispatch/room_forecast.hpp>
 #include <walkthread/dispatch/room_news.hpp>
 #include <walkthread/dispatch/suspect_watch.hpp>
 #include <walkthread/dispatch/unconfirmed_work.hpp>
@@ -130,7 +131,7 @@
     [[nodiscard]] bool allowed(const candidate& item, const host_row& row) const;
     [[nodiscard]] std::string_view ticket_for(const candidate& item, worker_life_id worker,
                                               monotonic_time now);
-    [[nodiscard]] resources room_for(const candidate& item, const host_row& row) const;
+    [[nodiscard]] resources room_for(const candidate& item, const host_row& row, monotonic_time now) const;
     [[nodiscard]] std::uint32_t slots(const candidate& item, worker_life_id worker,
                                       const resources& room) const;
     [[nodiscard]] std::uint32_t waiting_tasks(const candidate& item) const;
@@ -163,13 +164,31 @@
     void hold_room(const candidate& item, monotonic_time now);
     [[nodiscard]] bool may_gather(const candidate& item) const;
     [[nodiscard]] std::uint32_t held_tasks(const step_ref& ref) const;
-    void set_hold(const candidate& item, room_hold next);
+    void set_hold(const step_ref& ref, room_hold next);
     void drop_hold(const step_ref& ref);
     void review_holds(monotonic_time now);
     bool learn_hosts(const candidate& item, monotonic_time now);
     void ask_for_gang(const candidate& item, monotonic_time now);
     [[nodiscard]] std::vector<worker_life_id> hosts_without_ticket(const candidate& item,
                                                                    const room_hold& hold, monotonic_time now);
+    [[nodiscard]] milliseconds question_time(const candidate& item, const room_hold& hold);
+
+    // dispatcher_gang_room.cpp: room reserved for gangs that have waited for long
+    [[nodiscard]] std::vector<candidate> gangs_by_waiting(const std::vector<candidate>& items,
+                                                          monotonic_time now);
+    [[nodiscard]] reservation_review begin_review(pool_number pool);
+    void review_gangs(const std::vector<candidate>& items, monotonic_time now);
+    [[nodiscard]] host_outlook outlook_on(const candidate& item, const offer& o,
+                                          const std::map<step_ref, room_hold>& before, monotonic_time now);
+    [[nodiscard]] std::optional<gang_reservation>
+    find_reservation(const candidate& item, const std::map<step_ref, room_hold>& before, monotonic_time now);
+    [[nodiscard]] room_hold make_reservation(const candidate& item, const gang_reservation& found,
+                                             monotonic_time now);
+    void set_reservations(std::map<step_ref, room_hold> next);
+    [[nodiscard]] bool has_reservation(const step_ref& ref) const;
+    [[nodiscard]] resources reserved_for_others(const candidate& item, worker_life_id host, bool meantime,
+                                                monotonic_time now) const;
+    void ask_for_reserved(const candidate& item, monotonic_time now);
 
     // dispatcher_reserve.cpp: hosts kept for large tasks
     void reserve_hosts(const candidate& item, std::uint32_t left, monotonic_time now);
@@ -178,6 +197,7 @@
     [[nodiscard]] std::size_t most_reserved(const candidate& item);
     [[nodiscard]] std::vector<worker_life_id> hosts_soon_free(const candidate& item, const room_hold& hold,
                                                               monotonic_time now);
+    [[nodiscard]] std::vector<run_forecast> forecast_runs(const offer& o) const;
     [[nodiscard]] std::optional<double> time_until_room_on(const candidate& item, const offer& o) const;
     [[nodiscard]] std::optional<double> expected_left_ms(const run_ref& run, const run_view& known) const;
 
@@ -284,9 +304,13 @@
     std::map<step_ref, room_hold> m_holds;           ///< room kept for gangs
     std::map<step_ref, monotonic_time> m_hold_after; ///< gangs that gathered in vain wait until then
     std::map<step_ref, monotonic_time> m_gang_retry; ///< gangs without room held are looked at then
-    std::map<step_ref, monotonic_time> m_preempted;  ///< when runs were last stopped for a step
-    resources m_large_task{};                        ///< about what a task of a gang takes
-    std::set<std::string> m_joining;                 ///< hosts of lives that are being admitted
+    std::map<step_ref, monotonic_time> m_gang_since; ///< gangs that wait, and since when
+    monotonic_time m_gang_review_due{};
+    std::set<step_ref> m_seeks_hosts; ///< gangs that have waited for long and know of too few hosts
+    std::map<worker_life_id, std::vector<step_ref>> m_reserved_on; ///< for which gangs a host is reserved
+    std::map<step_ref, monotonic_time> m_preempted;                ///< when runs were last stopped for a step
+    resources m_large_task{};                                      ///< about what a task of a gang takes
+    std::set<std::string> m_joining;                               ///< hosts of lives that are being admitted
     std::set<std::string> m_upkeep_in_flight;
     std::map<std::string, monotonic_time> m_upkeep_retry;
     std::map<std::string, monotonic_time> m_upkeep_taken; ///< when the platform took a host's order
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include <walkthread/dispatch/gang_reservations.hpp>
 #include <walkthread/dispatch/gathering.hpp>
 #include <walkthread/dispatch/mechanisms.hpp>
 #include <walkthread/dispatch/objective.hpp>
@@ -72,6 +73,7 @@
     milliseconds stops_show{600}; ///< stops of an earlier leader are carried out by then: the platform allows
                                   ///< 400 ms
     gathering_bounds gathering{};
+    reservation_settings reservations{}; ///< of room for gangs
     milliseconds gang_lead{4000}; ///< from first look to start: two questions and the gathering between them
     double slow_below = 0.88;     ///< of the usual speed: urgent work goes to such hosts last; between the
                                   ///< users' hosts, which differ by 1 to 1.3
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -18,6 +18,11 @@
 constexpr duration review_every = milliseconds(250); // runs that stand still, speeds, what is over: all of
                                                      // these change within seconds, and each run is looked at
 constexpr std::int32_t inherited_pace = 25; // percent: fillers of an earlier leader, until tails are known
+// Ranks 0 to 2 are those of lasting and urgent work and of gangs with a reservation.
+constexpr int rank_of(outlook chance)
+{
+    return 3 + static_cast<int>(chance);
+}
 constexpr duration idle_pass = milliseconds(100); // leases, retries and due times are looked at that often
 } // namespace
 
@@ -156,7 +161,12 @@
     m_hosts.begin_pass(now);
     note_waiting(now, wall);
     std::size_t failed = 0;
-    for (candidate& item : order_candidates(wall, all))
+    std::vector<candidate> candidates = order_candidates(wall, all);
+    if (all)
+    {
+        review_gangs(candidates, now);
+    }
+    for (candidate& item : candidates)
     {
         item.permitted = permitted_tasks(item);
         if (item.permitted == 0)
@@ -210,6 +220,8 @@
     const chain_times chain = m_objectives.chain_of(*item.owner, item.ref.step);
     const double objective = item.queue != nullptr ? objective_ms(chain, *item.queue) : 0.0;
     item.slack_ms = objective - age - chain.remaining_ms;
+    item.run_ms = m_objectives.expected_ms(item.owner->queue, *item.step);
+    item.reserved = has_reservation(item.ref);
     item.chance = judge_outlook(item.slack_ms, objective, m_settings.outlooks);
     return true;
 }
@@ -229,7 +241,7 @@
     {
         return 1;
     }
-    return 2 + static_cast<int>(item.chance);
+    return item.reserved ? 2 : rank_of(item.chance);
 }
 
 // A step that may be started, not rated yet.
@@ -270,7 +282,7 @@
                   {
                       const bool prepares = c.step->gang && !c.urgent();
                       const double left = c.slack_ms - (prepares ? lead_ms : 0.0);
-                      return rank(c) == 2 + static_cast<int>(outlook::doubtful) ? -left : left;
+                      return rank(c) == rank_of(outlook::doubtful) ? -left : left;
                   };
                   return std::make_tuple(rank(a), pressing(a), a.ref) <
                          std::make_tuple(rank(b), pressing(b), b.ref);
--- /dev/null
+++ b/src/dispatch/dispatcher_gang_room.cpp
@@ -0,0 +1,284 @@
+// The part of dispatcher that reserves room for gangs that have waited for long.
+
+#include <walkthread/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+
+#include <walkthread/dispatch/room_forecast.hpp>
+#include <walkthread/workload/names.hpp>
+
+namespace walkthread
+{
+
+namespace
+{
+constexpr double commit_unknown_ms = 1000; // what was just planned on a host runs about that long
+} // namespace
+
+// Gangs all of whose tasks wait, in the order of their waiting. The state does not tell when a step's turn
+// came or its last run ended: there the time counts from when this leader first saw it wait.
+std::vector<dispatcher::candidate> dispatcher::gangs_by_waiting(const std::vector<candidate>& items,
+                                                                monotonic_time now)
+{
+    std::map<step_ref, monotonic_time> since;
+    std::vector<candidate> gangs;
+    for (const candidate& item : items)
+    {
+        if (!item.step->gang || item.urgent() || item.step->lasting ||
+            waiting_tasks(item) != item.step->count)
+        {
+            continue;
+        }
+        const auto known = m_gang_since.find(item.ref);
+        const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
+        const bool fresh = item.step->after.empty() && tasks.front().run == 0;
+        const wall_ms turn = std::max(item.owner->spec.due_at(item.ref.round), item.owner->accepted);
+        const milliseconds waited{fresh ? std::max<wall_ms>(m_wall - turn, 0) : 0};
+        since[item.ref] = known != m_gang_since.end() ? known->second : now - waited;
+        gangs.push_back(item);
+    }
+    m_gang_since = std::move(since);
+    std::sort(gangs.begin(), gangs.end(),
+              [this](const candidate& a, const candidate& b)
+              {
+                  return std::make_tuple(m_gang_since.at(a.ref), a.ref) <
+                         std::make_tuple(m_gang_since.at(b.ref), b.ref);
+              });
+    return gangs;
+}
+
+reservation_review dispatcher::begin_review(pool_number pool)
+{
+    resources room;
+    resources in_use;
+    for (std::size_t place = 0; place < m_hosts.size(); ++place)
+    {
+        const host_row& row = m_hosts.at(place);
+        if (row.usable && row.pool == pool)
+        {
+            room += row.worker->facts.size;
+            in_use += row.worker->facts.size - row.open;
+        }
+    }
+    return {m_settings.reservations, room, in_use};
+}
+
+// Reserves anew for the gangs that have waited for longest; most keep what they had.
+void dispatcher::review_gangs(const std::vector<candidate>& items, monotonic_time now)
+{
+    if (!uses(mechanism::reservations) || now < m_gang_review_due)
+    {
+        return;
+    }
+    m_gang_review_due = now + m_settings.reservations.review;
+    m_seeks_hosts.clear();
+    std::map<pool_number, reservation_review> reviews;
+    std::map<step_ref, room_hold> next;
+    std::size_t reviewed = 0;
+    for (candidate& item : gangs_by_waiting(items, now))
+    {
+        auto review = reviews.find(item.pool);
+        if (review == reviews.end())
+        {
+            review = reviews.emplace(item.pool, begin_review(item.pool)).first;
+        }
+        item.permitted = permitted_tasks(item);
+        if (!review->second.overdue(now - m_gang_since.at(item.ref)) || item.permitted == 0 ||
+            has_suspect_at_rest(item, now))
+        {
+            continue;
+        }
+        if (++reviewed > m_settings.reservations.reviewed)
+        {
+            break;
+        }
+        item.placed = placed_tasks(item);
+        const std::optional<gang_reservation> found = find_reservation(item, next, now);
+        const resources wanted = room_of(*item.step) * item.step->count;
+        if (!found)
+        {
+            m_seeks_hosts.insert(item.ref);
+        }
+        else if (review->second.admits(wanted, item.missed(), found->ready_ms))
+        {
+            review->second.add(wanted, item.missed());
+            next[item.ref] = make_reservation(item, *found, now);
+        }
+    }
+    set_reservations(std::move(next));
+}
+
+// When the host has room for one, two, ... tasks of the gang, beside reservations of those before it.
+host_outlook dispatcher::outlook_on(const candidate& item, const offer& o,
+                                    const std::map<step_ref, room_hold>& before, monotonic_time now)
+{
+    const host_row& row = *m_hosts.find(o.worker->id);
+    resources open = row.open;
+    for (const auto& [ref, hold] : before)
+    {
+        const auto there = hold.tasks.find(o.worker->id);
+        if (there != hold.tasks.end() &&
+            !may_backfill(item.run_ms, hold.promised, now, m_settings.reservations))
+        {
+            open -= hold.each * there->second;
+        }
+    }
+    std::vector<run_forecast> runs = forecast_runs(o);
+    if (row.view->planned != resources{})
+    {
+        runs.push_back({row.view->planned, commit_unknown_ms});
+    }
+    const auto held = m_holds.find(item.ref);
+    host_outlook out;
+    out.worker = o.worker->id;
+    out.kept = held != m_holds.end() && held->second.ahead && held->second.tasks.contains(out.worker);
+    out.ready_ms = times_until_slots(
+        open, std::move(runs),
+        [this, &item, &o](const resources& room)
+        {
+            return slots(item, o.worker->id, room);
+        },
+        std::min(o.whole, item.step->count));
+    return out;
+}
+
+std::optional<gang_reservation> dispatcher::find_reservation(const candidate& item,
+                                                             const std::map<step_ref, room_hold>& before,
+                                                             monotonic_time now)
+{
+    const std::vector<offer> offers = find_good_offers(item, now);
+    std::uint32_t whole = 0;
+    for (const offer& o : offers)
+    {
+        whole += o.whole;
+    }
+    if (whole < item.step->count)
+    {
+        return std::nullopt;
+    }
+    std::vector<host_outlook> hosts;
+    for (const offer& o : offers)
+    {
+        hosts.push_back(outlook_on(item, o, before, now));
+    }
+    return reserve_soonest(hosts, item.step->count);
+}
+
+room_hold dispatcher::make_reservation(const candidate& item, const gang_reservation& found,
+                                       monotonic_time now)
+{
+    room_hold out;
+    out.tasks = found.tasks;
+    out.total = item.step->count;
+    out.each = room_of(*item.step);
+    out.missed = item.missed();
+    out.grew = now;
+    out.ahead = true;
+    out.due =
+        now + std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(found.ready_ms));
+    out.promised = out.due;
+    const auto before = m_holds.find(item.ref);
+    if (before != m_holds.end() && before->second.ahead)
+    {
+        out.promised = std::min(out.promised, before->second.promised); // others were let in until then
+        return out;
+    }
+    note(now, "gang_reserved", name_of(item.ref),
+         {{"tasks", out.total},
+          {"hosts", out.tasks.size()},
+          {"waited_ms", now - m_gang_since.at(item.ref)},
+          {"ready_ms", static_cast<std::int64_t>(found.ready_ms)},
+          {"missed", out.missed}});
+    return out;
+}
+
+void dispatcher::set_reservations(std::map<step_ref, room_hold> next)
+{
+    std::vector<step_ref> over;
+    for (const auto& [ref, hold] : m_holds)
+    {
+        const auto kept = next.find(ref);
+        const bool same = kept != next.end() && hold.ahead && kept->second.tasks == hold.tasks;
+        if (hold.ahead && !same)
+        {
+            over.push_back(ref);
+        }
+    }
+    for (const step_ref& ref : over)
+    {
+        drop_hold(ref);
+    }
+    m_reserved_on.clear();
+    for (auto& [ref, hold] : next)
+    {
+        for (const auto& [host, count] : hold.tasks)
+        {
+            m_reserved_on[host].push_back(ref);
+        }
+        const auto present = m_holds.find(ref);
+        if (present != m_holds.end() && present->second.ahead)
+        {
+            present->second = std::move(hold);
+        }
+        else
+        {
+            set_hold(ref, std::move(hold));
+        }
+    }
+}
+
+bool dispatcher::has_reservation(const step_ref& ref) const
+{
+    const auto hold = m_holds.find(ref);
+    return hold != m_holds.end() && hold->second.ahead;
+}
+
+// What is reserved on a host for other gangs: that which the step may use in the meantime, or the rest.
+resources dispatcher::reserved_for_others(const candidate& item, worker_life_id host, bool meantime,
+                                          monotonic_time now) const
+{
+    resources sum;
+    const auto there = m_reserved_on.find(host);
+    if (there == m_reserved_on.end())
+    {
+        return sum;
+    }
+    for (const step_ref& ref : there->second)
+    {
+        const auto hold = m_holds.find(ref);
+        const bool counts = !(ref == item.ref) && hold != m_holds.end() && hold->second.ahead &&
+                            hold->second.tasks.contains(host);
+        if (counts &&
+            may_backfill(item.run_ms, hold->second.promised, now, m_settings.reservations) == meantime)
+        {
+            sum += hold->second.each * hold->second.tasks.at(host);
+        }
+    }
+    return sum;
+}
+
+// Asks for tickets in time for the room; until then for what it may need elsewhere.
+void dispatcher::ask_for_reserved(const candidate& item, monotonic_time now)
+{
+    const room_hold& hold = m_holds.at(item.ref);
+    if (hold.due > now)
+    {
+        preempt_for(item, item.step->count, now);
+    }
+    const bool soon = item.queue != nullptr && hold.due <= now + question_time(item, hold);
+    if (!may_ask(item, soon, now))
+    {
+        return;
+    }
+    if (soon)
+    {
+        m_advice.of(item.ref).ask_after = now + m_settings.advice_gap;
+        ask(item, hosts_without_ticket(item, hold, now), true, now);
+    }
+    else if (!learn_hosts(item, now))
+    {
+        keep_tickets(item, now);
+    }
+}
+
+} // namespace walkthread
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -77,6 +77,11 @@
         preempt_for(item, item.step->count, now);
         return false;
     }
+    if (has_reservation(item.ref))
+    {
+        ask_for_reserved(item, now);
+        return false;
+    }
     hold_room(item, now);
     ask_for_gang(item, now);
     const std::uint32_t held = held_tasks(item.ref);
@@ -189,9 +194,9 @@
                               m_settings.gathering);
 }
 
-void dispatcher::set_hold(const candidate& item, room_hold next)
+void dispatcher::set_hold(const step_ref& ref, room_hold next)
 {
-    drop_hold(item.ref);
+    drop_hold(ref);
     if (next.total == 0)
     {
         return;
@@ -200,7 +205,7 @@
     {
         m_hosts.hold(host, next.each * count);
     }
-    m_holds[item.ref] = std::move(next);
+    m_holds[ref] = std::move(next);
 }
 
 void dispatcher::drop_hold(const step_ref& ref)
@@ -269,7 +274,7 @@
               {"missed", item.missed()},
               {"holds", m_holds.size() + 1}});
     }
-    set_hold(item, std::move(next));
+    set_hold(item.ref, std::move(next));
 }
 
 // Holds end with their step, and where nothing came to them for a while: room stands idle for them.
@@ -280,7 +285,7 @@
     {
         const step_spec* step = m_state.find(ref);
         const bool waits = step != nullptr && m_state.ready().contains(ref);
-        const bool stale = now - hold.grew > m_settings.hold_lasts;
+        const bool stale = !hold.ahead && now - hold.grew > m_settings.hold_lasts;
         if (stale && waits)
         {
             m_hold_after[ref] = now + m_settings.hold_lasts;
@@ -301,18 +306,22 @@
 // Advice
 // ---------------------------------------------------------------------------------------------------------
 
+// Where questions wait, those for a part of the hosts would come back when the tickets of the others are
+// over.
+milliseconds dispatcher::question_time(const candidate& item, const room_hold& hold)
+{
+    const advice_terms& terms = item.queue->advice;
+    const double question_ms = terms.decision_ms + terms.each_ms * static_cast<double>(hold.tasks.size());
+    return std::max(std::chrono::duration_cast<milliseconds>(m_advice.of(item.ref).last_took),
+                    milliseconds(static_cast<std::int64_t>(question_ms)));
+}
+
 // Those of its hosts whose tickets would be over before a question about all of them is answered.
 std::vector<worker_life_id> dispatcher::hosts_without_ticket(const candidate& item, const room_hold& hold,
                                                              monotonic_time now)
 {
-    const advice_terms& terms = item.queue->advice;
-    const double question_ms = terms.decision_ms + terms.each_ms * static_cast<double>(hold.tasks.size());
     const step_advice& known = m_advice.of(item.ref);
-    // Where questions wait, those for a part of the hosts would come back when the tickets of the others are
-    // over.
-    const duration question =
-        std::max<duration>(known.last_took, milliseconds(static_cast<std::int64_t>(question_ms)));
-    const auto needed = std::chrono::duration_cast<milliseconds>(m_settings.ticket_margin + question);
+    const milliseconds needed = m_settings.ticket_margin + question_time(item, hold);
     std::vector<worker_life_id> hosts;
     for (const auto& [host, count] : hold.tasks)
     {
@@ -331,7 +340,7 @@
 {
     const auto hold = m_holds.find(item.ref);
     const bool complete = hold != m_holds.end() && hold->second.total >= item.step->count;
-    if (!may_ask(item, complete, now))
+    if (!may_ask(item, complete || m_seeks_hosts.contains(item.ref), now))
     {
         return;
     }
@@ -351,7 +360,8 @@
 bool dispatcher::learn_hosts(const candidate& item, monotonic_time now)
 {
     // Processes that ask are few: late gangs, which earn little, use those that would be idle.
-    if (item.missed() && m_hooks.advisors_idle && !m_hooks.advisors_idle())
+    const bool seeks = m_seeks_hosts.contains(item.ref);
+    if (item.missed() && !seeks && m_hooks.advisors_idle && !m_hooks.advisors_idle())
     {
         return false;
     }
@@ -374,7 +384,7 @@
     }
     const double missing = item.step->count - held_tasks(item.ref);
     const bool reached = within_reach >= m_settings.gang_reach * item.step->count;
-    if (reached && unknown_free < missing * spare_factor) // else others have room now
+    if (!seeks && reached && unknown_free < missing * spare_factor) // else others have room now
     {
         return false;
     }
@@ -391,8 +401,8 @@
         std::pop_heap(unknown.begin(), end, lesser);
         const offer& o = *std::prev(end);
         const bool far = !reached && within_reach >= m_settings.gang_reach * item.step->count;
-        const bool enough = far || now_free >= missing * spare_factor;
-        if (enough && asked.size() >= least_asked)
+        const bool enough = !seeks && (far || now_free >= missing * spare_factor);
+        if ((enough && asked.size() >= least_asked) || asked.size() >= most_asked)
         {
             break;
         }
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -98,24 +98,28 @@
     return out;
 }
 
-// Room on a host for tasks of a step. What is held for gangs counts for the gang itself, and for urgent and
-// lasting work where there is no other.
-resources dispatcher::room_for(const candidate& item, const host_row& row) const
+// Room on a host for tasks of a step. What is held for gangs counts for the gang itself, for urgent and
+// lasting work where there is no other, and for runs that end before a reservation is due.
+resources dispatcher::room_for(const candidate& item, const host_row& row, monotonic_time now) const
 {
     if (item.urgent() || item.step->lasting)
     {
         return slots(item, row.worker->id, row.free) > 0 ? row.free : row.open;
     }
     const auto hold = m_holds.find(item.ref);
-    if (hold == m_holds.end())
+    const bool holds = hold != m_holds.end() && hold->second.tasks.contains(row.worker->id);
+    if (holds && hold->second.ahead) // goes before what other gangs gather
     {
-        return row.free;
+        return row.open - reserved_for_others(item, row.worker->id, false, now);
     }
-    const auto own = hold->second.tasks.find(row.worker->id);
     resources room = row.free;
-    if (own != hold->second.tasks.end())
+    if (!m_reserved_on.empty())
     {
-        room += hold->second.each * own->second;
+        room += reserved_for_others(item, row.worker->id, true, now);
+    }
+    if (holds)
+    {
+        room += hold->second.each * hold->second.tasks.at(row.worker->id);
     }
     return room;
 }
@@ -217,7 +221,7 @@
 {
     offer o;
     o.worker = row.worker;
-    o.room = room_for(item, row);
+    o.room = room_for(item, row, now);
     o.slots = slots(item, row.worker->id, o.room);
     o.whole =
         o.room == row.worker->facts.size ? o.slots : slots(item, row.worker->id, row.worker->facts.size);
--- a/src/dispatch/dispatcher_reserve.cpp
+++ b/src/dispatch/dispatcher_reserve.cpp
@@ -29,16 +29,22 @@
 }
 
 std::optional<double> dispatcher::time_until_room_on(const candidate& item, const offer& o) const
+{
+    return time_until_room(o.room, forecast_runs(o), room_of(*item.step));
+}
+
+std::vector<run_forecast> dispatcher::forecast_runs(const offer& o) const
 {
     const worker_view& view = m_views.at(o.worker->id);
     std::vector<run_forecast> runs;
+    runs.reserve(o.worker->occupied.size());
     for (const auto& [run, room] : o.worker->occupied)
     {
         const auto known = view.runs.find(run);
         runs.push_back(
             {room, known == view.runs.end() ? std::nullopt : expected_left_ms(run, known->second)});
     }
-    return time_until_room(o.room, std::move(runs), room_of(*item.step));
+    return runs;
 }
 
 // Hosts that are kept for tasks which compete with those of a step. Work that is late does not count for work
@@ -135,7 +141,7 @@
               {"wait_ms", static_cast<std::int64_t>(places.front().wait_ms)}});
     }
     std::vector<worker_life_id> soon = hosts_soon_free(item, next, now);
-    set_hold(item, std::move(next));
+    set_hold(item.ref, std::move(next));
     if (may_ask(item, true, now))
     {
         ask(item, soon, true, now);
--- a/src/dispatch/room_forecast.cpp
+++ b/src/dispatch/room_forecast.cpp
@@ -5,13 +5,11 @@
 namespace walkthread
 {
 
-std::optional<double> time_until_room(const resources& open, std::vector<run_forecast> runs,
-                                      const resources& need)
+namespace
+{
+// Those that end by themselves, the soonest first.
+void order_by_end(std::vector<run_forecast>& runs)
 {
-    if (fits(need, open))
-    {
-        return 0.0;
-    }
     std::erase_if(runs,
                   [](const run_forecast& run)
                   {
@@ -22,6 +20,17 @@
               {
                   return *a.left_ms < *b.left_ms;
               });
+}
+} // namespace
+
+std::optional<double> time_until_room(const resources& open, std::vector<run_forecast> runs,
+                                      const resources& need)
+{
+    if (fits(need, open))
+    {
+        return 0.0;
+    }
+    order_by_end(runs);
     resources room = open;
     for (const run_forecast& run : runs)
     {
@@ -34,4 +43,19 @@
     return std::nullopt;
 }
 
+std::vector<double> times_until_slots(const resources& open, std::vector<run_forecast> runs,
+                                      const std::function<std::uint32_t(const resources&)>& slots,
+                                      std::uint32_t most)
+{
+    order_by_end(runs);
+    resources room = open;
+    std::vector<double> times(std::min(slots(room), most), 0.0);
+    for (auto run = runs.begin(); run != runs.end() && times.size() < most; ++run)
+    {
+        room += run->room;
+        times.resize(std::max<std::size_t>(times.size(), std::min(slots(room), most)), *run->left_ms);
+    }
+    return times;
+}
+
 } // namespace walkthread
