Only the first gang's reservation is kept from gangs that can start at once

Cause: with a dozen reservations behind each other on the same good hosts, room stood idle that another overdue gang could have used at once.

EASY backfilling protects the head of the queue only. An overdue gang that could start now beside the first one's reservation may do so; all others move. The pool counts as idle under half of its room in use, as the platform's rule.

No directed test of its own: no unit test was red for it before.

Passed: unit-gangs, -reservations, -dispatch, -quotas, -standstill, -gang-reservations.

--- a/include/walkthread/dispatch/candidate.hpp
+++ b/include/walkthread/dispatch/candidate.hpp
@@ -59,6 +59,7 @@
     monotonic_time grew{};                         ///< when `total` last rose
     bool gathers = true;                           ///< a gang's; false: hosts kept for large tasks
     bool ahead{};              ///< a reservation for all tasks of a gang, also where the room is not free yet
+    bool first{};              ///< a reservation of the gang of its pool that has waited for longest
     monotonic_time due{};      ///< of a reservation: when all of the room is there, as forecast last
     monotonic_time promised{}; ///< the earliest forecast of that: others use the room until then only
 };
--- a/include/walkthread/dispatch/gang_reservations.hpp
+++ b/include/walkthread/dispatch/gang_reservations.hpp
@@ -25,13 +25,12 @@
 {
     milliseconds after{30000};     ///< a gang waits that long first: it takes room from work that is on time
     milliseconds after_idle{1000}; ///< the same while the pool is idle: room that is kept costs nothing then
-    double idle_below = 0.6;   ///< of the pool's room in use: the pool counts as idle; above half, as ends of
-                               ///< runs are known late
-    double share = 0.25;       ///< of the pool's room reserved at a time while it is not idle
-    std::size_t late = 1;      ///< late gangs that have reservations at a time while the pool is not idle
-    milliseconds review{100};  ///< between two reviews: the shortest runs take a few times that
-    std::size_t reviewed = 16; ///< gangs looked at in one review
-    double backfill_spare = 1.5; ///< times its expected run that a task needs before the room is due
+    double idle_below = 0.5;       ///< of the pool's room in use: the pool counts as idle
+    double share = 0.25;           ///< of the pool's room reserved at a time while it is not idle
+    std::size_t late = 1;          ///< late gangs that have reservations at a time while the pool is not idle
+    milliseconds review{100};      ///< between two reviews: the shortest runs take a few times that
+    std::size_t reviewed = 16;     ///< gangs looked at in one review
+    double backfill_spare = 1.5;   ///< times its expected run that a task needs before the room is due
 };
 
 /// @brief When a host has room for one, two, ... tasks of a gang.
@@ -73,6 +72,11 @@
     [[nodiscard]] bool admits(const resources& wanted, bool late, double ready_ms) const;
     /// @brief A gang got its reservation.
     void add(const resources& wanted, bool late);
+    /// @brief Those that did.
+    [[nodiscard]] std::size_t gangs() const
+    {
+        return m_gangs;
+    }
 
   private:
     reservation_settings m_settings;
--- a/src/dispatch/dispatcher_gang_room.cpp
+++ b/src/dispatch/dispatcher_gang_room.cpp
@@ -74,6 +74,7 @@
     m_seeks_hosts.clear();
     std::map<pool_number, reservation_review> reviews;
     std::map<step_ref, room_hold> next;
+    std::map<step_ref, room_hold> firsts; // of each pool
     std::size_t reviewed = 0;
     for (candidate& item : gangs_by_waiting(items, now))
     {
@@ -93,7 +94,13 @@
             break;
         }
         item.placed = placed_tasks(item);
-        const std::optional<gang_reservation> found = find_reservation(item, next, now);
+        std::optional<gang_reservation> found = find_reservation(item, next, now);
+        if (found && found->ready_ms > 0.0)
+        {
+            // Only the first one's room is kept from gangs that can start at once.
+            const std::optional<gang_reservation> at_once = find_reservation(item, firsts, now);
+            found = at_once && at_once->ready_ms <= 0.0 ? at_once : found;
+        }
         const resources wanted = room_of(*item.step) * item.step->count;
         if (!found)
         {
@@ -102,7 +109,12 @@
         else if (review->second.admits(wanted, item.missed(), found->ready_ms))
         {
             review->second.add(wanted, item.missed());
-            next[item.ref] = make_reservation(item, *found, now);
+            room_hold& made = next[item.ref] = make_reservation(item, *found, now);
+            made.first = review->second.gangs() == 1;
+            if (made.first)
+            {
+                firsts[item.ref] = made;
+            }
         }
     }
     set_reservations(std::move(next));
@@ -243,10 +255,13 @@
     {
         return sum;
     }
+    const auto own = m_holds.find(item.ref);
+    const bool at_once = own != m_holds.end() && own->second.ahead && own->second.due <= now;
     for (const step_ref& ref : there->second)
     {
         const auto hold = m_holds.find(ref);
-        const bool counts = !(ref == item.ref) && hold != m_holds.end() && hold->second.ahead &&
+        const bool passed = at_once && hold != m_holds.end() && hold->second.due > now && !hold->second.first;
+        const bool counts = !passed && !(ref == item.ref) && hold != m_holds.end() && hold->second.ahead &&
                             hold->second.tasks.contains(host);
         if (counts &&
             may_backfill(item.run_ms, hold->second.promised, now, m_settings.reservations) == meantime)
