--- a/src/dispatch/dispatcher_gang_room.cpp
+++ b/src/dispatch/dispatcher_gang_room.cpp
@@ -169,6 +169,7 @@
         return std::nullopt;
     }
     std::vector<host_outlook> hosts;
+    hosts.reserve(offers.size());
     for (const offer& o : offers)
     {
         hosts.push_back(outlook_on(item, o, before, now));
