The soak takes workers away for good as the core is struck (--gone)

Accepted work that is not done after 20 calm seconds under the same leader's term breaks a promise, while it runs and at the end; the bound of 60 s whoever leads stays. Other modes draw and check as before.

--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -12,6 +12,7 @@
 SEEDS = [(11, 3, 10, [], "nothing: a run with three replicas"),
          (12, 5, 10, [], "nothing: a run with five"),
          (13, 3, 15, ["--poison"], "nothing: tasks that crash their workers"),
+         (22, 3, 2, ["--gone"], "work stood still for good: a new leader kept a worker that it had never reached"),
          (801, 3, 25, [], "tasks began again after they were done: workers that kept their ids took confirmations for the life before"),
          (2, 3, 40, ["--calm"], "an older configuration was read: a cut leader counted promises that nobody gave")]
 
--- a/tests/soak/peer_proxy.py
+++ b/tests/soak/peer_proxy.py
@@ -8,6 +8,7 @@
 import time
 
 ADDRESS = re.compile(rb"127\.0\.0\.\d+:\d+")
+QUEUED = 4     # connections that fill a queue of length 0, and one that ends the accept under way
 POLL_S = 0.02  # how soon a held link notices that it is free again
 
 
@@ -56,7 +57,7 @@
     """Listens where others look for `name` and passes on to where it really listens."""
 
     def __init__(self, name, listen, target, faults):
-        self.name, self.target, self.faults, self.live = name, target, faults, True
+        self.name, self.target, self.faults, self.live, self.held = name, target, faults, True, []
         self.listener = socket.create_server(listen, backlog=64)
         threading.Thread(target=self.accept_loop, daemon=True).start()
 
@@ -66,6 +67,9 @@
                 near, _ = self.listener.accept()
             except OSError:
                 return
+            if not self.live:
+                self.held.append(near)
+                return
             threading.Thread(target=self.serve, args=(near,), daemon=True).start()
 
     def serve(self, near):
@@ -113,6 +117,30 @@
             except OSError:
                 pass  # it was closed meanwhile
 
+    def refuse(self):
+        """For good: connections to it are reset and refused, as where its process has ended."""
+        self.live = False
+        self.listener.shutdown(socket.SHUT_RDWR)  # ends the accept under way; closing alone would not
+        self.listener.close()
+        with self.faults.lock:
+            pairs = [pair for link, found in self.faults.open.items() if link[1] == self.name for pair in found]
+        for near, far in pairs:
+            reset(near)
+            far.close()
+
+    def fall_silent(self):
+        """For good: open connections swallow what is sent, new ones are not answered, as where a machine lost power."""
+        self.live = False
+        self.faults.mute(lambda link: link[1] == self.name)
+        self.listener.listen(0)
+        for _ in range(QUEUED):  # once as many wait as may, the system answers no further connection
+            waiting = socket.socket()
+            waiting.setblocking(False)
+            waiting.connect_ex(self.listener.getsockname())
+            self.held.append(waiting)
+
     def close(self):
         self.live = False
         self.listener.close()
+        for side in self.held:
+            side.close()
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -6,6 +6,7 @@
 CANCELLED_AFTER_S = 3.5  # the platform's bound for cancels, with the workers' stop
 CALM_S = 4.0             # after the last fault, before time bounds count again
 DRAIN_S = 2.0            # a worker whose leaving was acknowledged gets nothing new after that: the platform's shortest
+STANDS_S = 20.0          # until all accepted is done, in calm: the longest lease, a drop, two steps, and a busy machine
 
 
 class Promises:
@@ -15,6 +16,7 @@
         self.cell, self.lock, self.broken = cell, threading.Lock(), []
         self.steps, self.answers, self.cancelled, self.completed = cell.sizes, {}, {}, set()
         self.versions_acked, self.calm_since = 0, time.monotonic()
+        self.accepted_at, self.stands_s, self.led_since = {}, float("inf"), 0.0
 
     def fail(self, text):
         with self.lock:
@@ -23,6 +25,8 @@
     def submitted(self, name, status):
         with self.lock:
             self.answers.setdefault(name, []).append(status)
+            if status == 200:
+                self.accepted_at.setdefault(name, time.monotonic())
 
     def accepted(self, name):
         return 200 in self.answers.get(name, [])
@@ -40,6 +44,9 @@
             self.fail("%s was completed and is %s" % (name, state))
         if state == "completed":
             self.check_complete(name)
+        stood = asked_at - max(self.calm_since, self.led_since, self.accepted_at.get(name, asked_at))
+        if state in ("queued", "running") and name not in self.cancelled and stood > self.stands_s:
+            self.fail("%s was accepted and is %s after %.1f calm seconds" % (name, state, stood))
         if (state == "failed" and not self.may_be_given_up(name)) or (state == "cancelled" and name not in self.cancelled):
             self.fail("%s is %s without a cause" % (name, state))
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,11 +1,14 @@
 """A randomized soak: the real processes with faults from outside, and the promises checked from what callers, operators and
 workers see.
 
-Usage: soak.py BUILD [--seed N] [--seconds S] [--cores N] [--edges N] [--workers N] [--calm] [--poison] [--keep FOLDER]
+Usage: soak.py BUILD [--seed N] [--seconds S] [--cores N] [--edges N] [--workers N] [--calm] [--poison] [--gone] [--keep FOLDER]
 
 With --calm one fault at a time strikes the leader, right after something was acknowledged, with calm seconds behind it: rules
 with a time bound count only there, and series that overlap leave no such second.
 
+With --gone workers go for good at about the moment at which the leader, or all of the core, is struck; all that was accepted is
+done in a bounded time on those that stay.
+
 With --poison some submissions have a task that takes down each worker that starts it; they end as failed.
 
 The seed decides which faults come, in which order and on what. Times of a run differ all the same, as real processes do.
@@ -17,6 +20,7 @@
 import json
 import os
 import random
+import re
 import shutil
 import signal
 import sys
@@ -29,7 +33,7 @@
 from peer_proxy import Faults, PeerProxy  # noqa: E402
 from platform_cell import HOST, PREFIX, PlatformCell, call, loopback, wait_for  # noqa: E402
 from ports import free_port  # noqa: E402
-from promises import CALM_S, Promises  # noqa: E402
+from promises import CALM_S, STANDS_S, Promises  # noqa: E402
 from trouble import Trouble  # noqa: E402
 
 SMALL = {"cpu": 1500, "mem-mb": 200, "estimate-ms": 300}
@@ -41,6 +45,9 @@
 CANCEL_SHARE = 0.1
 QUIET_S = 5.0            # a worker's reports after that acknowledgement are lost for so long
 REST_S = 6.0             # of calm behind a single fault: above CALM_S
+GOERS = 8                # with --gone: workers beside the usual ones, that may go
+LEADER_LOOK_S = 0.3
+TERM = re.compile(r"\nwalkthread_term (\d+)")
 FINISH_S = 60            # in which everything accepted has to be done once all faults are over
 CLIENTS = 4
 
@@ -199,6 +206,26 @@
         time.sleep(REST_S)
 
 
+def strike_as_workers_go(cell, trouble, promises, end, stay):
+    """The core is struck as workers go for good, over and over while as many stay as have room for all."""
+    while time.monotonic() < end and len(cell.workers) > stay + 1 and not promises.broken:
+        promises.calm_since = float("inf")
+        trouble.lose_workers(trouble.random.uniform(0.5, 5.0))
+        promises.calm_since = time.monotonic()
+        time.sleep(trouble.random.uniform(0.5, 4.0))
+
+
+def note_leaders(cell, trouble, promises, stopping):
+    """A new term's leader has to wait for the longest lease again: what stands still is counted from its first second."""
+    known = None
+    while not stopping.wait(LEADER_LOOK_S):
+        process = cell.leader()
+        term = TERM.search(cell.metrics(process)) if process else None
+        if term and (process, term.group(1)) != known:
+            known, promises.led_since = (process, term.group(1)), time.monotonic()
+            trouble.note("process %s leads in term %s" % known)
+
+
 def acknowledge(cell, trouble, promises, kind):
     """Brings about one acknowledgement of that kind."""
     trouble.note("acknowledged: " + kind)
@@ -215,18 +242,21 @@
         client.cancel(client.names[0])
 
 
-def play(cell, promises, seed, seconds, calm, poison):
+def play(cell, promises, chosen):
     """Trouble for so long; then all has to be done."""
     borne = (len(cell.cores) - 1) // 2
-    trouble = Trouble(cell, seed, borne)
-    clients = [Client(n, cell, promises, seed) for n in range(CLIENTS)]
+    trouble = Trouble(cell, chosen.seed, borne)
+    clients = [Client(n, cell, promises, chosen.seed) for n in range(CLIENTS)]
     for client in clients:
-        client.poison_share = POISON_SHARE if poison else 0.0
-    operator = Operator(cell, promises, seed)
+        client.poison_share = POISON_SHARE if chosen.poison else 0.0
+    operator = Operator(cell, promises, chosen.seed)
     for thread in clients + [operator]:
         thread.start()
-    end = time.monotonic() + seconds
-    if calm:
+    end, over = time.monotonic() + chosen.seconds, threading.Event()
+    if chosen.gone:
+        threading.Thread(target=note_leaders, args=(cell, trouble, promises, over), daemon=True).start()
+        strike_as_workers_go(cell, trouble, promises, end, chosen.workers)
+    elif chosen.calm:
         strike_after_acknowledgements(cell, trouble, promises, end)
     else:
         strike_in_series(trouble, promises, end)
@@ -238,6 +268,7 @@
         thread.stopping.set()
         thread.join(20)
     settle(cell, promises)
+    over.set()
     promises.check_cancelled()
     promises.check_starts()
     return trouble.log
@@ -265,7 +296,7 @@
         promises.fail("%s was accepted and is not done: %s" % (name, cell.ask("GET", name)))
     status, held = call(cell.operator_addresses()[0], "GET", "/walkthread/config", timeout=3)
     if status != 200 or held["version"] < promises.versions_acked:
-        promises.fail("the configuration at the end is %s, not %d" % (held and held["version"], promises.versions_acked))
+        promises.fail("the configuration at the end is %s %s, not %d" % (status, held, promises.versions_acked))
 
 
 def main():
@@ -278,14 +309,17 @@
     options.add_argument("--workers", type=int, default=6)
     options.add_argument("--calm", action="store_true")
     options.add_argument("--poison", action="store_true")
+    options.add_argument("--gone", action="store_true")
     options.add_argument("--keep")
     chosen = options.parse_args()
-    cell = SoakCell(chosen.build, chosen.cores, chosen.edges, chosen.workers, run_seconds=0.3)
+    workers = chosen.workers + (GOERS if chosen.gone else 0)
+    cell = SoakCell(chosen.build, chosen.cores, chosen.edges, workers, run_seconds=0.3)
     promises, log = Promises(cell), []
+    promises.stands_s = STANDS_S if chosen.gone else promises.stands_s
     try:
         wait_for(lambda: cell.configure(), 30)
         wait_for(lambda: cell.ask("GET")[0] == 200, 30)
-        log = play(cell, promises, chosen.seed, chosen.seconds, chosen.calm, chosen.poison)
+        log = play(cell, promises, chosen)
     except AssertionError as error:
         promises.fail("the cell did not form: %s" % error)
     finally:
--- a/tests/soak/trouble.py
+++ b/tests/soak/trouble.py
@@ -9,6 +9,8 @@
 
 from platform_cell import loopback
 
+WAYS_TO_GO = ["its process ends", "its machine falls silent", "it said that it leaves"]
+
 
 class Trouble:
     """Faults from the seed. At most as many disks are away at a time as the cell bears."""
@@ -188,6 +190,37 @@
             time.sleep(hold)
             self.cell.faults.set_silent(links, False)
 
+    def lose_workers(self, hold):
+        """Workers go for good at about the moment at which the leader, or all of the core, is struck."""
+        how, count = self.random.choice(WAYS_TO_GO), self.random.randint(1, 2)
+        first, apart = self.random.random() < 0.5, self.random.uniform(0.0, 0.5)
+        core = threading.Thread(target=self.random.choice([self.strike_leader, self.strike_leader, self.all_down]), args=(hold,))
+        going = sorted(self.cell.workers, key=lambda w: -len(w.running))[:count]
+        if how == "it said that it leaves":
+            for worker in going:
+                worker.draining = True
+                worker.report()
+        if not first:
+            core.start()
+        time.sleep(apart)
+        for worker in going:
+            self.go_for_good(worker, how)
+        if first:
+            core.start()
+        core.join()
+
+    def go_for_good(self, worker, how):
+        self.note("worker %s goes for good with %d runs: %s" % (worker.life, len(worker.running), how))
+        self.cell.workers.remove(worker)
+        self.cell.leavers.append(worker)
+        proxy = self.cell.proxies[worker.server.address]
+        if how == "its machine falls silent":
+            worker.quiet_until = float("inf")
+            proxy.fall_silent()
+        else:
+            worker.go_down()
+            proxy.refuse()
+
     def hush(self, hold):
         worker = self.random.choice(self.cell.workers)
         self.note("worker %s leaves orders unanswered for %.2f s" % (worker.life, hold))
@@ -199,12 +232,15 @@
             if self.away & set(self.cell.cores):
                 return
             self.away |= set(self.cell.cores)
+        self.all_down(min(hold, 1.0))
+        time.sleep(4.0)
+        with self.lock:
+            self.away -= set(self.cell.cores)
+
+    def all_down(self, hold):
         self.note("kill all replicas")
         for number in self.cell.cores:
             self.cell.kill(number)
-        time.sleep(min(hold, 1.0))
+        time.sleep(hold)
         for number in self.cell.cores:
             self.cell.start(number)
-        time.sleep(4.0)
-        with self.lock:
-            self.away -= set(self.cell.cores)
