A worker is given up by a look that was sent once its lease was over, while others are heard

What callers would see: done work that starts twice (TWICE), found by a review of the mend before it landed. Causes: any one failure since a worker was heard doubted it until the lease was over, also where nothing could be asked later; and the first worker that answered behind a cut of the leader let all others be given up before their own looks came back.

Mend (keep_reason): the look that tells against a worker is sent after every lease that there may be is over, in a spell in which the leader hears workers, and some worker is heard behind it; where all others rest, one of them is asked. The log line and the decision use the same function. A worker that is gone is dropped about one look later.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -17,6 +17,7 @@
 #include <walkthread/dispatch/advice_book.hpp>
 #include <walkthread/dispatch/candidate.hpp>
 #include <walkthread/dispatch/host_table.hpp>
+#include <walkthread/dispatch/keep_reason.hpp>
 #include <walkthread/dispatch/lost_runs.hpp>
 #include <walkthread/dispatch/objective.hpp>
 #include <walkthread/dispatch/orders.hpp>
@@ -113,7 +114,6 @@
     void note_waiting_step(const step_ref& ref, const submission& owner, wall_ms waited_ms,
                            monotonic_time now);
     void note_unheard(monotonic_time now);
-    [[nodiscard]] std::string_view why_kept(const worker_view& view, monotonic_time now) const;
     void note_waiting_gang(monotonic_time now, wall_ms wall);
     void stop_unwanted(monotonic_time now);
     void propose_starts(const candidate& item, const std::vector<planned_start>& starts,
@@ -230,6 +230,8 @@
     void look_at(worker_view& view, monotonic_time now);
     [[nodiscard]] bool may_rest(const worker_view& view) const;
     void rest(worker_view& view, monotonic_time now) const;
+    [[nodiscard]] duration longest_quiet() const;
+    void ask_a_resting_worker(monotonic_time now);
     static void end_rest(worker_view& view, monotonic_time now);
     void note_look(const worker_view& view, bool lost, monotonic_time now);
     [[nodiscard]] bool looks_get_lost() const
@@ -263,7 +265,7 @@
     void take_start(worker_life_id worker, const run_ref& run, const order_answer& answer,
                     monotonic_time now);
     void take_unsent_start(worker_view& view, const run_ref& run, monotonic_time now);
-    static void note_no_connection(worker_view& view, order_outcome outcome, monotonic_time now);
+    static void note_unsent_call(worker_view& view, order_outcome outcome, monotonic_time now);
     void send_stop(worker_view& view, const run_ref& run, monotonic_time now);
     void take_stop(worker_life_id worker, const run_ref& run, const order_answer& answer, monotonic_time now);
     void retry_orders(monotonic_time now);
@@ -303,7 +305,7 @@
     monotonic_time m_tidy_due{};
     monotonic_time m_waiting_due{}; ///< when what waits for longest is told of next
     std::size_t m_unheard_runs = 0; ///< on workers that were not heard for longer than a lease
-    monotonic_time m_last_heard{};  ///< when any worker answered a look last
+    hearing_spell m_hearing;
     monotonic_time m_review_due{};
     monotonic_time m_full_due{};                   ///< when steps that are not urgent are looked at again
     double m_lost_looks = 0.0;                     ///< part of the last looks that got no answer
--- a/include/walkthread/dispatch/worker_contact.hpp
+++ b/include/walkthread/dispatch/worker_contact.hpp
@@ -4,12 +4,13 @@
 /// @brief What calls to one worker's life tell of whether it can be reached.
 ///
 /// Two questions about a call without an answer have different answers: whether it may have been carried out
-/// (`never_left`), and whether the worker can be reached (here). That this process had no connection for a
-/// call answers neither.
+/// (`never_left`), and whether the worker can be reached (here). `not_sent` says that the call was not
+/// carried out, and nothing of the worker.
 /// @since 0.7
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 
 #include <walkthread/dispatch/orders.hpp>
 #include <walkthread/units/time.hpp>
@@ -22,7 +23,7 @@
 {
     std::uint32_t not_sent{};    ///< for want of a connection here, or of time
     std::uint32_t unreachable{}; ///< the address took no connection
-    std::uint32_t unanswered{};  ///< sent, and no answer that counts
+    std::uint32_t unconfirmed{}; ///< sent, and no answer came that counts
 };
 
 /// @brief When a worker was last heard, and what has failed since.
@@ -41,6 +42,7 @@
     {
         m_heard = now;
         m_doubted = false;
+        m_asked_in_vain.reset();
         m_failed = {};
     }
     /// @brief A call to it got no answer that counts.
@@ -49,13 +51,22 @@
     {
         ++(outcome == order_outcome::not_sent      ? m_failed.not_sent
            : outcome == order_outcome::unreachable ? m_failed.unreachable
-                                                   : m_failed.unanswered);
+                                                   : m_failed.unconfirmed);
         if (outcome != order_outcome::not_sent && !m_doubted)
         {
             m_doubted = true;
             m_doubted_since = now;
         }
     }
+    /// @brief A look at it got no answer that counts. @param sent when it went out
+    void note_failed_look(order_outcome outcome, monotonic_time sent, monotonic_time now)
+    {
+        note_failure(outcome, now);
+        if (outcome != order_outcome::not_sent)
+        {
+            m_asked_in_vain = std::max(m_asked_in_vain.value_or(sent), sent);
+        }
+    }
     /// @brief It is not asked before `until`, on purpose, and counts as heard meanwhile.
     void rest(monotonic_time until)
     {
@@ -67,6 +78,10 @@
         m_rests_until = std::min(m_rests_until, now);
     }
 
+    [[nodiscard]] bool rests(monotonic_time now) const
+    {
+        return m_rests_until > now;
+    }
     [[nodiscard]] monotonic_time heard() const
     {
         return m_heard;
@@ -87,6 +102,11 @@
     {
         return m_doubted_since;
     }
+    /// @brief When the newest look that tells against it had been sent; nothing since it was heard.
+    [[nodiscard]] std::optional<monotonic_time> asked_in_vain() const
+    {
+        return m_asked_in_vain;
+    }
     /// @brief What has failed since it was last heard.
     [[nodiscard]] const failed_calls& failed() const
     {
@@ -97,6 +117,7 @@
     monotonic_time m_heard{};
     monotonic_time m_rests_until{};
     monotonic_time m_doubted_since{};
+    std::optional<monotonic_time> m_asked_in_vain;
     bool m_doubted = false;
     failed_calls m_failed;
 };
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -46,9 +46,14 @@
     int start_tries = 3;             ///< unanswered ones before the run is stopped instead
     int unsent_tries = 3;            ///< orders that could not be sent before the task goes elsewhere
     milliseconds suspect_after{1300}; ///< unheard for that long: nothing new is placed there
-    milliseconds ticket_margin{150};  ///< a ticket is not used that shortly before its end: commit and way
-    milliseconds advice_gap{60};      ///< least time between two questions for one step
-    milliseconds advice_retry{250};   ///< after a question without an answer
+    /// @brief Unheard for that long, a worker is silent: it gets only questions.
+    [[nodiscard]] duration silent_after() const
+    {
+        return suspect_after + look_wait;
+    }
+    milliseconds ticket_margin{150}; ///< a ticket is not used that shortly before its end: commit and way
+    milliseconds advice_gap{60};     ///< least time between two questions for one step
+    milliseconds advice_retry{250};  ///< after a question without an answer
     outlook_bounds outlooks{};
     milliseconds full_pass_gap{20}; ///< between passes over steps that are not urgent: their objectives are
                                     ///< seconds, and such a pass costs most of the leader's time
--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -149,7 +149,7 @@
     }
     if (never_left(answer.outcome))
     {
-        note_no_connection(*view, answer.outcome, now);
+        note_unsent_call(*view, answer.outcome, now);
         take_unsent_start(*view, run, now);
         return;
     }
@@ -307,13 +307,13 @@
     }
     if (never_left(answer.outcome))
     {
-        note_no_connection(*view, answer.outcome, now);
+        note_unsent_call(*view, answer.outcome, now);
     }
     known.stop_retry = now + stop_retry;
 }
 
 // A refused connection tells of the worker, whatever it was for; a look is to confirm or to clear it.
-void dispatcher::note_no_connection(worker_view& view, order_outcome outcome, monotonic_time now)
+void dispatcher::note_unsent_call(worker_view& view, order_outcome outcome, monotonic_time now)
 {
     view.contact.note_failure(outcome, now);
     if (outcome == order_outcome::unreachable)
@@ -326,7 +326,7 @@
 {
     for (auto& [id, view] : m_views)
     {
-        const bool silent = view.contact.unheard_for(now) > m_settings.suspect_after + m_settings.look_wait;
+        const bool silent = view.contact.unheard_for(now) > m_settings.silent_after();
         std::vector<run_ref> again;
         for (auto& [run, known] : view.runs)
         {
--- a/src/dispatch/dispatcher_unheard.cpp
+++ b/src/dispatch/dispatcher_unheard.cpp
@@ -9,28 +9,6 @@
 namespace walkthread
 {
 
-// Why an unheard worker's runs still count as running.
-std::string_view dispatcher::why_kept(const worker_view& view, monotonic_time now) const
-{
-    if (view.gone)
-    {
-        return "its drop waits for the commit";
-    }
-    if (!view.contact.doubted())
-    {
-        return "no call has told of it";
-    }
-    if (m_last_heard <= view.contact.doubted_since())
-    {
-        return "no worker is heard";
-    }
-    if (!view.lease_surely_over(now, m_settings.clock_drift))
-    {
-        return "its lease may hold";
-    }
-    return "it is given up next";
-}
-
 // One line a second at most: the worker with runs that has been unheard for longest.
 void dispatcher::note_unheard(monotonic_time now)
 {
@@ -56,14 +34,14 @@
     const failed_calls& failed = longest->contact.failed();
     note(now, "worker_unheard", worker.facts.id,
          {{"unheard_ms", longest->contact.unheard_for(now)},
-          {"kept_as", why_kept(*longest, now)},
+          {"kept_as", name_of(why_kept(*longest, m_hearing, now, m_settings))},
           {"runs", worker.occupied.size()},
           {"run", name_of(worker.occupied.begin()->first)},
           {"runs_on_unheard_workers", m_unheard_runs},
           {"answered_this_leader", longest->answered},
           {"not_sent", failed.not_sent},
           {"unreachable", failed.unreachable},
-          {"unanswered", failed.unanswered}});
+          {"unconfirmed", failed.unconfirmed}});
 }
 
 } // namespace walkthread
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -53,7 +53,7 @@
     order.last_seen = worker->listed_up_to;
     // A worker that may hear us while we do not hear it must lose its lease some time: then only a question
     // goes.
-    const bool silent = view.contact.unheard_for(now) > m_settings.suspect_after + m_settings.look_wait;
+    const bool silent = view.contact.unheard_for(now) > m_settings.silent_after();
     if (view.clock_known && !silent)
     {
         order.until_ms = view.grant(now, std::min(m_settings.lease, m_settings.lease_cap));
@@ -79,7 +79,7 @@
 // Only workers that live tell how many looks get lost.
 void dispatcher::note_look(const worker_view& view, bool lost, monotonic_time now)
 {
-    const bool lives = view.contact.unheard_for(now) < m_settings.suspect_after + m_settings.look_wait;
+    const bool lives = view.contact.unheard_for(now) < m_settings.silent_after();
     if (lives)
     {
         m_lost_looks += look_weight * ((lost ? 1.0 : 0.0) - m_lost_looks);
@@ -116,7 +116,7 @@
     {
         // A connection that breaks may be all that is wrong: the next look tells, at once the first time.
         const bool at_once = lost && (looks_get_lost() || !view->contact.doubted());
-        view->contact.note_failure(answer.outcome, now); // a look that is refused renews no lease either
+        view->contact.note_failed_look(answer.outcome, sent, now); // a refused one renews no lease either
         view->look_due = at_once ? now : now + m_settings.look_retry;
         return;
     }
@@ -132,7 +132,7 @@
     }
     view->look_due = now;
     view->contact.note_answer(now);
-    m_last_heard = now;
+    m_hearing.note_answer(now, longest_quiet());
     view->answered_look = std::max(view->answered_look, sent);
     view->note_clock(answer.clock_ms, now);
     take_runs(*view, answer, now);
@@ -383,19 +383,20 @@
 
 void dispatcher::drop_lost(monotonic_time now)
 {
+    bool seeks_answer = false;
     for (auto& [id, view] : m_views)
     {
-        // Whoever was not asked, as this process had no connection or no time, has only not been heard: given
-        // up, its work would start again although it may be done. A leader that hears nobody is cut off
-        // itself.
-        const bool others_heard = m_last_heard > view.contact.doubted_since();
-        const bool silent = view.contact.doubted() && others_heard &&
-                            view.contact.unheard_for(now) > m_settings.suspect_after + m_settings.look_wait;
-        if (!view.gone && silent && view.lease_surely_over(now, m_settings.clock_drift))
+        const keep_reason kept = why_kept(view, m_hearing, now, m_settings);
+        seeks_answer = seeks_answer || kept == keep_reason::nobody_heard;
+        if (kept == keep_reason::none)
         {
             drop_worker_life(view, "its lease is over", false, now);
         }
     }
+    if (seeks_answer)
+    {
+        ask_a_resting_worker(now);
+    }
 }
 
 // A life that is replaced is over for good: a report of it that comes late does not bring it back.
--- a/src/dispatch/host_reason.cpp
+++ b/src/dispatch/host_reason.cpp
@@ -18,7 +18,7 @@
     {
         return host_reason::unreported;
     }
-    if (view.contact.unheard_for(now) >= settings.suspect_after + settings.look_wait)
+    if (view.contact.unheard_for(now) >= settings.silent_after())
     {
         return host_reason::silent;
     }
--- /dev/null
+++ b/src/dispatch/keep_reason.cpp
@@ -0,0 +1,40 @@
+#include <walkthread/dispatch/keep_reason.hpp>
+
+#include <array>
+
+namespace walkthread
+{
+
+std::string_view name_of(keep_reason reason)
+{
+    constexpr std::array<std::string_view, 6> names{
+        "nothing, it is given up next", "it was heard lately", "its drop waits for the commit",
+        "no call has told of it",       "its lease may hold",  "no other worker is heard"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+keep_reason why_kept(const worker_view& view, const hearing_spell& hearing, monotonic_time now,
+                     const dispatch_settings& settings)
+{
+    if (view.gone)
+    {
+        return keep_reason::drop_under_way;
+    }
+    if (view.contact.unheard_for(now) <= settings.silent_after())
+    {
+        return keep_reason::heard;
+    }
+    const std::optional<monotonic_time> asked = view.contact.asked_in_vain();
+    if (!asked)
+    {
+        return keep_reason::untold;
+    }
+    if (!view.lease_surely_over(*asked, settings.clock_drift))
+    {
+        return keep_reason::lease_may_hold;
+    }
+    const bool others_heard = *asked >= hearing.since() && hearing.last() > *asked;
+    return others_heard ? keep_reason::none : keep_reason::nobody_heard;
+}
+
+} // namespace walkthread
