A run of which no order ever left is taken back although its worker is silent

Cause, of the same class: an order that found no connection was neither sent again nor taken back once its worker was silent for other reasons, so the task waited for a worker that was never told of it.

--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -336,7 +336,8 @@
             }
             const bool open = !known.settled && !known.inherited && !known.carried &&
                               !known.order_in_flight && !known.stopping && !known.ending;
-            if (open && !silent && now - known.sent >= m_settings.order_retry)
+            const bool bound = silent && known.tries > 0; // what may run there waits for the worker
+            if (open && !bound && now - known.sent >= m_settings.order_retry)
             {
                 again.push_back(run);
             }
@@ -349,7 +350,7 @@
             const bool sendable = known.tries > 0
                                       ? known.tries < m_settings.start_tries
                                       : known.unsent > 0 && known.unsent < m_settings.unsent_tries;
-            const bool again_now = sendable && may_still_start(view, run);
+            const bool again_now = sendable && !silent && may_still_start(view, run);
             if (again_now)
             {
                 send_start(id, run, now);
