Names and comments that a newcomer stumbled over; a machine without a network tells nothing of its peers

A local of lost_runs shadowed never_left with another meaning; the head comment of unit-fleet-connections told history that no longer holds. ENETUNREACH and ENETDOWN are this machine's own trouble, like a want of descriptors. unit-fabric, unit-lost-workers green.

--- a/src/dispatch/lost_runs.cpp
+++ b/src/dispatch/lost_runs.cpp
@@ -47,9 +47,9 @@
     std::vector<lost_run> out;
     for (const auto& [run, known] : view.runs)
     {
-        const bool never_left = known.tries == 0 && !known.settled && !known.inherited;
+        const bool no_order_left = known.tries == 0 && !known.settled && !known.inherited;
         const bool blamed_before = known.carried && !known.listed; // for the end of the life before
-        if (never_left || blamed_before)
+        if (no_order_left || blamed_before)
         {
             continue;
         }
--- a/src/fabric/web_client.cpp
+++ b/src/fabric/web_client.cpp
@@ -32,7 +32,9 @@
 bool lacks_resources(const beast::error_code& failed)
 {
     return failed == asio::error::no_descriptors || failed == asio::error::no_buffer_space ||
-           failed == asio::error::no_memory || failed == boost::system::errc::too_many_files_open_in_system ||
+           failed == asio::error::no_memory || failed == asio::error::network_unreachable ||
+           failed == asio::error::network_down ||
+           failed == boost::system::errc::too_many_files_open_in_system ||
            failed == boost::system::errc::address_not_available;
 }
 
--- a/tests/src/unit-fleet-connections.cpp
+++ b/tests/src/unit-fleet-connections.cpp
@@ -8,13 +8,8 @@
 using namespace walkthread;
 using namespace walkthread::test;
 
-// At 300 machines of our own and 3,000 workers the leader had connections for looks at 1,159 of them. Each
-// look waited for an end and kept one, so every look took a connection away from another worker: up to 1,800
-// were opened a second, and the processor of the leader was used up by them. Workers that had not been asked
-// for as long as a lease lasts were given up although nothing was wrong with them, and work that had ended
-// there was started again. Two things settled it: a worker is given up only after a look that was sent got no
-// answer, and where there are more workers than connections, those that have no work are asked seldom and
-// without waiting.
+// Where there are more workers than connections, a look takes one away from another worker. Workers that
+// could not be asked for that are not given up, and those without work keep no connection.
 
 namespace
 {
