A step that was lost with its host starts again at once, on as few hosts as before

Suspects went one to a host, with 700 ms between two on the same host; the advisor was asked for room for ten tasks, which five hosts have, and names two good ones. So one to three tasks started every 0.7 s, and a new question went out only once some ticket was over (1.4 s).

Suspects are kept apart so that two of them do not share the blame until both are given up. Tasks of one submission share none, as it is given up as a whole; they need not be apart. Now only suspects of other submissions are kept apart.

--- a/include/walkthread/dispatch/suspect_watch.hpp
+++ b/include/walkthread/dispatch/suspect_watch.hpp
@@ -4,7 +4,8 @@
 /// @brief Keeps tasks that may crash their hosts apart from each other and from other work.
 ///
 /// Two tasks that are lost with one host and started together again share the blame each time, until both are
-/// given up, of which one is innocent.
+/// given up, of which one is innocent. Tasks of one submission share none, as it is given up as a whole: they
+/// need not be kept apart from each other, and a step that was lost whole starts again at once.
 /// @since 0.4
 
 #include <map>
@@ -28,19 +29,25 @@
     /// @brief Whether a task is to be started apart. Complexity: logarithmic in the suspects.
     [[nodiscard]] bool suspects(const task_ref& task) const;
     /// @brief A suspect is about to be started there.
-    void note_start(worker_life_id worker, monotonic_time now);
+    void note_start(worker_life_id worker, submission_id owner, monotonic_time now);
     /// @brief A run of it was lost with its host.
     void note_loss(const task_ref& task, monotonic_time now);
     /// @brief Whether a task waits until it is known whether its last hosts crashed or were cut off: after
     /// the third loss, longer after each one more. Complexity: logarithmic in the suspects.
     [[nodiscard]] bool rests(const task_ref& task, monotonic_time now) const;
-    /// @brief Whether a suspect was started there just now.
-    [[nodiscard]] bool watches(worker_life_id worker, monotonic_time now) const;
+    /// @brief Whether a suspect of another submission than `owner` was started there just now.
+    [[nodiscard]] bool watches(worker_life_id worker, submission_id owner, monotonic_time now) const;
 
   private:
+    struct watch
+    {
+        submission_id owner{}; ///< of the suspect that was started last
+        monotonic_time until{};
+    };
+
     const crash_ledger& m_crashes;
     duration m_lasts;
-    std::map<worker_life_id, monotonic_time> m_until;
+    std::map<worker_life_id, watch> m_watches;
     std::map<task_ref, monotonic_time> m_last_loss;
     monotonic_time m_pruned{}; ///< when old entries of it were dropped last
 };
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -381,7 +381,7 @@
         m_planned[planned.task] = planned.worker;
         if (m_suspects.suspects(planned.task))
         {
-            m_suspects.note_start(planned.worker, now);
+            m_suspects.note_start(planned.worker, item.ref.submission, now);
         }
     }
     note(now, "starts_planned", name_of(item.ref),
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -234,7 +234,7 @@
     o.held = o.room != row.free;
     o.keeps_large =
         o.slots == 0 || !uses(mechanism::large_slots) || keeps_large_slots(o.room, room_of(*item.step));
-    o.watched = uses(mechanism::suspects_apart) && m_suspects.watches(row.worker->id, now);
+    o.watched = uses(mechanism::suspects_apart) && m_suspects.watches(row.worker->id, item.ref.submission, now);
     o.disturbs = (item.step->fills && row.view->serving > 0) ||
                  (item.step->latency_target_ms > 0 && row.view->filling > 0);
     return o;
@@ -349,8 +349,8 @@
     return offers;
 }
 
-// Tasks that may crash their hosts go one to a host, where the least is lost. Counts those without room; true
-// if one has to wait for another reason.
+// Tasks that may crash their hosts go where the least is lost, apart from those of other submissions. Counts
+// those without room; true if one has to wait for another reason.
 bool dispatcher::plan_suspects(const candidate& item, std::vector<offer>& offers,
                                std::vector<planned_start>& starts, std::vector<std::string>& tickets,
                                std::uint32_t& left, monotonic_time now) const
@@ -383,7 +383,6 @@
         if (best != nullptr)
         {
             --best->slots;
-            best->watched = true;
             starts.push_back({ref, tasks[i].run + 1, best->worker->id});
             tickets.emplace_back(best->ticket);
         }
--- a/src/dispatch/suspect_watch.cpp
+++ b/src/dispatch/suspect_watch.cpp
@@ -21,14 +21,14 @@
     return against != nullptr && (against->blame >= blame::crowd || against->unproven > 1);
 }
 
-void suspect_watch::note_start(worker_life_id worker, monotonic_time now)
+void suspect_watch::note_start(worker_life_id worker, submission_id owner, monotonic_time now)
 {
-    std::erase_if(m_until,
+    std::erase_if(m_watches,
                   [now](const auto& item)
                   {
-                      return item.second <= now;
+                      return item.second.until <= now;
                   });
-    m_until[worker] = now + m_lasts;
+    m_watches[worker] = {owner, now + m_lasts};
 }
 
 void suspect_watch::note_loss(const task_ref& task, monotonic_time now)
@@ -62,10 +62,10 @@
     return now - lost->second < first_rest * (1U << doublings);
 }
 
-bool suspect_watch::watches(worker_life_id worker, monotonic_time now) const
+bool suspect_watch::watches(worker_life_id worker, submission_id owner, monotonic_time now) const
 {
-    const auto found = m_until.find(worker);
-    return found != m_until.end() && now < found->second;
+    const auto found = m_watches.find(worker);
+    return found != m_watches.end() && found->second.owner != owner && now < found->second.until;
 }
 
 } // namespace walkthread
--- a/tests/src/unit-crash-loops.cpp
+++ b/tests/src/unit-crash-loops.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "crash_day.hpp"
+#include "standstill_check.hpp"
 
 using namespace walkthread;
 using namespace walkthread::test;
@@ -74,6 +75,25 @@
     day.check_ordinary_completed();
 }
 
+// Its tasks were started one to a host, with a pause for each host that the advisor had named.
+BOOST_AUTO_TEST_CASE(a_step_that_was_lost_with_its_host_starts_again_at_once)
+{
+    const standstill_bounds bounds;
+    crash_day day(24);
+    const submission_id id = day.pool.submit("batch", {make_step(10, 980, 5000)});
+    day.pool.run(milliseconds(300));
+    const task_ref first{{id, round_id{0}, 0}, 0};
+    const worker_life_id there = day.pool.state().find(first)->worker;
+    BOOST_REQUIRE(day.pool.state().find(there)->occupied.size() == 10U);
+    day.pool.crash(day.pool.state().find(there)->facts.id, "next");
+    day.pool.run(bounds.drop_and_commit + bounds.question + bounds.start);
+    for (std::uint32_t index = 0; index < 10; ++index)
+    {
+        BOOST_TEST(day.pool.starts_of({first.step, index}) == 2U);
+    }
+    BOOST_TEST(day.pool.state().crashes().suspects().size() == 10U);
+}
+
 // What lasts runs until it is cancelled, whatever becomes of its hosts.
 BOOST_AUTO_TEST_CASE(a_lasting_task_is_not_given_up)
 {
