A task that was lost twice is started apart, also when one loss is proven and one is not

A task counted as a suspect with a blame of 8 or with two unproven losses, so with one of each it was not one, and was started a third time beside the task that crashes. Now two losses of any kind make it a suspect; one still does not, as a rack that crashes leaves dozens of such tasks.

--- a/include/walkthread/workload/crash_ledger.hpp
+++ b/include/walkthread/workload/crash_ledger.hpp
@@ -62,6 +62,11 @@
     std::uint32_t unproven{}; ///< losses with hosts that may have crashed or be cut off
     MSGPACK_DEFINE(crashes, unclear, blame, unproven)
 
+    /// @brief Hosts that were lost with a run of it, whatever became of them.
+    [[nodiscard]] std::uint32_t losses() const
+    {
+        return crashes + unclear + unproven;
+    }
     /// @brief Whether that is enough to give the task up.
     [[nodiscard]] bool convicts() const
     {
--- a/src/dispatch/suspect_watch.cpp
+++ b/src/dispatch/suspect_watch.cpp
@@ -14,11 +14,11 @@
 constexpr milliseconds longest_rest = first_rest * (1U << most_doublings);
 } // namespace
 
-// What only stood beside a crash is started like other work: a crash of a rack leaves dozens of such tasks.
+// What only stood beside one crash is started like other work: a crash of a rack leaves dozens of such tasks.
 bool suspect_watch::suspects(const task_ref& task) const
 {
     const suspicion* against = m_crashes.find(task);
-    return against != nullptr && (against->blame >= blame::crowd || against->unproven > 1);
+    return against != nullptr && (against->blame >= blame::crowd || against->losses() > 1);
 }
 
 void suspect_watch::note_start(worker_life_id worker, submission_id owner, monotonic_time now)
@@ -53,7 +53,7 @@
     {
         return false;
     }
-    const std::uint32_t losses = against->crashes + against->unclear + against->unproven;
+    const std::uint32_t losses = against->losses();
     if (losses < losses_without_rest)
     {
         return false;
