A member of a gang that broke is not blamed for a later crash of its host

That host's look tells of the first of them and the next look waits for the commit; the host crashes meanwhile. The others counted as running, so their submission got the whole blame of a crash (22 of 30) that it had no part in, and the next real crash convicted it.

A host that tells of one member of a gang's run as broken has ended the others too. They go with the host as before (their checkpoints are kept), and nothing is held against them. An end as broken on another host excuses nobody: the member that crashed its host breaks its gang elsewhere as well.

--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -150,12 +150,18 @@
     bool reported{};          ///< to this leader; before that only the log tells whether it leaves
     bool start_noted{};       ///< a start before its first report here was written to the log
     std::map<run_ref, run_view> runs;
+    std::map<step_ref, std::uint32_t> broken_gangs; ///< runs of gangs that ended here for want of a member
     std::map<run_ref, monotonic_time> late_starts; ///< orders that got no answer, by when that was clear
 
     /// @brief Notes the worker's clock as read by it no later than `now`.
     void note_clock(std::int64_t ms, monotonic_time now);
     /// @brief About the worker's clock now.
     [[nodiscard]] std::int64_t clock_now(monotonic_time now) const;
+    /// @brief A run of a gang ended here, as another member was lost: so do its other members here.
+    void note_broken_gang(const run_ref& run);
+    /// @brief Whether a run has ended here for that reason, as far as the host has told. Complexity:
+    /// logarithmic in the gangs that broke here.
+    [[nodiscard]] bool broke_with_gang(const run_ref& run) const;
     /// @brief The lease end to ask for, on the worker's clock; remembered as granted.
     std::int64_t grant(monotonic_time now, milliseconds lease);
     /// @brief Takes over what a former life under the same id was told to run: an order for that life may
--- a/include/walkthread/workload/crash_ledger.hpp
+++ b/include/walkthread/workload/crash_ledger.hpp
@@ -50,7 +50,8 @@
     bool began{};           ///< it surely did
     std::uint32_t blame{};  ///< its share, if the host has crashed
     std::string checkpoint; ///< the newest known; empty for none
-    MSGPACK_DEFINE(run, began, blame, checkpoint)
+    bool over{};            ///< it had ended by then, so that nothing is held against it
+    MSGPACK_DEFINE(run, began, blame, checkpoint, over)
 };
 
 /// @brief What there is against a task.
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -346,6 +346,10 @@
         return;
     }
     const step_spec& step = *spec;
+    if (end.how == run_end::broken)
+    {
+        view.note_broken_gang(end.run);
+    }
     if (end.how == run_end::completed)
     {
         view.failures_in_row = 0;
@@ -430,6 +434,7 @@
         note(now, "run_lost", name_of(item.run),
              {{"worker", m_state.find(view.id)->facts.id},
               {"began", item.began},
+              {"over", item.over},
               {"inherited", known.inherited},
               {"sent_before_last_word_ms", view.contact.heard() - known.sent},
               {"beside", lost.size() - 1},
--- a/src/dispatch/lost_runs.cpp
+++ b/src/dispatch/lost_runs.cpp
@@ -39,7 +39,7 @@
     std::set<submission_id> just_begun;
     for (const auto& [run, known] : view.runs)
     {
-        if (young(known))
+        if (young(known) && !view.broke_with_gang(run))
         {
             just_begun.insert(run.task.step.submission);
         }
@@ -53,13 +53,18 @@
         {
             continue;
         }
+        if (view.broke_with_gang(run))
+        {
+            out.push_back({run, false, blame::least, known.checkpoint, true});
+            continue;
+        }
         std::uint32_t share = young(known) ? share_of_each(just_begun.size()) : blame::least;
         if (just_begun.empty() && view.runs.size() == 1 && known.settled)
         {
             share = blame::crowd;
         }
         const bool was_there = known.settled && lost_at - *known.settled <= run_time(run);
-        out.push_back({run, was_there, share, known.checkpoint});
+        out.push_back({run, was_there, share, known.checkpoint, false});
     }
     return out;
 }
--- a/src/dispatch/worker_view.cpp
+++ b/src/dispatch/worker_view.cpp
@@ -29,6 +29,23 @@
     return clock_ms + to_ms(now - clock_at);
 }
 
+void worker_view::note_broken_gang(const run_ref& run)
+{
+    std::erase_if(broken_gangs,
+                  [this](const auto& item)
+                  {
+                      const auto there = runs.lower_bound(run_ref{task_ref{item.first, 0}, 0});
+                      return there == runs.end() || there->first.task.step != item.first;
+                  });
+    broken_gangs[run.task.step] = run.run;
+}
+
+bool worker_view::broke_with_gang(const run_ref& run) const
+{
+    const auto found = broken_gangs.find(run.task.step);
+    return found != broken_gangs.end() && found->second == run.run;
+}
+
 std::int64_t worker_view::grant(monotonic_time now, milliseconds lease)
 {
     const std::int64_t until = clock_now(now) + lease.count();
--- a/src/workload/crash_ledger.cpp
+++ b/src/workload/crash_ledger.cpp
@@ -15,6 +15,11 @@
 void crash_ledger::note_unheard(const std::string& host, const life_ref& life, std::vector<lost_run> lost)
 {
     static_cast<void>(take_crashed(host, life));
+    std::erase_if(lost,
+                  [](const lost_run& item)
+                  {
+                      return item.over;
+                  });
     if (lost.empty())
     {
         return;
@@ -71,6 +76,10 @@
 
 bool crash_ledger::accuse(const lost_run& lost, const std::string& host)
 {
+    if (lost.over)
+    {
+        return false;
+    }
     suspicion& against = m_suspects[lost.run.task];
     ++(lost.began ? against.crashes : against.unclear);
     against.blame += std::max(lost.blame, blame::least);
--- a/src/workload/workload_lives.cpp
+++ b/src/workload/workload_lives.cpp
@@ -48,7 +48,7 @@
             for (const auto& [run, room] :
                  m_workers[former].leaving ? std::map<run_ref, resources>{} : m_workers[former].occupied)
             {
-                crashed.push_back({run, false, blame::least, {}});
+                crashed.push_back({run, false, blame::least, {}, false});
             }
             retire(m_workers[former].facts.life());
             drop(at, former, {});
--- a/tests/src/unit-restarts.cpp
+++ b/tests/src/unit-restarts.cpp
@@ -315,6 +315,35 @@
     BOOST_TEST(pool.state().workers().size() == 2U);
 }
 
+// A gang was given up after one crash under its tasks: its other members had ended with it, and their host,
+// which crashed before it had told so of each, was held against them.
+BOOST_AUTO_TEST_CASE(a_member_of_a_gang_that_broke_is_not_blamed_for_a_later_crash_of_its_host)
+{
+    pool_settings settings = small(2);
+    settings.good_share = 1.0;
+    pool_stand_in pool(settings);
+    pool.lead();
+    pool.run(settled);
+    pool.submit("gangs", {make_step(6, 4500, 3000, true)});
+    pool.run(milliseconds(200));
+    std::vector<task_ref> broken;
+    for (const auto& [run, state] : pool.workers().at("w1").running)
+    {
+        broken.push_back(run.task);
+    }
+    BOOST_REQUIRE(broken.size() == 3U);
+    pool.restart("w0", milliseconds(500));
+    pool.run(milliseconds(5)); // one of them is told as broken, and waits for its commit
+    pool.restart("w1", milliseconds(500));
+    pool.run(milliseconds(700));
+    for (const task_ref& task : broken)
+    {
+        BOOST_TEST((pool.state().crashes().find(task) == nullptr), name_of(task));
+    }
+    pool.run(seconds(20));
+    check_unbroken(pool);
+}
+
 // A part of a pool restarts at once under a steady load. What ran there is started again, and the workers
 // have work again within half a second of their first report; the platform forbids nothing of that.
 BOOST_AUTO_TEST_CASE(restarted_workers_have_work_again_soon_at_every_size)
