A start without an answer is settled by looks that wait for nothing

Looks are not held back while some start there got no answer and is not settled, as was the case for runs of a former life already; they go out every 150 ms meanwhile.

The new test failed before.

--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -171,6 +171,8 @@
     [[nodiscard]] bool settles() const;
     /// @brief Whether stops that rule some of that out have no answer yet.
     [[nodiscard]] bool rules_out() const;
+    /// @brief Whether it is not known yet of some start that got no answer whether it was carried out.
+    [[nodiscard]] bool has_open_start() const;
     /// @brief Whether nothing can run there any more under any lease that was ever granted.
     [[nodiscard]] bool lease_surely_over(monotonic_time now, double drift) const;
 };
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -62,7 +62,9 @@
     const milliseconds wait = looks_get_lost() ? m_settings.short_look_wait
                               : shared         ? m_settings.sharing_look_wait
                                                : m_settings.look_wait;
-    order.wait_ms = view.answered && !view.settles() && !may_rest(view) ? wait.count() : 0;
+    // What an answer is to tell of is there already, where orders are open: only ends are worth a wait.
+    const bool waits = view.answered && !view.settles() && !view.has_open_start() && !may_rest(view);
+    order.wait_ms = waits ? wait.count() : 0;
     order.patience = looks_get_lost() ? m_settings.short_look_patience : m_settings.look_patience;
     view.look_in_flight = true;
     view.look_sent = now;
@@ -140,9 +142,9 @@
     take_ends(*view, answer, sent, now);
     rule_out_late_starts(*view, now);
     view->answered = true;
-    if (view->rules_out())
+    if (view->rules_out() || view->has_open_start())
     {
-        view->look_due = now + m_settings.look_retry; // the answers to the stops bring the next one forward
+        view->look_due = now + m_settings.look_retry; // the answers to the orders bring the next one forward
     }
     else if (!view->recording && may_rest(*view))
     {
--- a/src/dispatch/worker_view.cpp
+++ b/src/dispatch/worker_view.cpp
@@ -109,6 +109,16 @@
                        });
 }
 
+bool worker_view::has_open_start() const
+{
+    return std::any_of(late_starts.begin(), late_starts.end(),
+                       [this](const auto& item)
+                       {
+                           const auto found = runs.find(item.first);
+                           return found != runs.end() && !found->second.settled;
+                       });
+}
+
 bool worker_view::lease_surely_over(monotonic_time now, double drift) const
 {
     if (now < foreign_lease_end && (!answered || !late_starts.empty()))
--- a/tests/src/unit-lost-workers.cpp
+++ b/tests/src/unit-lost-workers.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "small_pool.hpp"
+#include "standstill_check.hpp"
 
 using namespace walkthread;
 using namespace walkthread::test;
@@ -146,3 +147,32 @@
     BOOST_TEST(pool.leader().counters().unsent_orders < 8U);
     check_unbroken(pool);
 }
+
+// A task waited for two looks, each held back for ends that did not come, as its start had got no answer.
+BOOST_AUTO_TEST_CASE(a_start_without_an_answer_is_settled_as_soon_as_its_worker_is_back)
+{
+    const standstill_bounds bounds;
+    pool_settings settings = small(2);
+    settings.good_share = 1.0;
+    pool_stand_in pool(settings);
+    pool.lead();
+    pool.run(seconds(1));
+    const submission_id id = pool.submit("batch", {make_step(1, 980, 1000)});
+    const task_ref task{{id, round_id{0}, 0}, 0};
+    const auto active = [&pool, &task]
+    {
+        const work_task* found = pool.state().find(task);
+        return found != nullptr && found->state() == work_phase::active;
+    };
+    while (!active())
+    {
+        pool.run(milliseconds(1));
+    }
+    const std::string life = pool.state().find(pool.state().find(task)->worker)->facts.id;
+    pool.faults(life).dark = true;
+    pool.run(milliseconds(2500)); // its ticket is over by then
+    BOOST_TEST_REQUIRE(pool.starts_of(task) == 0U);
+    pool.faults(life).dark = false;
+    pool.run(bounds.drop_and_commit + bounds.question + bounds.start);
+    BOOST_TEST(pool.starts_of(task) == 1U);
+}
