Two gangs get no reservation on the same free room

Two gangs that can start at once were offered the same room. What is reserved for the other is then taken off for each, so neither has enough, and both keep all others away.

Now the room on which an earlier gang is about to start is kept from later ones, as the first's is.

Ruled out: how many gangs gather at once (21 of those counted were whole reservations), the advisors (the questions of whole gangs take 0.45 to 0.6 s, their own time), the limits of organisations (`permitted` is above the gang's size).

unit-standstill, the new test: the first of two such gangs did not start within 3 s of the room's coming free, with the same questions over and over as in the play; it does now.

--- a/src/dispatch/dispatcher_gang_room.cpp
+++ b/src/dispatch/dispatcher_gang_room.cpp
@@ -74,7 +74,7 @@
     m_seeks_hosts.clear();
     std::map<pool_number, reservation_review> reviews;
     std::map<step_ref, room_hold> next;
-    std::map<step_ref, room_hold> firsts; // of each pool
+    std::map<step_ref, room_hold> kept; // the first of each pool, and those whose room is there
     std::size_t reviewed = 0;
     for (candidate& item : gangs_by_waiting(items, now))
     {
@@ -97,8 +97,9 @@
         std::optional<gang_reservation> found = find_reservation(item, next, now);
         if (found && found->ready_ms > 0.0)
         {
-            // Only the first one's room is kept from gangs that can start at once.
-            const std::optional<gang_reservation> at_once = find_reservation(item, firsts, now);
+            // Only the first one's room is kept from gangs that can start at once, and what each of these is
+            // about to start on from the others: with the same room for two, both would wait for ever.
+            const std::optional<gang_reservation> at_once = find_reservation(item, kept, now);
             found = at_once && at_once->ready_ms <= 0.0 ? at_once : found;
         }
         const resources wanted = room_of(*item.step) * item.step->count;
@@ -111,9 +112,9 @@
             review->second.add(wanted, item.missed());
             room_hold& made = next[item.ref] = make_reservation(item, *found, now);
             made.first = review->second.gangs() == 1;
-            if (made.first)
+            if (made.first || found->ready_ms <= 0.0)
             {
-                firsts[item.ref] = made;
+                kept[item.ref] = made;
             }
         }
     }
