A reservation whose room is there stays where it is

Hosts that are reserved for a gang already are to count as twice as soon, so that its reservation does not move about. Where they have room now that is twice nothing: among hosts with room the lowest number won, so each review, ten a second, could move a reservation to hosts that came free since, for which the gang has no tickets.

The new test failed before.

--- a/src/dispatch/gang_reservations.cpp
+++ b/src/dispatch/gang_reservations.cpp
@@ -16,6 +16,7 @@
     struct place
     {
         double rated_ms;
+        bool moves;
         double ready_ms;
         worker_life_id worker;
     };
@@ -24,7 +25,8 @@
     {
         for (const double ready_ms : host.ready_ms)
         {
-            places.push_back({host.kept ? ready_ms * kept_factor : ready_ms, ready_ms, host.worker});
+            places.push_back(
+                {host.kept ? ready_ms * kept_factor : ready_ms, !host.kept, ready_ms, host.worker});
         }
     }
     if (places.size() < count)
@@ -34,7 +36,7 @@
     std::sort(places.begin(), places.end(),
               [](const place& a, const place& b)
               {
-                  return std::tie(a.rated_ms, a.worker) < std::tie(b.rated_ms, b.worker);
+                  return std::tie(a.rated_ms, a.moves, a.worker) < std::tie(b.rated_ms, b.moves, b.worker);
               });
     gang_reservation out;
     for (std::uint32_t i = 0; i < count; ++i)
--- a/tests/src/unit-gang-reservations.cpp
+++ b/tests/src/unit-gang-reservations.cpp
@@ -46,6 +46,16 @@
     BOOST_TEST(choose(400)->tasks.contains(worker_life_id{1}));
 }
 
+// Where all hosts had room at once, it moved to those that came free last, away from the tickets for the
+// others.
+BOOST_AUTO_TEST_CASE(a_reservation_whose_room_is_there_stays_where_it_is)
+{
+    const auto found =
+        reserve_soonest({{worker_life_id{1}, {0, 0}, false}, {worker_life_id{2}, {0, 0}, true}}, 2);
+    BOOST_TEST_REQUIRE(found.has_value());
+    BOOST_TEST(found->tasks.at(worker_life_id{2}) == 2U);
+}
+
 // A gang that can never have enough held room for good, and blocked those behind it.
 BOOST_AUTO_TEST_CASE(nothing_is_reserved_where_not_all_tasks_ever_fit)
 {
