--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -151,7 +151,7 @@
     bool start_noted{};       ///< a start before its first report here was written to the log
     std::map<run_ref, run_view> runs;
     std::map<step_ref, std::uint32_t> broken_gangs; ///< runs of gangs that ended here for want of a member
-    std::map<run_ref, monotonic_time> late_starts; ///< orders that got no answer, by when that was clear
+    std::map<run_ref, monotonic_time> late_starts;  ///< orders that got no answer, by when that was clear
 
     /// @brief Notes the worker's clock as read by it no later than `now`.
     void note_clock(std::int64_t ms, monotonic_time now);
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -234,7 +234,8 @@
     o.held = o.room != row.free;
     o.keeps_large =
         o.slots == 0 || !uses(mechanism::large_slots) || keeps_large_slots(o.room, room_of(*item.step));
-    o.watched = uses(mechanism::suspects_apart) && m_suspects.watches(row.worker->id, item.ref.submission, now);
+    o.watched =
+        uses(mechanism::suspects_apart) && m_suspects.watches(row.worker->id, item.ref.submission, now);
     o.disturbs = (item.step->fills && row.view->serving > 0) ||
                  (item.step->latency_target_ms > 0 && row.view->filling > 0);
     return o;
