A host that a wave may not empty lets the others of the wave pass

What callers saw: a wave of upkeep stood still behind a host whose lasting task may not be ended, as its other one can run nowhere, with idle hosts behind it (KNOWN-RED unit-wave-turns; always).

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -285,6 +285,7 @@
     // dispatcher_upkeep.cpp
     void advance_waves(monotonic_time now, wall_ms wall);
     [[nodiscard]] bool lost_in_upkeep(const std::string& host, monotonic_time now);
+    [[nodiscard]] bool blocks_its_turn(const std::string& host, monotonic_time now);
     [[nodiscard]] std::set<std::string> choose_hosts(const upkeep_wave& wave, monotonic_time now);
     void advance_wave(const upkeep_wave& wave, monotonic_time now, wall_ms wall);
     void await_return(const upkeep_wave& wave, const worker_life& worker, monotonic_time now);
@@ -328,8 +329,9 @@
     std::set<std::string> m_joining;                               ///< hosts of lives that are being admitted
     std::set<std::string> m_upkeep_in_flight;
     std::map<std::string, monotonic_time> m_upkeep_retry;
-    std::map<std::string, monotonic_time> m_upkeep_taken;  ///< when the platform took a host's order
-    std::map<std::string, monotonic_time> m_upkeep_absent; ///< hosts of waves without a worker, since when
+    std::map<std::string, monotonic_time> m_upkeep_taken;   ///< when the platform took a host's order
+    std::map<std::string, monotonic_time> m_upkeep_absent;  ///< hosts of waves without a worker, since when
+    std::map<std::string, monotonic_time> m_upkeep_blocked; ///< hosts that may not be emptied, since when
     std::set<std::string> m_upkeep_passed; ///< hosts that were ordered, and that others were let pass
     std::set<std::string> m_upkeep_hosts;  ///< hosts being emptied for upkeep
     host_table m_hosts;
--- a/src/dispatch/dispatcher_upkeep.cpp
+++ b/src/dispatch/dispatcher_upkeep.cpp
@@ -43,8 +43,26 @@
     return lost;
 }
 
+// Whether some of what lasts there may not be ended now, and has not been for a while: its step misses too
+// much as it is, maybe for good.
+bool dispatcher::blocks_its_turn(const std::string& host, monotonic_time now)
+{
+    const worker_life* life = m_state.find_host(host);
+    const auto may_not_end = [this](const auto& item)
+    {
+        const step_spec* step = m_state.find(item.first.task.step);
+        return step != nullptr && step->lasting && !may_end_lasting(item.first);
+    };
+    if (life == nullptr || std::none_of(life->occupied.begin(), life->occupied.end(), may_not_end))
+    {
+        m_upkeep_blocked.erase(host);
+        return false;
+    }
+    return now - m_upkeep_blocked.emplace(host, now).first->second > m_settings.upkeep_blocked;
+}
+
 // The hosts whose turn it is: first those that are being ordered, then those that were and let others pass,
-// then those that wait.
+// then those that wait, last those of them that may not be emptied.
 std::set<std::string> dispatcher::choose_hosts(const upkeep_wave& wave, monotonic_time now)
 {
     std::array<std::vector<std::string>, 3> turns;
@@ -70,16 +88,28 @@
         return {};
     }
     std::set<std::string> chosen;
+    std::vector<std::string> blocked;
+    const auto choose = [&chosen, &wave, down](const std::string& host)
+    {
+        if (down + chosen.size() < wave.at_once)
+        {
+            chosen.insert(host);
+        }
+    };
     for (const auto& hosts : turns)
     {
         for (const std::string& host : hosts)
         {
-            if (down + chosen.size() < wave.at_once)
+            const bool waits = &hosts == &turns.back() && down + chosen.size() < wave.at_once;
+            if (waits && blocks_its_turn(host, now))
             {
-                chosen.insert(host);
+                blocked.push_back(host);
+                continue;
             }
+            choose(host);
         }
     }
+    std::for_each(blocked.begin(), blocked.end(), choose);
     return chosen;
 }
 
