--- a/tests/src/unit-acknowledged.cpp
+++ b/tests/src/unit-acknowledged.cpp
@@ -257,7 +257,7 @@
     pool.lead();
     pool.run(milliseconds(500));
     pool.deliver(late);
-    pool.run(milliseconds(100));
+    pool.run(seconds(4)); // past the bound behind the acknowledgement
     load(pool, 8);
     pool.run(seconds(2));
     check_unbroken(pool);
