The next leader knows what had just begun on a host that was lost

Callers saw a task that crashes its workers started six times, and ordinary work given up beside it, where the leader changes every few seconds. What had begun on a host, and when, was known to the leader that saw it fall silent, and died with it. Ruled out: that the crashes were not noticed (each has its line), and that the host's return was missed. The leader now records what it knows of a worker's runs once the worker answers neither of two looks, and that it answers again (note_last_word; both are one small entry for each worker that falls silent with runs, none where one look alone is lost). A leader that never heard the worker takes that in place of its own guess. Weighed: an entry for each start that a worker confirms (360 a second at the size to design for); an entry at the first lost look (1.5% of looks may be lost). run_lost tells for how long the run may have run at most, and how long it was expected to, which tells a run that was surely there from one that may have been over.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -253,7 +253,13 @@
     void end_recording(const record_ends& command);
     void judge_end(worker_view& view, const listed_end& end, monotonic_time now);
     void drop_lost(monotonic_time now);
+    [[nodiscard]] duration expected_run_time(const run_ref& run) const;
+    [[nodiscard]] static monotonic_time lost_since(const worker_view& view, monotonic_time now);
+    [[nodiscard]] std::vector<lost_run> runs_known_on(const worker_view& view, monotonic_time now) const;
     [[nodiscard]] std::vector<lost_run> runs_lost_with(const worker_view& view, monotonic_time now) const;
+    void keep_last_word(worker_view& view, monotonic_time now);
+    void forget_last_word(worker_view& view);
+    void record_last_word(worker_view& view, std::vector<lost_run> runs);
     void note_lost_runs(const worker_view& view, const std::vector<lost_run>& lost, monotonic_time now);
     void note_verdicts(monotonic_time now);
     void drop_replaced(worker_view& view, monotonic_time now);
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -133,8 +133,9 @@
     bool look_in_flight{};
     monotonic_time look_sent{};
     monotonic_time look_due{};
-    bool recording{}; ///< ends wait for their commit; the next look waits for it
-    bool gone{};      ///< a drop is proposed
+    bool recording{};         ///< ends wait for their commit; the next look waits for it
+    bool gone{};              ///< a drop is proposed
+    bool last_word_pending{}; ///< what is known of its runs, or that it answers again, waits for its commit
     bool draining{};
     monotonic_time leaves_at{}; ///< while draining: not before that
     int failures_in_row{};
--- a/include/walkthread/workload/commands.hpp
+++ b/include/walkthread/workload/commands.hpp
@@ -113,6 +113,15 @@
     MSGPACK_DEFINE(worker, sequence, leaving)
 };
 
+/// @brief What the leader knew of a worker's runs when the worker stopped answering; nothing once it answers
+/// again. The next leader does not know by itself which runs had begun there, and when.
+struct note_last_word
+{
+    worker_life_id worker{};
+    std::vector<lost_run> runs;
+    MSGPACK_DEFINE(worker, runs)
+};
+
 /// @brief One start to be made.
 struct planned_start
 {
@@ -182,9 +191,9 @@
     MSGPACK_DEFINE(wave, host, phase)
 };
 
-using workload_command =
-    std::variant<replace_catalogue, keep_submission, cancel_submission, admit_worker, drop_worker,
-                 record_starts, record_ends, forget_submissions, begin_wave, advance_upkeep, mark_leaving>;
+using workload_command = std::variant<replace_catalogue, keep_submission, cancel_submission, admit_worker,
+                                      drop_worker, record_starts, record_ends, forget_submissions, begin_wave,
+                                      advance_upkeep, mark_leaving, note_last_word>;
 
 /// @brief What applying a command gave: 0, or a workload_code.
 struct workload_result
--- a/include/walkthread/workload/workload_state.hpp
+++ b/include/walkthread/workload/workload_state.hpp
@@ -33,8 +33,9 @@
     std::uint64_t facts_sequence{};        ///< of the report that `facts` are of
     bool assumed{};           ///< `facts` are those of its former life: nothing new goes there yet
     worker_life_id follows{}; ///< the former life under the same id, whose runs it took over; 0 for none
+    std::vector<lost_run> last_word; ///< its runs, as known when it stopped answering; empty while it answers
     MSGPACK_DEFINE(id, facts, listed_up_to, occupied, used, leaving, leaving_sequence, facts_sequence,
-                   assumed, follows)
+                   assumed, follows, last_word)
 };
 
 /// @brief What a life that was dropped as unheard last said about leaving; it may come back.
@@ -169,6 +170,7 @@
     workload_result handle(wall_ms at, const admit_worker& command);
     workload_result handle(wall_ms at, const drop_worker& command);
     workload_result handle(wall_ms at, const mark_leaving& command);
+    workload_result handle(wall_ms at, const note_last_word& command);
     workload_result handle(wall_ms at, const record_starts& command);
     workload_result handle(wall_ms at, const record_ends& command);
     workload_result handle(wall_ms at, const forget_submissions& command);
--- /dev/null
+++ b/src/dispatch/dispatcher_losses.cpp
@@ -0,0 +1,163 @@
+// The part of dispatcher that tells what went with a worker, and who is suspected of that.
+
+#include <walkthread/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+
+#include <walkthread/dispatch/lost_runs.hpp>
+#include <walkthread/workload/names.hpp>
+
+namespace walkthread
+{
+
+// A worker that answers nothing, not even on a new connection, may have crashed. The leader that takes over
+// until that is known would blame what crashed it no more than what stood beside, or work that never began.
+void dispatcher::keep_last_word(worker_view& view, monotonic_time now)
+{
+    const worker_life& worker = *m_state.find(view.id);
+    if (!view.answered || view.runs.empty() || view.last_word_pending || !worker.last_word.empty())
+    {
+        return;
+    }
+    record_last_word(view, runs_known_on(view, now));
+}
+
+void dispatcher::forget_last_word(worker_view& view)
+{
+    if (!view.last_word_pending && !m_state.find(view.id)->last_word.empty())
+    {
+        record_last_word(view, {});
+    }
+}
+
+void dispatcher::record_last_word(worker_view& view, std::vector<lost_run> runs)
+{
+    view.last_word_pending = true;
+    m_hooks.propose(note_last_word{view.id, std::move(runs)},
+                    [this, alive = m_alive, id = view.id](bool)
+                    {
+                        if (worker_view* later = *alive ? view_of(id) : nullptr; later != nullptr)
+                        {
+                            later->last_word_pending = false;
+                        }
+                    });
+}
+
+duration dispatcher::expected_run_time(const run_ref& run) const
+{
+    const submission* owner = m_state.find(run.task.step.submission);
+    const step_spec* step = m_state.find(run.task.step);
+    const double expected_ms = step == nullptr ? 0.0 : m_objectives.expected_ms(owner->queue, *step);
+    return milliseconds(static_cast<std::int64_t>(expected_ms));
+}
+
+// When it was first found not to answer.
+monotonic_time dispatcher::lost_since(const worker_view& view, monotonic_time now)
+{
+    return view.contact.doubted() ? view.contact.doubted_since() : now;
+}
+
+// What is known of the runs there.
+std::vector<lost_run> dispatcher::runs_known_on(const worker_view& view, monotonic_time now) const
+{
+    const auto run_time = [this](const run_ref& run)
+    {
+        return expected_run_time(run);
+    };
+    return share_blame(view, m_settings.just_began, lost_since(view, now), run_time);
+}
+
+// Of a worker that never answered this leader, the one before knew more.
+std::vector<lost_run> dispatcher::runs_lost_with(const worker_view& view, monotonic_time now) const
+{
+    std::vector<lost_run> lost = runs_known_on(view, now);
+    for (const lost_run& before : m_state.find(view.id)->last_word)
+    {
+        const auto same = [&before](const lost_run& item)
+        {
+            return item.run == before.run;
+        };
+        if (!view.answered)
+        {
+            std::replace_if(lost.begin(), lost.end(), same, before);
+        }
+    }
+    return lost;
+}
+
+// What went with a worker, and why it is or is not suspected of that. A line for each run, a few dozen at
+// most.
+void dispatcher::note_lost_runs(const worker_view& view, const std::vector<lost_run>& lost,
+                                monotonic_time now)
+{
+    for (const lost_run& item : lost)
+    {
+        const run_view& known = view.runs.at(item.run);
+        const suspicion* before = m_state.crashes().find(item.run.task);
+        note(now, "run_lost", name_of(item.run),
+             {{"worker", m_state.find(view.id)->facts.id},
+              {"began", item.began},
+              {"over", item.over},
+              {"inherited", known.inherited},
+              {"sent_before_last_word_ms", view.contact.heard() - known.sent},
+              {"ran_at_most_ms", known.settled ? lost_since(view, now) - *known.settled : duration{}},
+              {"expected_ms", expected_run_time(item.run)},
+              {"beside", lost.size() - 1},
+              {"blame", item.blame},
+              {"blame_before", before == nullptr ? 0 : before->blame}});
+    }
+}
+
+void dispatcher::note_verdicts(monotonic_time now)
+{
+    const crash_ledger& crashes = m_state.crashes();
+    const std::uint64_t fresh = crashes.verdict_count() - m_verdicts_noted;
+    const auto& kept = crashes.verdicts();
+    for (std::size_t i = kept.size() - std::min<std::size_t>(fresh, kept.size()); i < kept.size(); ++i)
+    {
+        ++m_counters.tasks_given_up;
+        note(now, "task_given_up", name_of(kept[i].task),
+             {{"reason", "it crashes the workers that start it"},
+              {"crashes", kept[i].against.crashes},
+              {"unclear", kept[i].against.unclear},
+              {"blame", kept[i].against.blame},
+              {"last_host", kept[i].last_host}});
+    }
+    m_verdicts_noted = crashes.verdict_count();
+}
+
+// A life that was only unheard may come back.
+void dispatcher::drop_worker_life(worker_view& view, std::string_view reason, bool for_good,
+                                  monotonic_time now)
+{
+    if (view.gone)
+    {
+        return;
+    }
+    view.gone = true;
+    ++m_counters.lost_workers;
+    const std::vector<lost_run> lost = runs_lost_with(view, now);
+    note_lost_runs(view, lost, now);
+    for (const lost_run& item : lost)
+    {
+        m_suspects.note_loss(item.run.task, now);
+    }
+    const worker_life& worker = *m_state.find(view.id);
+    note(now, "worker_dropped", worker.facts.id,
+         {{"reason", reason}, {"unheard_ms", now - view.contact.heard()}, {"runs", worker.occupied.size()}});
+    const auto again = [this, alive = m_alive, id = view.id](bool committed)
+    {
+        worker_view* later = *alive ? view_of(id) : nullptr;
+        if (later != nullptr && !committed)
+        {
+            later->gone = false;
+        }
+        if (*alive)
+        {
+            m_hooks.wake();
+        }
+    };
+    m_hooks.propose(drop_worker{view.id, for_good, lost}, again);
+}
+
+} // namespace walkthread
--- a/src/dispatch/dispatcher_workers.cpp
+++ b/src/dispatch/dispatcher_workers.cpp
@@ -118,6 +118,10 @@
     {
         // A connection that breaks may be all that is wrong: the next look tells, at once the first time.
         const bool at_once = lost && (looks_get_lost() || !view->contact.doubted());
+        if (answer.outcome != order_outcome::not_sent && view->contact.doubted())
+        {
+            keep_last_word(*view, now);
+        }
         view->contact.note_failed_look(answer.outcome, sent, now); // a refused one renews no lease either
         view->look_due = at_once ? now : now + m_settings.look_retry;
         return;
@@ -142,6 +146,7 @@
     take_ends(*view, answer, sent, now);
     rule_out_late_starts(*view, now);
     view->answered = true;
+    forget_last_word(*view);
     if (view->rules_out() || view->has_open_start())
     {
         view->look_due = now + m_settings.look_retry; // the answers to the orders bring the next one forward
@@ -411,90 +416,4 @@
     drop_worker_life(view, "another life answers at its address", true, now);
 }
 
-std::vector<lost_run> dispatcher::runs_lost_with(const worker_view& view, monotonic_time now) const
-{
-    const auto run_time = [this](const run_ref& run) -> duration
-    {
-        const submission* owner = m_state.find(run.task.step.submission);
-        const step_spec* step = m_state.find(run.task.step);
-        const double expected_ms = step == nullptr ? 0.0 : m_objectives.expected_ms(owner->queue, *step);
-        return milliseconds(static_cast<std::int64_t>(expected_ms));
-    };
-    return share_blame(view, m_settings.just_began,
-                       view.contact.doubted() ? view.contact.doubted_since() : now, run_time);
-}
-
-// What went with a worker, and why it is or is not suspected of that. A line for each run, a few dozen at
-// most.
-void dispatcher::note_lost_runs(const worker_view& view, const std::vector<lost_run>& lost,
-                                monotonic_time now)
-{
-    for (const lost_run& item : lost)
-    {
-        const run_view& known = view.runs.at(item.run);
-        const suspicion* before = m_state.crashes().find(item.run.task);
-        note(now, "run_lost", name_of(item.run),
-             {{"worker", m_state.find(view.id)->facts.id},
-              {"began", item.began},
-              {"over", item.over},
-              {"inherited", known.inherited},
-              {"sent_before_last_word_ms", view.contact.heard() - known.sent},
-              {"beside", lost.size() - 1},
-              {"blame", item.blame},
-              {"blame_before", before == nullptr ? 0 : before->blame}});
-    }
-}
-
-void dispatcher::note_verdicts(monotonic_time now)
-{
-    const crash_ledger& crashes = m_state.crashes();
-    const std::uint64_t fresh = crashes.verdict_count() - m_verdicts_noted;
-    const auto& kept = crashes.verdicts();
-    for (std::size_t i = kept.size() - std::min<std::size_t>(fresh, kept.size()); i < kept.size(); ++i)
-    {
-        ++m_counters.tasks_given_up;
-        note(now, "task_given_up", name_of(kept[i].task),
-             {{"reason", "it crashes the workers that start it"},
-              {"crashes", kept[i].against.crashes},
-              {"unclear", kept[i].against.unclear},
-              {"blame", kept[i].against.blame},
-              {"last_host", kept[i].last_host}});
-    }
-    m_verdicts_noted = crashes.verdict_count();
-}
-
-// A life that was only unheard may come back.
-void dispatcher::drop_worker_life(worker_view& view, std::string_view reason, bool for_good,
-                                  monotonic_time now)
-{
-    if (view.gone)
-    {
-        return;
-    }
-    view.gone = true;
-    ++m_counters.lost_workers;
-    const std::vector<lost_run> lost = runs_lost_with(view, now);
-    note_lost_runs(view, lost, now);
-    for (const lost_run& item : lost)
-    {
-        m_suspects.note_loss(item.run.task, now);
-    }
-    const worker_life& worker = *m_state.find(view.id);
-    note(now, "worker_dropped", worker.facts.id,
-         {{"reason", reason}, {"unheard_ms", now - view.contact.heard()}, {"runs", worker.occupied.size()}});
-    const auto again = [this, alive = m_alive, id = view.id](bool committed)
-    {
-        worker_view* later = *alive ? view_of(id) : nullptr;
-        if (later != nullptr && !committed)
-        {
-            later->gone = false;
-        }
-        if (*alive)
-        {
-            m_hooks.wake();
-        }
-    };
-    m_hooks.propose(drop_worker{view.id, for_good, lost}, again);
-}
-
 } // namespace walkthread
--- a/src/workload/workload_lives.cpp
+++ b/src/workload/workload_lives.cpp
@@ -206,4 +206,14 @@
     return {};
 }
 
+workload_result workload_state::handle(wall_ms /*at*/, const note_last_word& command)
+{
+    const auto found = m_workers.find(command.worker);
+    if (found != m_workers.end())
+    {
+        found->second.last_word = command.runs;
+    }
+    return {};
+}
+
 } // namespace walkthread
--- a/tests/src/unit-crash-ledger.cpp
+++ b/tests/src/unit-crash-ledger.cpp
@@ -102,6 +102,19 @@
     BOOST_TEST((phase() == submission_phase::running));
 }
 
+BOOST_FIXTURE_TEST_CASE(what_was_known_of_a_silent_worker_outlives_a_snapshot, fixture)
+{
+    state.apply(noon, record_starts{{planned_start{task(), ++runs, present()}}});
+    const run_ref run{task(), runs};
+    state.apply(noon, note_last_word{present(), {{run, true, blame::sole, {}, false}}});
+    workload_state copy;
+    BOOST_REQUIRE(copy.load(state.save()));
+    BOOST_REQUIRE(copy.find_host("host")->last_word.size() == 1U);
+    BOOST_TEST((copy.find_host("host")->last_word.front().run == run));
+    state.apply(noon, note_last_word{present(), {}});
+    BOOST_TEST(state.find_host("host")->last_word.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(a_host_that_is_unheard_proves_nothing_until_another_life_answers, fixture)
 {
     lose(false, blame::sole);
--- a/tests/src/unit-crash-loops.cpp
+++ b/tests/src/unit-crash-loops.cpp
@@ -94,6 +94,43 @@
     BOOST_TEST(day.pool.state().crashes().suspects().size() == 10U);
 }
 
+// A leader that takes over just behind a crash took the run for one that may never have begun.
+BOOST_AUTO_TEST_CASE(the_next_leader_knows_what_had_just_begun_on_a_host_that_was_lost)
+{
+    for (const bool twice : {false, true})
+    {
+        crash_day day(4);
+        day.submit_poison("plain", {make_step(1, 1400, 1000)});
+        day.pool.run(milliseconds(200));
+        day.pool.lead();
+        if (twice)
+        {
+            day.pool.run(milliseconds(100));
+            day.pool.lead();
+        }
+        day.pool.run(milliseconds(3500));
+        const suspicion* against = day.pool.state().crashes().find(day.poison.front());
+        BOOST_REQUIRE(against != nullptr);
+        BOOST_TEST(against->crashes == 1U);
+        BOOST_TEST(against->unclear == 0U);
+        BOOST_TEST(against->blame == blame::sole);
+    }
+}
+
+// What was noted as it fell silent would blame what began long before the worker went.
+BOOST_AUTO_TEST_CASE(what_was_known_of_a_worker_that_answers_again_is_forgotten)
+{
+    crash_day day(1);
+    day.submit_ordinary("plain", {make_step(1, 1400, 30000)});
+    day.pool.run(milliseconds(100));
+    const worker_life& worker = *day.pool.state().find_host("h0");
+    BOOST_REQUIRE(worker.occupied.size() == 1U);
+    const run_ref run = worker.occupied.begin()->first;
+    day.pool.state().apply(0, note_last_word{worker.id, {{run, true, blame::sole, {}, false}}});
+    day.pool.run(milliseconds(1200)); // a look is held back for 1 s
+    BOOST_TEST(day.pool.state().find_host("h0")->last_word.empty());
+}
+
 // What lasts runs until it is cancelled, whatever becomes of its hosts.
 BOOST_AUTO_TEST_CASE(a_lasting_task_is_not_given_up)
 {
