Members of a gang that had ended with another host count as under no crash of their own

Of several hosts that are lost under one run, members of one alone were at work. A loss counts as sure only if every other member told that it ended because another had (the state keeps how a task's last run ended), or its host was heard after the loss. Else it is unclear. Test: a_member_that_broke_untold_is_not_blamed_for_a_later_crash_of_its_host counts a crash that was none before.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -256,6 +256,9 @@
     [[nodiscard]] duration expected_run_time(const run_ref& run) const;
     [[nodiscard]] static monotonic_time lost_since(const worker_view& view, monotonic_time now);
     [[nodiscard]] std::vector<lost_run> runs_known_on(const worker_view& view, monotonic_time now) const;
+    [[nodiscard]] bool may_have_broken_before(const run_ref& run, monotonic_time lost_at,
+                                              worker_life_id lost_with) const;
+    [[nodiscard]] bool outlived(const run_ref& run, worker_life_id worker, monotonic_time then) const;
     [[nodiscard]] std::vector<lost_run> runs_lost_with(const worker_view& view, monotonic_time now) const;
     void keep_last_word(worker_view& view, monotonic_time now);
     void forget_last_word(worker_view& view);
--- a/include/walkthread/workload/submission.hpp
+++ b/include/walkthread/workload/submission.hpp
@@ -125,12 +125,24 @@
     worker_life_id worker{};    ///< where the active run is
     worker_life_id failed_on{}; ///< where the last failed run was
     std::string checkpoint;     ///< the newest known; empty for none
-    MSGPACK_DEFINE(phase, run, failures, worker, failed_on, checkpoint)
+    std::uint8_t last_end{};    ///< a run_end: of the last run, where the task waits again
+    MSGPACK_DEFINE(phase, run, failures, worker, failed_on, checkpoint, last_end)
 
     [[nodiscard]] work_phase state() const
     {
         return static_cast<work_phase>(phase);
     }
+    /// @brief Whether that run of it may exist.
+    [[nodiscard]] bool is_active(std::uint32_t in_run) const
+    {
+        return state() == work_phase::active && run == in_run;
+    }
+    /// @brief Whether a run of it, as a member of a gang, ended because another member had.
+    [[nodiscard]] bool broke(std::uint32_t in_run) const
+    {
+        return state() == work_phase::waiting && run == in_run &&
+               last_end == static_cast<std::uint8_t>(run_end::broken);
+    }
 };
 
 /// @brief What a submission is at the moment.
--- a/src/dispatch/dispatcher_losses.cpp
+++ b/src/dispatch/dispatcher_losses.cpp
@@ -82,9 +82,49 @@
             std::replace_if(lost.begin(), lost.end(), same, before);
         }
     }
+    for (lost_run& item : lost)
+    {
+        item.began = item.began && !may_have_broken_before(item.run, lost_since(view, now), view.id);
+    }
     return lost;
 }
 
+// A member of a gang ends as soon as another one is lost, so of several hosts that were lost under one run
+// only the first had members at work. A host that told of the end of its own outlived that one.
+bool dispatcher::may_have_broken_before(const run_ref& run, monotonic_time lost_at,
+                                        worker_life_id lost_with) const
+{
+    const step_spec* step = m_state.find(run.task.step);
+    for (std::uint32_t index = 0; step != nullptr && step->gang && index < step->count; ++index)
+    {
+        const run_ref member{task_ref{run.task.step, index}, run.run};
+        const work_task* known = m_state.find(member.task);
+        const bool elsewhere = known != nullptr && known->worker != lost_with;
+        if (elsewhere && !known->broke(run.run) &&
+            !(known->is_active(run.run) && outlived(member, known->worker, lost_at)))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Whether the life that a run was started on was heard since then.
+bool dispatcher::outlived(const run_ref& run, worker_life_id worker, monotonic_time then) const
+{
+    const worker_life* life = m_state.find(worker);
+    const auto view = m_views.find(worker);
+    if (life == nullptr || view == m_views.end() || view->second.gone)
+    {
+        return false;
+    }
+    const auto known = view->second.runs.find(run);
+    const bool follows = life->follows != worker_life_id{};
+    const bool of_former =
+        known != view->second.runs.end() && (known->second.carried || (known->second.inherited && follows));
+    return !of_former && view->second.contact.heard() >= then;
+}
+
 // What went with a worker, and why it is or is not suspected of that. A line for each run, a few dozen at
 // most.
 void dispatcher::note_lost_runs(const worker_view& view, const std::vector<lost_run>& lost,
--- a/src/workload/workload_runs.cpp
+++ b/src/workload/workload_runs.cpp
@@ -149,6 +149,7 @@
         return;
     }
     task->phase = static_cast<std::uint8_t>(work_phase::waiting);
+    task->last_end = end.how;
     if (how == run_end::completed && !step.lasting)
     {
         complete_task(at, owner, end.run.task);
--- a/tests/src/unit-restarts.cpp
+++ b/tests/src/unit-restarts.cpp
@@ -344,6 +344,34 @@
     check_unbroken(pool);
 }
 
+// Two hosts are lost under one run of a gang: the members on the second one had ended with the first. They
+// counted as running there, and the gang was given up after one crash under each of its tasks.
+BOOST_AUTO_TEST_CASE(a_member_that_broke_untold_is_not_blamed_for_a_later_crash_of_its_host)
+{
+    pool_settings settings = small(2);
+    settings.good_share = 1.0;
+    pool_stand_in pool(settings);
+    pool.lead();
+    pool.run(settled);
+    const submission_id id = pool.submit("gangs", {make_step(6, 4500, 3000, true)});
+    pool.run(milliseconds(200));
+    BOOST_REQUIRE(pool.running_on("w0") == 3U);
+    pool.faults("w1").dark = true;
+    pool.restart("w0", milliseconds(500));
+    pool.run(milliseconds(100));
+    BOOST_REQUIRE(pool.running_on("w1") == 0U);
+    pool.restart("w1", milliseconds(500));
+    pool.run(milliseconds(1500));
+    for (std::uint32_t index = 0; index < 6; ++index)
+    {
+        const task_ref task{{id, round_id{0}, 0}, index};
+        const suspicion* against = pool.state().crashes().find(task);
+        BOOST_TEST((against == nullptr || against->crashes <= pool.crashes_under(task)), name_of(task));
+    }
+    pool.run(seconds(20));
+    check_completed(pool, {id});
+}
+
 // A part of a pool restarts at once under a steady load. What ran there is started again, and the workers
 // have work again within half a second of their first report; the platform forbids nothing of that.
 BOOST_AUTO_TEST_CASE(restarted_workers_have_work_again_soon_at_every_size)
