A run that was lost is charged once

Trace: run 3 of 3f8 on w9 is charged at 112.439 s by one leader and at 114.971 s by the next, to whom the run that was carried over to the worker's next life is inherited. Care for that stood at the callers and holds within one leader only. The ledger keeps the runs that it charged. They come in any order: an older run's host may return later than a newer one's.

--- a/include/walkthread/workload/crash_ledger.hpp
+++ b/include/walkthread/workload/crash_ledger.hpp
@@ -61,7 +61,8 @@
     std::uint32_t unclear{};  ///< hosts that crashed when it may have begun there
     std::uint32_t blame{};    ///< the sum of its shares
     std::uint32_t unproven{}; ///< losses with hosts that may have crashed or be cut off
-    MSGPACK_DEFINE(crashes, unclear, blame, unproven)
+    std::vector<std::uint32_t> charged{}; ///< runs that a crash was counted for
+    MSGPACK_DEFINE(crashes, unclear, blame, unproven, charged)
 
     /// @brief Hosts that were lost with a run of it, whatever became of them.
     [[nodiscard]] std::uint32_t losses() const
@@ -95,7 +96,8 @@
     void note_unheard(const std::string& host, const life_ref& life, std::vector<lost_run> lost);
     /// @brief A life answers on a host. @return what an unheard life was running there, if it surely crashed
     [[nodiscard]] std::vector<lost_run> take_crashed(const std::string& host, const life_ref& life);
-    /// @brief Counts one run's share. @return whether that convicts its task
+    /// @brief Counts one run's share, once for each run: leaders that follow each other may tell of the same
+    /// loss. @return whether that convicts its task
     bool accuse(const lost_run& lost, const std::string& host);
     /// @brief Nothing is held against these any more. Complexity: logarithmic in the suspects.
     void clear(const task_ref& task);
--- a/src/workload/crash_ledger.cpp
+++ b/src/workload/crash_ledger.cpp
@@ -10,6 +10,7 @@
 {
 constexpr std::size_t most_unheard = 1000; // hosts that went dark and came to no end yet: a hall at full size
 constexpr std::size_t verdicts_kept = 100; // for operators; logs have them all
+constexpr std::size_t charges_kept = 16;   // of one task: each leader since tells of the last few alone
 } // namespace
 
 void crash_ledger::note_unheard(const std::string& host, const life_ref& life, std::vector<lost_run> lost)
@@ -67,7 +68,7 @@
         {
             continue; // cleared meanwhile
         }
-        if (--suspect->second.unproven == 0 && suspect->second.blame == 0)
+        if (--suspect->second.unproven == 0 && suspect->second.charged.empty())
         {
             m_suspects.erase(suspect);
         }
@@ -81,6 +82,15 @@
         return false;
     }
     suspicion& against = m_suspects[lost.run.task];
+    if (std::find(against.charged.begin(), against.charged.end(), lost.run.run) != against.charged.end())
+    {
+        return false;
+    }
+    if (against.charged.size() >= charges_kept)
+    {
+        against.charged.erase(against.charged.begin());
+    }
+    against.charged.push_back(lost.run.run);
     ++(lost.began ? against.crashes : against.unclear);
     against.blame += std::max(lost.blame, blame::least);
     if (!against.convicts())
--- a/tests/src/unit-crash-ledger.cpp
+++ b/tests/src/unit-crash-ledger.cpp
@@ -102,6 +102,20 @@
     BOOST_TEST((phase() == submission_phase::running));
 }
 
+// Leaders that follow each other may each tell of the same loss.
+BOOST_AUTO_TEST_CASE(a_run_is_charged_once)
+{
+    crash_ledger ledger;
+    const lost_run newer{run_ref{fixture::task(), 2}, true, blame::sole, {}, false};
+    const lost_run older{run_ref{fixture::task(), 1}, true, blame::least, {}, false};
+    BOOST_TEST(!ledger.accuse(newer, "host"));
+    BOOST_TEST(!ledger.accuse(newer, "host"));
+    BOOST_TEST(ledger.find(fixture::task())->crashes == 1U);
+    BOOST_TEST(!ledger.accuse(older, "other")); // proven later than the newer one
+    BOOST_TEST(ledger.find(fixture::task())->crashes == 2U);
+    BOOST_TEST(ledger.find(fixture::task())->blame == blame::sole + blame::least);
+}
+
 BOOST_FIXTURE_TEST_CASE(what_was_known_of_a_silent_worker_outlives_a_snapshot, fixture)
 {
     state.apply(noon, record_starts{{planned_start{task(), ++runs, present()}}});
