Runs that may never have begun convict nobody

Five unclear losses convicted, as a task whose crashes are always unclear must come to an end; since the next leader knows what had begun, such a task's crashes are not unclear. They have no share of the blame now; that its runs were lost is still known, so the task is started apart and rests. Test: runs_that_may_never_have_begun_convict_nobody fails at the fourth such loss before.

--- a/include/walkthread/workload/crash_ledger.hpp
+++ b/include/walkthread/workload/crash_ledger.hpp
@@ -33,14 +33,11 @@
 /// More of them had, or it was the only run there. From this on it is started apart, so that a second crash
 /// tells more.
 inline constexpr std::uint32_t crowd = 8;
-/// It stood beside, or it is not known whether it began: five crashes. The platform allows two starts after
-/// the third crash, so no share is smaller.
+/// It stood beside: five crashes. The platform allows two starts after the third crash, so no share is
+/// smaller.
 inline constexpr std::uint32_t least = 6;
 /// Of runs that are known to have begun: the platform allows to give up no task before.
 inline constexpr std::uint32_t least_crashes = 2;
-/// Of all runs, where some of them may never have begun: an order that crashes its host before it is answered
-/// looks like one that was sent to a host that was down.
-inline constexpr std::uint32_t least_unclear = 5;
 } // namespace blame
 
 /// @brief A run that was lost with its host.
@@ -57,10 +54,10 @@
 /// @brief What there is against a task.
 struct suspicion
 {
-    std::uint32_t crashes{};  ///< hosts that crashed while it surely ran there
-    std::uint32_t unclear{};  ///< hosts that crashed when it may have begun there
-    std::uint32_t blame{};    ///< the sum of its shares
-    std::uint32_t unproven{}; ///< losses with hosts that may have crashed or be cut off
+    std::uint32_t crashes{};              ///< hosts that crashed while it surely ran there
+    std::uint32_t unclear{};              ///< hosts that crashed when it may have begun there
+    std::uint32_t blame{};                ///< the sum of its shares in `crashes`
+    std::uint32_t unproven{};             ///< losses with hosts that may have crashed or be cut off
     std::vector<std::uint32_t> charged{}; ///< runs that a crash was counted for
     MSGPACK_DEFINE(crashes, unclear, blame, unproven, charged)
 
@@ -72,8 +69,7 @@
     /// @brief Whether that is enough to give the task up.
     [[nodiscard]] bool convicts() const
     {
-        return blame >= blame::conviction &&
-               (crashes >= blame::least_crashes || crashes + unclear >= blame::least_unclear);
+        return blame >= blame::conviction && crashes >= blame::least_crashes;
     }
 };
 
@@ -97,7 +93,8 @@
     /// @brief A life answers on a host. @return what an unheard life was running there, if it surely crashed
     [[nodiscard]] std::vector<lost_run> take_crashed(const std::string& host, const life_ref& life);
     /// @brief Counts one run's share, once for each run: leaders that follow each other may tell of the same
-    /// loss. @return whether that convicts its task
+    /// loss. An order to a host that was down by then looks like one that crashed it before it answered, so
+    /// runs that may never have begun have no share. @return whether that convicts its task
     bool accuse(const lost_run& lost, const std::string& host);
     /// @brief Nothing is held against these any more. Complexity: logarithmic in the suspects.
     void clear(const task_ref& task);
--- a/tests/src/unit-crash-ledger.cpp
+++ b/tests/src/unit-crash-ledger.cpp
@@ -102,6 +102,20 @@
     BOOST_TEST((phase() == submission_phase::running));
 }
 
+// Orders to hosts that were down by then: work that never began was given up after one crash.
+BOOST_FIXTURE_TEST_CASE(runs_that_may_never_have_begun_convict_nobody, fixture)
+{
+    lose(true, blame::sole);
+    for (std::uint32_t unclear = 1; unclear <= 8; ++unclear)
+    {
+        admit();
+        lose(true, blame::sole, false);
+        BOOST_TEST((phase() == submission_phase::running));
+        BOOST_TEST(state.crashes().find(task())->unclear == unclear);
+    }
+    BOOST_TEST(state.crashes().find(task())->blame == blame::sole);
+}
+
 // Leaders that follow each other may each tell of the same loss.
 BOOST_AUTO_TEST_CASE(a_run_is_charged_once)
 {
