A task that was lost three times runs by itself

A host on which a task runs that was lost three times is the last choice for other submissions as long as it runs, whoever leads. So its next crash tells, and crashes of others do not reach it. No host is kept empty for it: after the loss of a rack there may be hundreds of such tasks. Test: a_host_on_which_a_task_runs_that_was_lost_three_times_is_watched.

--- a/include/walkthread/dispatch/suspect_watch.hpp
+++ b/include/walkthread/dispatch/suspect_watch.hpp
@@ -12,6 +12,7 @@
 
 #include <walkthread/units/time.hpp>
 #include <walkthread/workload/crash_ledger.hpp>
+#include <walkthread/workload/workload_state.hpp>
 
 namespace walkthread
 {
@@ -28,6 +29,11 @@
 
     /// @brief Whether a task is to be started apart. Complexity: logarithmic in the suspects.
     [[nodiscard]] bool suspects(const task_ref& task) const;
+    /// @brief Whether a task has been lost so often that it runs by itself: so its next crash tells whether
+    /// it is at fault, and crashes of others do not reach it. Complexity: logarithmic in the suspects.
+    [[nodiscard]] bool isolates(const task_ref& task) const;
+    /// @brief Finds the hosts on which tasks run by themselves now. Complexity: linear in the suspects.
+    void find_isolated(const workload_state& state);
     /// @brief A suspect is about to be started there.
     void note_start(worker_life_id worker, submission_id owner, monotonic_time now);
     /// @brief A run of it was lost with its host.
@@ -35,7 +41,8 @@
     /// @brief Whether a task waits until it is known whether its last hosts crashed or were cut off: after
     /// the third loss, longer after each one more. Complexity: logarithmic in the suspects.
     [[nodiscard]] bool rests(const task_ref& task, monotonic_time now) const;
-    /// @brief Whether a suspect of another submission than `owner` was started there just now.
+    /// @brief Whether a suspect of another submission than `owner` was started there just now, or runs there
+    /// by itself.
     [[nodiscard]] bool watches(worker_life_id worker, submission_id owner, monotonic_time now) const;
 
   private:
@@ -48,6 +55,7 @@
     const crash_ledger& m_crashes;
     duration m_lasts;
     std::map<worker_life_id, watch> m_watches;
+    std::map<worker_life_id, submission_id> m_isolated; ///< of several submissions: no id
     std::map<task_ref, monotonic_time> m_last_loss;
     monotonic_time m_pruned{}; ///< when old entries of it were dropped last
 };
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -159,6 +159,7 @@
     }
     stop_unwanted(now);
     m_hosts.begin_pass(now);
+    m_suspects.find_isolated(m_state);
     note_waiting(now, wall);
     std::size_t failed = 0;
     std::vector<candidate> candidates = order_candidates(wall, all);
--- a/src/dispatch/suspect_watch.cpp
+++ b/src/dispatch/suspect_watch.cpp
@@ -7,7 +7,8 @@
 
 namespace
 {
-constexpr std::uint32_t losses_without_rest = 3; // the platform allows two starts after the third crash
+constexpr std::uint32_t losses_without_rest = 3;   // the platform allows two starts after the third crash
+constexpr std::uint32_t losses_until_isolated = 3; // two crashes mostly tell, if they tell anything
 constexpr std::uint32_t most_doublings = 2;
 constexpr milliseconds first_rest{2000}; // a host is back after some seconds, and the lease took 3 to 4 of
                                          // them; ordinary work may stand still for less than 3 s
@@ -21,6 +22,27 @@
     return against != nullptr && (against->blame >= blame::crowd || against->losses() > 1);
 }
 
+bool suspect_watch::isolates(const task_ref& task) const
+{
+    const suspicion* against = m_crashes.find(task);
+    return against != nullptr && against->losses() >= losses_until_isolated;
+}
+
+void suspect_watch::find_isolated(const workload_state& state)
+{
+    m_isolated.clear();
+    for (const auto& [task, against] : m_crashes.suspects())
+    {
+        const work_task* known = against.losses() >= losses_until_isolated ? state.find(task) : nullptr;
+        if (known != nullptr && known->state() == work_phase::active)
+        {
+            const submission_id owner = task.step.submission;
+            const auto there = m_isolated.emplace(known->worker, owner).first;
+            there->second = there->second == owner ? owner : submission_id{};
+        }
+    }
+}
+
 void suspect_watch::note_start(worker_life_id worker, submission_id owner, monotonic_time now)
 {
     std::erase_if(m_watches,
@@ -64,6 +86,11 @@
 
 bool suspect_watch::watches(worker_life_id worker, submission_id owner, monotonic_time now) const
 {
+    const auto isolated = m_isolated.find(worker);
+    if (isolated != m_isolated.end() && isolated->second != owner)
+    {
+        return true;
+    }
     const auto found = m_watches.find(worker);
     return found != m_watches.end() && found->second.owner != owner && now < found->second.until;
 }
--- a/tests/src/unit-crash-ledger.cpp
+++ b/tests/src/unit-crash-ledger.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE crash_ledger
 #include <boost/test/unit_test.hpp>
 
+#include <walkthread/dispatch/suspect_watch.hpp>
 #include <walkthread/wire/codec.hpp>
 #include <walkthread/workload/workload_state.hpp>
 
@@ -130,6 +131,26 @@
     BOOST_TEST(ledger.find(fixture::task())->blame == blame::sole + blame::least);
 }
 
+// It stood beside three crashes, and was given up after others that were none of its doing.
+BOOST_FIXTURE_TEST_CASE(a_host_on_which_a_task_runs_that_was_lost_three_times_is_watched, fixture)
+{
+    suspect_watch watch(state.crashes(), milliseconds(700));
+    const submission_id other{2};
+    for (int loss = 1; loss <= 3; ++loss)
+    {
+        lose(true, blame::least);
+        admit();
+        state.apply(noon, record_starts{{planned_start{task(), ++runs, present()}}});
+        watch.find_isolated(state);
+        BOOST_TEST(watch.watches(present(), other, monotonic_time{}) == (loss == 3));
+        BOOST_TEST(!watch.watches(present(), task().step.submission, monotonic_time{}));
+        const observed_end stopped{run_ref{task(), runs}, static_cast<std::uint8_t>(run_end::stopped), {}};
+        state.apply(noon, record_ends{present(), static_cast<std::uint64_t>(loss), {stopped}});
+    }
+    watch.find_isolated(state);
+    BOOST_TEST(!watch.watches(present(), other, monotonic_time{}));
+}
+
 BOOST_FIXTURE_TEST_CASE(what_was_known_of_a_silent_worker_outlives_a_snapshot, fixture)
 {
     state.apply(noon, record_starts{{planned_start{task(), ++runs, present()}}});
