--- a/include/walkthread/workload/crash_ledger.hpp
+++ b/include/walkthread/workload/crash_ledger.hpp
@@ -25,18 +25,19 @@
 namespace blame
 {
 inline constexpr std::uint32_t conviction = 30;
-/// Nothing but its submission had just begun there. With a share of `crowd` before it that is enough: two
-/// crashes.
+/// Nothing but its submission had just begun there: enough twice.
 inline constexpr std::uint32_t sole = 22;
-/// It was of one of two submissions that had just begun there: enough three times.
-inline constexpr std::uint32_t shared = 10;
+/// It was of one of two submissions that had just begun there. Three times are not enough: the fourth run is
+/// by itself, which tells.
+inline constexpr std::uint32_t shared = 9;
 /// More of them had, or it was the only run there. From this on it is started apart, so that a second crash
 /// tells more.
 inline constexpr std::uint32_t crowd = 8;
 /// It stood beside: five crashes. The platform allows two starts after the third crash, so no share is
 /// smaller.
 inline constexpr std::uint32_t least = 6;
-/// Of runs that are known to have begun: the platform allows to give up no task before.
+/// Crashes of runs that are known to have begun: the platform allows to give up no task before. With so few
+/// it must have been the sole one each time: beside another submission, that one may be at fault.
 inline constexpr std::uint32_t least_crashes = 2;
 } // namespace blame
 
@@ -69,7 +70,9 @@
     /// @brief Whether that is enough to give the task up.
     [[nodiscard]] bool convicts() const
     {
-        return blame >= blame::conviction && crashes >= blame::least_crashes;
+        return crashes > blame::least_crashes
+                   ? blame >= blame::conviction
+                   : crashes == blame::least_crashes && blame >= blame::least_crashes * blame::sole;
     }
 };
 
--- a/tests/src/unit-crash-ledger.cpp
+++ b/tests/src/unit-crash-ledger.cpp
@@ -131,6 +131,18 @@
     BOOST_TEST(ledger.find(fixture::task())->blame == blame::sole + blame::least);
 }
 
+// The other submission may be the one at fault.
+BOOST_FIXTURE_TEST_CASE(two_crashes_are_not_enough_where_another_submission_had_begun_beside, fixture)
+{
+    lose(true, blame::sole);
+    admit();
+    lose(true, blame::shared);
+    BOOST_TEST((phase() == submission_phase::running));
+    admit();
+    lose(true, blame::least);
+    BOOST_TEST((phase() == submission_phase::failed));
+}
+
 // It stood beside three crashes, and was given up after others that were none of its doing.
 BOOST_FIXTURE_TEST_CASE(a_host_on_which_a_task_runs_that_was_lost_three_times_is_watched, fixture)
 {
