What was lost with a host goes to the host that was heard last

A host whose look is overdue comes last for all work; a task that was lost before goes to the host that was heard last, in steps of 0.1 s. Gangs choose likewise. Test: a_task_that_was_lost_goes_to_a_host_that_was_heard_just_now fails with the order taken out (w1 again).

--- a/include/walkthread/dispatch/candidate.hpp
+++ b/include/walkthread/dispatch/candidate.hpp
@@ -31,6 +31,7 @@
     double run_ms = std::numeric_limits<double>::infinity(); ///< of one task, expected
     bool reserved{};                                         ///< a gang with room reserved for it
     std::uint32_t permitted{};                               ///< tasks that its organisation may still start
+    bool lost_before{};                                      ///< a run of it went with its host
     /// Tasks of this step and round that run on a host or are about to, where the step limits them.
     std::map<worker_life_id, std::uint32_t> placed;
     [[nodiscard]] bool missed() const
@@ -77,7 +78,7 @@
     double speed{};          ///< learned, 1 is usual
     bool slow{};             ///< clearly slower than most
     bool watched{};          ///< a task that may crash the host was started there just now
-    bool unsure{};           ///< not heard since another host of its rack could not be reached
+    int doubt{};             ///< whether it can be reached, though no call to it has failed: less is better
     bool disturbs{};         ///< filling work would go beside serving work, or the other way round
     std::string_view ticket; ///< "-" where none is needed, empty where none counts
     /// The last label names the rack.
--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include <walkthread/dispatch/advice_book.hpp>
@@ -151,11 +152,12 @@
                    std::vector<std::string>& tickets, std::uint32_t& left) const;
     bool plan_suspects(const candidate& item, std::vector<offer>& offers, std::vector<planned_start>& starts,
                        std::vector<std::string>& tickets, std::uint32_t& left, monotonic_time now) const;
-    [[nodiscard]] std::size_t runs_on(const offer& o) const;
+    [[nodiscard]] std::tuple<int, std::size_t> cost_of_suspect(const offer& o) const;
     [[nodiscard]] std::vector<offer> find_offers_to_ask(const candidate& item, std::uint32_t need,
                                                         monotonic_time now);
     [[nodiscard]] std::map<worker_life_id, std::uint32_t> placed_tasks(const candidate& item) const;
     [[nodiscard]] std::set<worker_life_id> failed_before(const candidate& item);
+    [[nodiscard]] int doubt_about(const candidate& item, const host_row& row, monotonic_time now) const;
     [[nodiscard]] offer make_offer(const candidate& item, const host_row& row, monotonic_time now);
     [[nodiscard]] std::vector<offer> find_offers(const candidate& item, monotonic_time now);
     [[nodiscard]] std::vector<offer> find_good_offers(const candidate& item, monotonic_time now);
@@ -165,6 +167,7 @@
 
     // dispatcher_gangs.cpp: all tasks of a step at once
     bool place_gang(const candidate& item, monotonic_time now);
+    [[nodiscard]] bool has_lost_tasks(const candidate& item) const;
     [[nodiscard]] bool has_suspect_at_rest(const candidate& item, monotonic_time now) const;
     [[nodiscard]] bool start_gang(const candidate& item, monotonic_time now);
     void start_gang_on(const candidate& item, std::vector<offer> offers, monotonic_time now);
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -31,6 +31,7 @@
         12000};                   ///< an order that got no answer is carried out until then; platform's bound
     double clock_drift = 0.02;    ///< how much slower or faster a worker's clock may run; platform's bound
     milliseconds look_wait{1000}; ///< a look waits that long for an end: well under the lease
+    milliseconds look_overdue{200};    ///< beyond `look_wait`: its host comes last for new work
     milliseconds look_patience{700};   ///< beyond `look_wait` before a look counts as lost
     double looks_lost_often = 0.015;   ///< part of the looks at workers that live: above, looks are short; a
                                        ///< dark tenth of the workers stays below
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -176,6 +176,7 @@
             continue;
         }
         item.placed = placed_tasks(item);
+        item.lost_before = has_lost_tasks(item);
         failed += place(item, now) ? 0 : 1;
         if (failed > most_failed_placements)
         {
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -44,6 +44,13 @@
     return item.step->size.accelerators == 0 || o.keeps_large;
 }
 
+bool dispatcher::has_lost_tasks(const candidate& item) const
+{
+    const auto& suspects = m_state.crashes().suspects();
+    const auto first = suspects.lower_bound(task_ref{item.ref, 0});
+    return first != suspects.end() && first->first.step == item.ref;
+}
+
 bool dispatcher::has_suspect_at_rest(const candidate& item, monotonic_time now) const
 {
     for (std::uint32_t i = 0; i < item.step->count && !m_state.crashes().suspects().empty(); ++i)
@@ -133,9 +140,9 @@
               {
                   const auto key = [small, &item](const offer& o)
                   {
-                      return small ? std::make_tuple(o.watched, false, -o.speed,
+                      return small ? std::make_tuple(o.watched, o.doubt, false, -o.speed,
                                                      std::int64_t{o.worker->id.value()})
-                                   : std::make_tuple(o.watched, !spares_accelerators(item, o),
+                                   : std::make_tuple(o.watched, o.doubt, !spares_accelerators(item, o),
                                                      -static_cast<double>(o.slots),
                                                      -std::int64_t{o.worker->id.value()});
                   };
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -217,6 +217,24 @@
     return others >= need * 2 ? failed : std::set<worker_life_id>{};
 }
 
+// Hosts come last that were not heard since another one of their rack could not be reached, or for longer
+// than looks are held back. What was lost with a host goes to the one that was heard last: a second lease in
+// a row would double its wait.
+int dispatcher::doubt_about(const candidate& item, const host_row& row, monotonic_time now) const
+{
+    constexpr int most = 1000;
+    constexpr milliseconds step{100};
+    const auto& labels = row.worker->facts.labels;
+    const auto rack = labels.empty() ? m_doubted_racks.end() : m_doubted_racks.find(labels.back());
+    const bool rack_lost = rack != m_doubted_racks.end() && rack->second > row.view->contact.heard();
+    const duration unheard = row.view->contact.unheard_for(now);
+    if (rack_lost || unheard > m_settings.look_wait + m_settings.look_overdue)
+    {
+        return most;
+    }
+    return item.lost_before ? static_cast<int>(unheard / step) : 0;
+}
+
 dispatcher::offer dispatcher::make_offer(const candidate& item, const host_row& row, monotonic_time now)
 {
     offer o;
@@ -236,8 +254,7 @@
         o.slots == 0 || !uses(mechanism::large_slots) || keeps_large_slots(o.room, room_of(*item.step));
     o.watched =
         uses(mechanism::suspects_apart) && m_suspects.watches(row.worker->id, item.ref.submission, now);
-    const auto doubt = labels.empty() ? m_doubted_racks.end() : m_doubted_racks.find(labels.back());
-    o.unsure = doubt != m_doubted_racks.end() && doubt->second > row.view->contact.heard();
+    o.doubt = doubt_about(item, row, now);
     o.disturbs = (item.step->fills && row.view->serving > 0) ||
                  (item.step->latency_target_ms > 0 && row.view->filling > 0);
     return o;
@@ -352,52 +369,6 @@
     return offers;
 }
 
-// Tasks that may crash their hosts go where the least is lost, apart from those of other submissions. Counts
-// those without room; true if one has to wait for another reason.
-bool dispatcher::plan_suspects(const candidate& item, std::vector<offer>& offers,
-                               std::vector<planned_start>& starts, std::vector<std::string>& tickets,
-                               std::uint32_t& left, monotonic_time now) const
-{
-    const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
-    bool waits = false;
-    for (std::uint32_t i = 0; i < tasks.size(); ++i)
-    {
-        const task_ref ref{item.ref, i};
-        if (tasks[i].state() != work_phase::waiting || m_planned.contains(ref) || !m_suspects.suspects(ref) ||
-            starts.size() >= item.permitted)
-        {
-            continue;
-        }
-        if (m_suspects.rests(ref, now))
-        {
-            waits = true;
-            continue;
-        }
-        offer* best = nullptr;
-        bool room = false;
-        for (offer& o : offers)
-        {
-            room = room || o.slots > 0;
-            const bool better = best == nullptr || runs_on(o) < runs_on(*best);
-            best = o.slots > 0 && !o.watched && better ? &o : best;
-        }
-        left += room ? 0 : 1;
-        waits = waits || (room && best == nullptr);
-        if (best != nullptr)
-        {
-            --best->slots;
-            starts.push_back({ref, tasks[i].run + 1, best->worker->id});
-            tickets.emplace_back(best->ticket);
-        }
-    }
-    return waits;
-}
-
-std::size_t dispatcher::runs_on(const offer& o) const
-{
-    return m_views.at(o.worker->id).runs.size();
-}
-
 // Chooses a host for each waiting task; counts those without one.
 void dispatcher::plan_each(const candidate& item, std::vector<offer>& offers,
                            std::vector<planned_start>& starts, std::vector<std::string>& tickets,
@@ -450,7 +421,7 @@
               {
                   const auto key = [urgent](const offer& o)
                   {
-                      return std::make_tuple(o.watched, o.unsure, o.disturbs, !o.near, o.held,
+                      return std::make_tuple(o.watched, o.doubt, o.disturbs, !o.near, o.held,
                                              urgent ? o.slow : !o.slow, !o.keeps_large,
                                              urgent ? -o.speed : 0.0, o.worker->id);
                   };
--- /dev/null
+++ b/src/dispatch/dispatcher_suspects.cpp
@@ -0,0 +1,57 @@
+// The part of dispatcher that places tasks which may crash their hosts.
+
+#include <walkthread/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+
+namespace walkthread
+{
+
+// Tasks that may crash their hosts go where the least is lost, apart from those of other submissions. Counts
+// those without room; true if one has to wait for another reason.
+bool dispatcher::plan_suspects(const candidate& item, std::vector<offer>& offers,
+                               std::vector<planned_start>& starts, std::vector<std::string>& tickets,
+                               std::uint32_t& left, monotonic_time now) const
+{
+    const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
+    bool waits = false;
+    for (std::uint32_t i = 0; i < tasks.size(); ++i)
+    {
+        const task_ref ref{item.ref, i};
+        if (tasks[i].state() != work_phase::waiting || m_planned.contains(ref) || !m_suspects.suspects(ref) ||
+            starts.size() >= item.permitted)
+        {
+            continue;
+        }
+        if (m_suspects.rests(ref, now))
+        {
+            waits = true;
+            continue;
+        }
+        offer* best = nullptr;
+        bool room = false;
+        for (offer& o : offers)
+        {
+            room = room || o.slots > 0;
+            const bool better = best == nullptr || cost_of_suspect(o) < cost_of_suspect(*best);
+            best = o.slots > 0 && !o.watched && better ? &o : best;
+        }
+        left += room ? 0 : 1;
+        waits = waits || (room && best == nullptr);
+        if (best != nullptr)
+        {
+            --best->slots;
+            starts.push_back({ref, tasks[i].run + 1, best->worker->id});
+            tickets.emplace_back(best->ticket);
+        }
+    }
+    return waits;
+}
+
+// Less is better.
+std::tuple<int, std::size_t> dispatcher::cost_of_suspect(const offer& o) const
+{
+    return {o.doubt, m_views.at(o.worker->id).runs.size()};
+}
+
+} // namespace walkthread
--- a/tests/src/unit-lost-workers.cpp
+++ b/tests/src/unit-lost-workers.cpp
@@ -176,3 +176,43 @@
     pool.run(bounds.drop_and_commit + bounds.question + bounds.start);
     BOOST_TEST(pool.starts_of(task) == 1U);
 }
+
+namespace
+{
+// A task whose host fell silent is started again: where, and when. One worker may fall silent at a moment.
+struct second_start
+{
+    std::string life;
+    monotonic_time at{};
+};
+
+second_start play_second_start(const std::string& silent, monotonic_time since)
+{
+    pool_stand_in pool(small(8));
+    pool.lead();
+    pool.run(seconds(1));
+    const submission_id id = pool.submit("plain", {make_step(1, 4000, 2000)});
+    const task_ref task{{id, round_id{0}, 0}, 0};
+    pool.run(milliseconds(500));
+    pool.lose(workers_with_runs(pool, 8).front(), false);
+    while (pool.state().find(task)->run < 2)
+    {
+        pool.run(milliseconds(10));
+        if (!silent.empty() && pool.now() >= since)
+        {
+            pool.faults(silent).dark = true;
+        }
+    }
+    return {pool.state().find(pool.state().find(task)->worker)->facts.id, pool.now()};
+}
+} // namespace
+
+// It was started on a host that had gone dark a second before, and waited for a second lease.
+BOOST_AUTO_TEST_CASE(a_task_that_was_lost_goes_to_a_host_that_was_heard_just_now)
+{
+    const second_start usual = play_second_start({}, {});
+    const second_start with_silent =
+        play_second_start(usual.life, usual.at - milliseconds(1150)); // looks are held back for 1 s
+    BOOST_TEST(with_silent.life != usual.life);
+    BOOST_TEST((with_silent.at - usual.at < milliseconds(100)));
+}
