--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -152,7 +152,8 @@
                    std::vector<std::string>& tickets, std::uint32_t& left) const;
     bool plan_suspects(const candidate& item, std::vector<offer>& offers, std::vector<planned_start>& starts,
                        std::vector<std::string>& tickets, std::uint32_t& left, monotonic_time now) const;
-    [[nodiscard]] std::tuple<int, std::size_t> cost_of_suspect(const offer& o) const;
+    [[nodiscard]] std::tuple<int, bool, std::size_t> cost_of_suspect(const candidate& item, const offer& o,
+                                                                     monotonic_time now) const;
     [[nodiscard]] std::vector<offer> find_offers_to_ask(const candidate& item, std::uint32_t need,
                                                         monotonic_time now);
     [[nodiscard]] std::map<worker_life_id, std::uint32_t> placed_tasks(const candidate& item) const;
--- a/src/dispatch/dispatcher_suspects.cpp
+++ b/src/dispatch/dispatcher_suspects.cpp
@@ -33,7 +33,8 @@
         for (offer& o : offers)
         {
             room = room || o.slots > 0;
-            const bool better = best == nullptr || cost_of_suspect(o) < cost_of_suspect(*best);
+            const bool better =
+                best == nullptr || cost_of_suspect(item, o, now) < cost_of_suspect(item, *best, now);
             best = o.slots > 0 && !o.watched && better ? &o : best;
         }
         left += room ? 0 : 1;
@@ -48,10 +49,19 @@
     return waits;
 }
 
-// Less is better.
-std::tuple<int, std::size_t> dispatcher::cost_of_suspect(const offer& o) const
+// Less is better. Beside what has just begun there a crash would tell of neither.
+std::tuple<int, bool, std::size_t> dispatcher::cost_of_suspect(const candidate& item, const offer& o,
+                                                               monotonic_time now) const
 {
-    return {o.doubt, m_views.at(o.worker->id).runs.size()};
+    const worker_view& view = m_views.at(o.worker->id);
+    const bool beside_young = std::any_of(
+        view.runs.begin(), view.runs.end(),
+        [this, &item, now](const auto& there)
+        {
+            const bool other = there.first.task.step.submission != item.ref.submission;
+            return other && (!there.second.settled || now - *there.second.settled <= m_settings.just_began);
+        });
+    return {o.doubt, beside_young, view.runs.size()};
 }
 
 } // namespace walkthread
