A leader does not lead before its state has what earlier leaders committed

Trace of a run of the test itself, its check as it was, beside sanitizer builds and a busy disk: 3/0/1 and 3/1/1 are placed by node 3 at 7.192 s and started; node 2 leads from 7.642 s, writes that it applies node 3's placement while it leads already, has planned the same again, and answers the worker's renewal, which says that both run, with the stop of both: its state did not have them. Cause: a replica counts an entry as applied when it gives it out; the state takes it with the next flush, and what is handled between the two (a renewal, a plan) met the state as of before. A busy machine has more between them. That the process leads now also asks that the state has the entry that began the term. Kin: the platform's core decided likewise when to begin to lead; mended with it. Test: a_leader_does_not_lead_before_its_state_has_what_was_committed; holds_lease, which was asked until now, is true in it.

--- a/include/walkthread/replication/replica.hpp
+++ b/include/walkthread/replication/replica.hpp
@@ -163,6 +163,11 @@
     {
         return m_leader;
     }
+    /// @brief Where the present term began, as its leader.
+    [[nodiscard]] log_index term_start() const
+    {
+        return m_term_start;
+    }
     [[nodiscard]] log_index commit_index() const
     {
         return m_commit;
@@ -179,8 +184,9 @@
     {
         return m_log;
     }
-    /// @brief Whether this replica surely is the only leader at `now` and has applied all that came before
-    /// it. Rests on clocks whose speeds differ by at most `clock_drift`, not on their values.
+    /// @brief Whether this replica surely is the only leader at `now` and has given out to be applied all
+    /// that came before it; `replicated_group::leads` tells whether that is done. Rests on clocks whose
+    /// speeds differ by at most `clock_drift`, not on their values.
     [[nodiscard]] bool holds_lease(monotonic_time now) const;
     /// @brief When a follower last heard its leader.
     [[nodiscard]] monotonic_time last_leader_contact() const
--- a/include/walkthread/replication/replicated_group.hpp
+++ b/include/walkthread/replication/replicated_group.hpp
@@ -62,6 +62,12 @@
     {
         return m_id;
     }
+    /// @brief Whether this process surely is the only leader at `now`, and its state has all that earlier
+    /// leaders committed: a leader that reads its state before would order the end of what they had begun.
+    [[nodiscard]] bool leads(monotonic_time now) const
+    {
+        return m_core.holds_lease(now) && m_applied >= m_core.term_start();
+    }
     [[nodiscard]] log_index applied() const
     {
         return m_applied;
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -165,7 +165,7 @@
 
 bool core_node::leads(monotonic_time now) const
 {
-    return m_replica && m_replica->group().core().holds_lease(now);
+    return m_replica && m_replica->group().leads(now);
 }
 
 bool core_node::enough_copies() const
@@ -200,11 +200,11 @@
     {
         end_leading("deposed");
     }
-    if (!m_dispatcher && leader && !m_stopping && core.holds_lease(now))
+    if (!m_dispatcher && !m_stopping && leads(now))
     {
         begin_leading(now);
     }
-    if (leader && core.holds_lease(now))
+    if (leads(now))
     {
         follow(m_settings.peer_address);
     }
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -301,7 +301,7 @@
 bool process_core::leads(group_id id, monotonic_time now)
 {
     replicated_group* group = find_group(id);
-    return group != nullptr && group->core().holds_lease(now);
+    return group != nullptr && group->leads(now);
 }
 
 void process_core::announce(group_id group)
--- a/tests/src/unit-replication.cpp
+++ b/tests/src/unit-replication.cpp
@@ -3,6 +3,9 @@
 
 #include <cstdlib>
 
+#include <walkthread/replication/replicated_group.hpp>
+#include <walkthread/wire/codec.hpp>
+
 #include "replica_network.hpp"
 
 using namespace walkthread;
@@ -461,3 +464,44 @@
     BOOST_TEST(!leader->members().is_voter(lost));
     BOOST_REQUIRE_EQUAL(net.broken(), "");
 }
+
+// A new leader answered a worker before it had applied the entry that had started the worker's tasks, and
+// ordered their stop.
+BOOST_AUTO_TEST_CASE(a_leader_does_not_lead_before_its_state_has_what_was_committed)
+{
+    const replica_id self{node_id{1}, incarnation_id{1}};
+    replica_start disk;
+    disk.base.members.voters = {self};
+    disk.state.term = term_id{1};
+    disk.entries = {{log_index{1}, term_id{1}, static_cast<std::uint8_t>(entry_kind::command),
+                     encode(entry_body{0, "x"})}};
+    std::size_t applied = 0;
+    state_hooks hooks;
+    hooks.apply = [&applied](wall_ms, const std::string&)
+    {
+        ++applied;
+        return std::string{};
+    };
+    replicated_group group(group_id{1},
+                           replica(group_id{1}, self, quick_settings(), disk, 1, monotonic_time{}), hooks);
+    monotonic_time now{};
+    bool gave_out = false;
+    while (now < monotonic_time{} + seconds(5))
+    {
+        now += milliseconds(10);
+        group.core().tick(now);
+        const replica_output output = group.core().take_output(now);
+        group.core().synced(now);
+        const bool behind = !output.apply.empty() && applied == 0;
+        if (behind)
+        {
+            gave_out = true;
+            BOOST_TEST(group.core().holds_lease(now));
+            BOOST_TEST(!group.leads(now));
+        }
+        group.apply(output);
+    }
+    BOOST_TEST(gave_out);
+    BOOST_TEST(applied == 1U);
+    BOOST_TEST(group.leads(now));
+}
