A task whose worker was never told of it runs elsewhere when the worker's lease ends

Trace: 4/0/1 and 4/1/1 are placed on worker 1 by node 2 at 7.824 s; the worker's last renewal went to the frozen node 3, its lease ends at 9.174 s, and it registers at node 2 without having been told anything by it. The leader that placed a run knows whether it ever put its start into an answer. If it did not, it says so with the registration or the loss, and hands the start out no more until that is committed; the task waits again. Runs that an earlier leader placed are as before, as it may have told the worker. Test: a_not_repeatable_task_whose_worker_was_never_told_of_it_runs_elsewhere.

--- a/include/walkthread/node/hall_service.hpp
+++ b/include/walkthread/node/hall_service.hpp
@@ -55,7 +55,10 @@
         std::vector<run_report> reports;                    ///< for the next entry
         std::set<std::pair<run_id, std::uint8_t>> reported; ///< proposed or waiting, not applied yet
         std::set<run_id> over_size;                         ///< runs to throttle
-        std::map<run_id, monotonic_time> stop_seen;         ///< since when this leader knows of a stop
+        std::set<run_id> placed;                            ///< by this leader
+        std::set<run_id> told;                      ///< runs whose start was in an answer of this leader
+        std::set<run_id> withdrawn;                 ///< that they never began waits for its commit
+        std::map<run_id, monotonic_time> stop_seen; ///< since when this leader knows of a stop
         std::map<job_id, std::uint64_t> service_revision;
         std::uint64_t revision = 1;
         std::set<worker_id> platform_drained;
@@ -77,6 +80,9 @@
     void stop_leading();
     void propose(const hall_command& command, std::function<void(bool, const hall_result&)> handler);
     void expire_leases(monotonic_time now);
+    void remember_placed(const place_tasks& command);
+    [[nodiscard]] std::vector<run_id> withdraw_untold(worker_id worker);
+    void end_withdrawal(const std::vector<run_id>& runs);
     void probe_quarantined(wall_ms wall);
     void make_schedule(wall_ms wall);
     void reconcile_with_root();
--- a/include/walkthread/state/hall.hpp
+++ b/include/walkthread/state/hall.hpp
@@ -154,8 +154,9 @@
     std::string address{};
     std::uint16_t port{};
     resources size{};
-    epoch_id previous{}; ///< the worker's last epoch; 0 if it does not know
-    MSGPACK_DEFINE(worker, rack, address, port, size, previous)
+    epoch_id previous{};          ///< the worker's last epoch; 0 if it does not know
+    std::vector<run_id> untold{}; ///< runs placed there which nobody told it to start: they never began
+    MSGPACK_DEFINE(worker, rack, address, port, size, previous, untold)
 };
 
 /// @brief A worker under one epoch.
@@ -170,7 +171,8 @@
 struct lose_workers
 {
     std::vector<worker_epoch> workers{};
-    MSGPACK_DEFINE(workers)
+    std::vector<run_id> untold{}; ///< runs placed there which nobody told them to start: they never began
+    MSGPACK_DEFINE(workers, untold)
 };
 
 /// @brief Starts or ends draining of workers.
@@ -384,13 +386,13 @@
     void end_well(wall_ms at, hall_job& job, std::uint32_t index);
     void end_stopped(wall_ms at, hall_job& job, std::uint32_t index, bool checkpointed);
     void end_failed(wall_ms at, hall_job& job, std::uint32_t index);
-    void end_lost(wall_ms at, hall_job& job, std::uint32_t index);
+    void end_lost(wall_ms at, hall_job& job, std::uint32_t index, bool untold);
     void order_stop(wall_ms at, hall_job& job, std::uint32_t index, stop_reason reason);
     void stop_gang(wall_ms at, hall_job& job);
     void cancel(wall_ms at, hall_job& job, job_outcome outcome);
     void quarantine(wall_ms at, worker_record& worker);
     void set_phase(wall_ms at, worker_record& worker, worker_phase phase);
-    void release_all(wall_ms at, worker_record& worker);
+    void release_all(wall_ms at, worker_record& worker, const std::vector<run_id>& untold);
     void touch(const hall_job& job);
     task_record* find_run(const run_id& run, const worker_epoch& from, hall_job*& job);
 
--- a/src/node/hall_renewals.cpp
+++ b/src/node/hall_renewals.cpp
@@ -65,10 +65,13 @@
 {
     m_parked.erase(call.worker);
     const std::int64_t lease = m_core.config().timing.worker_lease.count();
+    register_worker command = call.about;
+    command.untold = withdraw_untold(call.worker);
     propose(
-        call.about,
-        [this, call, handler, lease](bool committed, const hall_result& answer)
+        command,
+        [this, handler, lease, command](bool committed, const hall_result& answer)
         {
+            end_withdrawal(command.untold);
             const monotonic_time now = monotonic_now();
             if (!committed || !m_leading || !m_core.leads(group_of(m_hall), now))
             {
@@ -81,7 +84,7 @@
                 handler(not_here_reply{{}, answer.code, "Another epoch of this worker may hold a lease."});
                 return;
             }
-            m_leading->leases.granted(call.worker, now);
+            m_leading->leases.granted(command.worker, now);
             renew_reply reply;
             reply.epoch = answer.epoch;
             reply.lease_ms = lease;
@@ -245,8 +248,9 @@
             reply.halt.push_back(*order);
         }
     }
-    else if (task.state() == task_phase::placed && !told)
+    else if (task.state() == task_phase::placed && !told && !m_leading->withdrawn.contains(run))
     {
+        m_leading->told.insert(run);
         const auto& organisations = m_core.config().organisations;
         const std::string& organisation = organisations.at(job.spec.organisation.value() - 1U).name;
         reply.start.push_back({run, job.spec.name, organisation, job.spec.kind, job.spec.values.size,
--- a/src/node/hall_service.cpp
+++ b/src/node/hall_service.cpp
@@ -17,6 +17,7 @@
 {
 constexpr double clock_drift = 0.05;
 constexpr std::size_t placements_per_entry = 512;
+constexpr std::size_t most_placed_known = 20'000; // a minute of the most starts that a cell is designed for
 constexpr wall_ms first_probe_after = 60'000;
 constexpr std::uint32_t most_probe_doublings = 6;
 } // namespace
@@ -236,6 +237,8 @@
         if (found != m_state.workers().end())
         {
             lost.workers.push_back({id, found->second.epoch});
+            const std::vector<run_id> untold = withdraw_untold(id);
+            lost.untold.insert(lost.untold.end(), untold.begin(), untold.end());
         }
     }
     if (lost.workers.empty())
@@ -246,6 +249,7 @@
     propose(lost,
             [this, lost](bool committed, const hall_result&)
             {
+                end_withdrawal(lost.untold);
                 for (const worker_epoch& gone : lost.workers)
                 {
                     if (committed && m_leading)
@@ -256,6 +260,62 @@
             });
 }
 
+void hall_service::remember_placed(const place_tasks& command)
+{
+    if (m_leading->placed.size() > most_placed_known)
+    {
+        const auto over = [this](const run_id& run)
+        {
+            const auto job = m_state.jobs().find(run.task.job);
+            const bool present = job != m_state.jobs().end() && run.task.index < job->second.tasks.size();
+            return !present || job->second.tasks[run.task.index].run != run.run ||
+                   job->second.tasks[run.task.index].state() != task_phase::placed;
+        };
+        std::erase_if(m_leading->placed, over);
+        std::erase_if(m_leading->told, over);
+    }
+    for (const placement& made : command.placements)
+    {
+        m_leading->placed.insert(made.run);
+    }
+}
+
+// Runs that this leader placed on a worker and never told it to start, nor will: without this, a job that is
+// not repeatable ended as unknown where its worker's lease ran out before the worker had found the new
+// leader.
+std::vector<run_id> hall_service::withdraw_untold(worker_id worker)
+{
+    std::vector<run_id> out;
+    const auto found = m_state.workers().find(worker);
+    if (found == m_state.workers().end())
+    {
+        return out;
+    }
+    for (const task_id& id : found->second.tasks)
+    {
+        const task_record& task = m_state.jobs().at(id.job).tasks[id.index];
+        const run_id run{id, task.run};
+        const bool untold = m_leading->placed.contains(run) && !m_leading->told.contains(run);
+        if (task.state() == task_phase::placed && untold)
+        {
+            out.push_back(run);
+            m_leading->withdrawn.insert(run);
+        }
+    }
+    return out;
+}
+
+void hall_service::end_withdrawal(const std::vector<run_id>& runs)
+{
+    for (const run_id& run : runs)
+    {
+        if (m_leading)
+        {
+            m_leading->withdrawn.erase(run);
+        }
+    }
+}
+
 void hall_service::probe_quarantined(wall_ms wall)
 {
     probe_workers probe;
@@ -294,14 +354,19 @@
         propose(stop_runs{std::move(plan.stops)}, [](bool, const hall_result&) {});
     }
     const term_id term = m_leading->term;
-    propose(place_tasks{std::move(plan.placements)},
-            [this, term](bool committed, const hall_result&)
+    const place_tasks command{std::move(plan.placements)};
+    propose(command,
+            [this, term, command](bool committed, const hall_result& answer)
             {
                 if (!m_leading || m_leading->term != term)
                 {
                     return;
                 }
                 m_leading->plan_in_flight = false;
+                if (committed && answer.applied == command.placements.size())
+                {
+                    remember_placed(command);
+                }
                 if (!committed)
                 {
                     m_leading->planner.reset(m_state);
--- a/src/state/hall.cpp
+++ b/src/state/hall.cpp
@@ -55,7 +55,7 @@
     }
     if (known)
     {
-        release_all(at, worker);
+        release_all(at, worker, command.untold);
         if (worker.state() != worker_phase::lost)
         {
             m_capacity -= worker.size;
@@ -90,7 +90,7 @@
             continue;
         }
         worker_record& worker = found->second;
-        release_all(at, worker);
+        release_all(at, worker, command.untold);
         m_capacity -= worker.size;
         set_phase(at, worker, worker_phase::lost);
     }
@@ -160,12 +160,14 @@
     set_phase(at, worker, worker_phase::quarantined);
 }
 
-void hall_state::release_all(wall_ms at, worker_record& worker)
+void hall_state::release_all(wall_ms at, worker_record& worker, const std::vector<run_id>& untold)
 {
     const std::vector<task_id> tasks = worker.tasks;
     for (const task_id& task : tasks)
     {
-        end_lost(at, m_jobs.at(task.job), task.index);
+        hall_job& job = m_jobs.at(task.job);
+        const run_id run{task, job.tasks[task.index].run};
+        end_lost(at, job, task.index, std::find(untold.begin(), untold.end(), run) != untold.end());
     }
 }
 
--- a/src/state/hall_runs.cpp
+++ b/src/state/hall_runs.cpp
@@ -240,9 +240,9 @@
     }
 }
 
-void hall_state::end_lost(wall_ms at, hall_job& job, std::uint32_t index)
+void hall_state::end_lost(wall_ms at, hall_job& job, std::uint32_t index, bool untold)
 {
-    const bool again = job.may_run_again();
+    const bool again = job.may_run_again() || (untold && !job.cancelled);
     release(at, job, index, again ? task_phase::pending : task_phase::ended);
     if (!again)
     {
--- a/tests/src/unit-hall.cpp
+++ b/tests/src/unit-hall.cpp
@@ -97,6 +97,38 @@
     BOOST_TEST(hall.state().jobs().at(spec.id).outcome == static_cast<std::uint8_t>(job_outcome::unknown));
 }
 
+// Its worker's lease ended before the worker had found the leader that placed it: the job ended as unknown.
+BOOST_AUTO_TEST_CASE(a_not_repeatable_task_whose_worker_was_never_told_of_it_runs_elsewhere)
+{
+    for (const bool registers : {false, true})
+    {
+        hall_fixture hall;
+        hall.add_workers(2, 4, 0);
+        job_spec spec = hall.make_job(workload_kind::batch, 1, whole);
+        spec.repeatable = false;
+        hall.submit(spec);
+        hall.plan();
+        const task_record task = hall.state().jobs().at(spec.id).tasks[0];
+        const run_id run{{spec.id, 0}, task.run};
+        if (registers)
+        {
+            register_worker again;
+            again.worker = task.worker;
+            again.size = whole;
+            again.previous = epoch_id{1};
+            again.untold = {run};
+            hall.apply(again);
+        }
+        else
+        {
+            hall.apply(lose_workers{{{task.worker, epoch_id{1}}}, {run}});
+        }
+        hall.plan_all();
+        BOOST_TEST(hall.running_in(spec.id) == 1U);
+        BOOST_TEST(hall.state().jobs().at(spec.id).tasks[0].run == task.run + 1);
+    }
+}
+
 // Whoever stops it: a run that had begun may have done its work in part.
 BOOST_AUTO_TEST_CASE(a_not_repeatable_task_that_was_stopped_never_runs_again)
 {
