--- a/include/walkthread/dispatch/suspect_watch.hpp
+++ b/include/walkthread/dispatch/suspect_watch.hpp
@@ -29,10 +29,9 @@
 
     /// @brief Whether a task is to be started apart. Complexity: logarithmic in the suspects.
     [[nodiscard]] bool suspects(const task_ref& task) const;
-    /// @brief Whether a task has been lost so often that it runs by itself: so its next crash tells whether
-    /// it is at fault, and crashes of others do not reach it. Complexity: logarithmic in the suspects.
-    [[nodiscard]] bool isolates(const task_ref& task) const;
-    /// @brief Finds the hosts on which tasks run by themselves now. Complexity: linear in the suspects.
+    /// @brief Finds the hosts on which a task runs now that was lost so often that it is to run by itself: so
+    /// its next crash tells whether it is at fault, and crashes of others do not reach it. Complexity: linear
+    /// in the suspects.
     void find_isolated(const workload_state& state);
     /// @brief A suspect is about to be started there.
     void note_start(worker_life_id worker, submission_id owner, monotonic_time now);
--- a/src/dispatch/suspect_watch.cpp
+++ b/src/dispatch/suspect_watch.cpp
@@ -22,12 +22,6 @@
     return against != nullptr && (against->blame >= blame::crowd || against->losses() > 1);
 }
 
-bool suspect_watch::isolates(const task_ref& task) const
-{
-    const suspicion* against = m_crashes.find(task);
-    return against != nullptr && against->losses() >= losses_until_isolated;
-}
-
 void suspect_watch::find_isolated(const workload_state& state)
 {
     m_isolated.clear();
