The log tells what a gang waited for

Cause: five hypotheses for wide gangs that are served last cannot be told apart: one line a second tells of the gang that waits longest, and most other lines are dropped for their rate on a large pool. Change: one line for each gang that starts, with its times by cause: too few approved hosts, not admitted to gather, nothing free, back-off, gathering, tickets, reservation. Decisions are as they were.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -20,6 +20,7 @@
 #include <walkthread/dispatch/capacity_forecast.hpp>
 #include <walkthread/dispatch/drop_blocker.hpp>
 #include <walkthread/dispatch/freed_capacity_log.hpp>
+#include <walkthread/dispatch/gang_wait_times.hpp>
 #include <walkthread/dispatch/host_table.hpp>
 #include <walkthread/dispatch/lost_runs.hpp>
 #include <walkthread/dispatch/objective.hpp>
@@ -179,7 +180,8 @@
     void plan_gang_start(const candidate& item, std::vector<offer> offers, monotonic_time now);
     void update_large_task_size(const candidate& item);
     [[nodiscard]] static bool preserves_accelerators(const candidate& item, const offer& o);
-    void hold_resources(const candidate& item, monotonic_time now);
+    gang_wait hold_resources(const candidate& item, monotonic_time now);
+    void log_gang_wait(const candidate& item, monotonic_time now);
     [[nodiscard]] bool may_gather(const candidate& item) const;
     [[nodiscard]] std::uint32_t held_tasks(const step_ref& ref) const;
     void set_hold(const step_ref& ref, capacity_hold next);
@@ -351,6 +353,7 @@
     std::map<step_ref, monotonic_time> m_hold_backoff_until; ///< back-off of gangs whose hold expired
     std::map<step_ref, monotonic_time> m_gang_retry_at; ///< next placement attempt of gangs without a hold
     std::map<step_ref, monotonic_time> m_gang_waiting_since; ///< waiting gangs, and since when they wait
+    gang_wait_times m_gang_wait_times;
     monotonic_time m_gang_review_due{};
     std::set<step_ref> m_gangs_short_of_hosts; ///< overdue gangs with too few approved hosts
     std::map<worker_incarnation_id, std::vector<step_ref>> m_reserved_on; ///< gangs with a reservation there
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -329,6 +329,7 @@
     std::erase_if(m_last_preemption, over);
     std::erase_if(m_hold_backoff_until, over);
     std::erase_if(m_gang_retry_at, over);
+    m_gang_wait_times.prune(over);
     std::erase_if(m_waiting, over);
     if (command.ids.empty())
     {
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -89,10 +89,12 @@
     }
     if (has_reservation(item.ref))
     {
+        const bool due = m_holds.at(item.ref).due <= now;
+        m_gang_wait_times.note(item.ref, due ? gang_wait::tickets : gang_wait::reservation, now);
         query_advisor_for_reservation(item, now);
         return false;
     }
-    hold_resources(item, now);
+    m_gang_wait_times.note(item.ref, hold_resources(item, now), now);
     query_advisor_for_gang(item, now);
     const std::uint32_t held = held_tasks(item.ref);
     if (held < item.step->count)
@@ -115,10 +117,35 @@
     {
         return false;
     }
+    log_gang_wait(item, now);
     plan_gang_start(item, std::move(offers), now);
     return true;
 }
 
+void dispatcher::log_gang_wait(const candidate& item, monotonic_time now)
+{
+    if (item.urgent())
+    {
+        return;
+    }
+    const gang_wait_durations spent = m_gang_wait_times.take(item.ref, now);
+    const auto of = [&spent](gang_wait cause)
+    {
+        return spent.at(static_cast<std::size_t>(cause));
+    };
+    log_event(now, "gang_waited", name_of(item.ref),
+              {{"tasks", item.step->count},
+               {"slack_ms", static_cast<std::int64_t>(item.slack_ms)},
+               {"missed", item.missed()},
+               {"hosts_ms", of(gang_wait::hosts)},
+               {"turn_ms", of(gang_wait::turn)},
+               {"capacity_ms", of(gang_wait::capacity)},
+               {"backoff_ms", of(gang_wait::backoff)},
+               {"gathering_ms", of(gang_wait::gathering)},
+               {"tickets_ms", of(gang_wait::tickets)},
+               {"reservation_ms", of(gang_wait::reservation)}});
+}
+
 void dispatcher::plan_gang_start(const candidate& item, std::vector<offer> offers, monotonic_time now)
 {
     std::map<std::string, std::uint32_t> by_rack;
@@ -235,22 +262,28 @@
 }
 
 // Holds free capacity on approved hosts until all tasks of the gang fit. Prefers the hosts on which the gang
-// already holds some.
-void dispatcher::hold_resources(const candidate& item, monotonic_time now)
+// already holds some. Returns what the gang waits for then.
+gang_wait dispatcher::hold_resources(const candidate& item, monotonic_time now)
 {
     const auto before = m_holds.find(item.ref);
     const std::uint32_t held_before = before == m_holds.end() ? 0 : before->second.total;
     std::vector<offer> offers = find_approved_offers(item, now);
     std::uint32_t sum = 0;
+    std::uint32_t whole = 0;
     for (const offer& o : offers)
     {
         sum += o.slots;
+        whole += o.whole;
     }
     const bool backing_off = m_hold_backoff_until.contains(item.ref) && now < m_hold_backoff_until[item.ref];
-    if (sum == 0 || (sum < item.step->count && (backing_off || !may_gather(item))))
+    const bool has_turn = sum >= item.step->count || may_gather(item);
+    if (sum == 0 || (sum < item.step->count && (backing_off || !has_turn)))
     {
         drop_hold(item.ref);
-        return;
+        return whole < item.step->count ? gang_wait::hosts
+               : backing_off            ? gang_wait::backoff
+               : !has_turn              ? gang_wait::turn
+                                        : gang_wait::capacity;
     }
     const auto own = [&](const offer& o)
     {
@@ -285,7 +318,9 @@
                    {"missed", item.missed()},
                    {"holds", m_holds.size() + 1}});
     }
+    const gang_wait waits_for = next.total < item.step->count ? gang_wait::gathering : gang_wait::tickets;
     set_hold(item.ref, std::move(next));
+    return whole < item.step->count ? gang_wait::hosts : waits_for;
 }
 
 // Drops holds of steps that no longer wait and holds that have not grown for a while, as the held capacity
