Work that can wait leaves capacity to waiting gangs of higher priority

Cause: gangs gather a little at a time, as what they hold is idle. What they don't hold is taken at once by single tasks, whatever their priority and slack, until the gangs are late and rank behind those for good. Wide gangs wait for their turn for 9.4 s, narrow ones for 1.1 s (gang_waited). Change: while such gangs wait for their turn or for capacity in a pool that is half full or more, single tasks of lower priority are not started as long as their slack, less twice the error of estimates, is longer than a gang takes to prepare.

--- a/include/walkthread/dispatch/candidate.hpp
+++ b/include/walkthread/dispatch/candidate.hpp
@@ -28,6 +28,7 @@
     pool_number pool{};
     timeliness expected_timeliness{};
     double slack_ms{};
+    double uncertainty_ms{}; ///< by how much the slack may be overestimated: the error of run time estimates
     double run_ms = std::numeric_limits<double>::infinity(); ///< expected, for one task
     bool reserved{};                                         ///< a gang that has a reservation
     std::uint32_t permitted{};                               ///< tasks that its organisation may still start
--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -27,6 +27,7 @@
 #include <walkthread/dispatch/orders.hpp>
 #include <walkthread/dispatch/suspect_isolation.hpp>
 #include <walkthread/dispatch/unconfirmed_submissions.hpp>
+#include <walkthread/dispatch/waiting_demand.hpp>
 #include <walkthread/dispatch/worker_view.hpp>
 #include <walkthread/observe/decision_log.hpp>
 #include <walkthread/workload/workload_state.hpp>
@@ -212,6 +213,11 @@
                                                 bool meantime, monotonic_time now) const;
     void query_advisor_for_reservation(const candidate& item, monotonic_time now);
 
+    // dispatcher_priority.cpp: work that can wait leaves capacity to gangs of higher priority
+    void add_waiting_demand(const candidate& item);
+    [[nodiscard]] bool leaves_capacity_to_gangs(const candidate& item);
+    [[nodiscard]] bool is_idle(pool_number pool);
+
     // dispatcher_reserve.cpp: hosts reserved for large tasks
     void reserve_hosts(const candidate& item, std::uint32_t left, monotonic_time now);
     void query_large_hosts(const candidate& item, monotonic_time now);
@@ -354,6 +360,8 @@
     std::map<step_ref, monotonic_time> m_gang_retry_at; ///< next placement attempt of gangs without a hold
     std::map<step_ref, monotonic_time> m_gang_waiting_since; ///< waiting gangs, and since when they wait
     gang_wait_times m_gang_wait_times;
+    waiting_demand m_waiting_demand;
+    std::map<pool_number, bool> m_idle_pools; ///< whether most of a pool is idle, as evaluated in this pass
     monotonic_time m_gang_review_due{};
     std::set<step_ref> m_gangs_short_of_hosts; ///< overdue gangs with too few approved hosts
     std::map<worker_incarnation_id, std::vector<step_ref>> m_reserved_on; ///< gangs with a reservation there
--- a/include/walkthread/dispatch/gang_reservations.hpp
+++ b/include/walkthread/dispatch/gang_reservations.hpp
@@ -75,6 +75,11 @@
     [[nodiscard]] bool admits(const resources& wanted, bool late, double ready_ms) const;
     /// @brief Records that a gang got its reservation.
     void add(const resources& wanted, bool late);
+    /// @brief Whether most of the pool's capacity is not in use.
+    [[nodiscard]] bool idle() const
+    {
+        return m_idle;
+    }
     /// @brief Number of gangs that got a reservation in this review.
     [[nodiscard]] std::size_t gangs() const
     {
--- a/include/walkthread/dispatch/gang_wait_times.hpp
+++ b/include/walkthread/dispatch/gang_wait_times.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include <walkthread/units/time.hpp>
 #include <walkthread/workload/commands.hpp>
@@ -46,6 +47,13 @@
         known.since = now;
         known.cause = cause;
     }
+    /// @brief What a gang waits for; no value for a gang that is not known. Complexity: logarithmic in the
+    /// gangs.
+    [[nodiscard]] std::optional<gang_wait> cause_of(const step_ref& gang) const
+    {
+        const auto found = m_records.find(gang);
+        return found == m_records.end() ? std::nullopt : std::optional(found->second.cause);
+    }
     /// @brief Removes a gang and returns its waiting times; zeros for a gang that is not known.
     gang_wait_durations take(const step_ref& gang, monotonic_time now)
     {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include <walkthread/dispatch/dispatcher.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -170,6 +171,8 @@
     {
         review_reservations(candidates, now);
     }
+    m_waiting_demand.clear();
+    m_idle_pools.clear();
     for (candidate& item : candidates)
     {
         item.permitted = permitted_tasks(item);
@@ -178,9 +181,14 @@
             drop_hold(item.ref); // nothing is held for steps that their organisation's quota blocks
             continue;
         }
+        if (leaves_capacity_to_gangs(item))
+        {
+            continue;
+        }
         item.placed = placed_tasks(item);
         item.lost_with_host = has_crash_suspects(item);
         failed += place(item, now) ? 0 : 1;
+        add_waiting_demand(item);
         if (failed > max_failed_placements)
         {
             break;
@@ -226,6 +234,8 @@
     const critical_path_times chain = m_objectives.critical_path_of(*item.owner, item.ref.step);
     const double objective = item.queue != nullptr ? objective_ms(chain, *item.queue) : 0.0;
     item.slack_ms = objective - age - chain.remaining_ms;
+    item.uncertainty_ms =
+        2 * std::sqrt(m_objectives.relative_variance(item.owner->queue)) * chain.remaining_ms;
     item.run_ms = m_objectives.expected_ms(item.owner->queue, *item.step);
     item.reserved = has_reservation(item.ref);
     item.expected_timeliness = classify_timeliness(item.slack_ms, objective, m_settings.timeliness_limits);
