--- a/tests/src/unit-wide-gangs.cpp
+++ b/tests/src/unit-wide-gangs.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <cmath>
 
+#include <walkthread/dispatch/waiting_demand.hpp>
+
 #include "small_pool.hpp"
 
 using namespace walkthread;
@@ -234,3 +236,19 @@
         }
     }
 }
+
+// Work without accelerators does not use the capacity that gangs with accelerators wait for.
+BOOST_AUTO_TEST_CASE(only_lower_priority_and_the_same_capacity_compete)
+{
+    const pool_number pool{1};
+    waiting_demand demand;
+    demand.add(pool, 1, true);
+    BOOST_TEST(demand.competes(pool, 2, true));
+    BOOST_TEST(!demand.competes(pool, 2, false));
+    BOOST_TEST(!demand.competes(pool, 1, true));
+    BOOST_TEST(!demand.competes(pool_number{2}, 2, true));
+    demand.add(pool, 1, false);
+    BOOST_TEST(demand.competes(pool, 2, false));
+    demand.clear();
+    BOOST_TEST(!demand.competes(pool, 2, true));
+}
