Look-ahead window over waiting steps; shares between organisations

Cause: in a burst the leader falls behind. Small organisations were late beside one that sends seven times its usual load; weights were used by no decision of this dispatcher.

Change: steps are examined while their tasks may start within 2 s (dispatch/backlog_window); the time between passes grows with the ready steps; urgent and long-running ready steps have an index of their own; the order is computed once per step. Organisations below their share by weight go first within a rank, if the settings declare a contended pool (policy/fair_share, which the older scheduler uses as well). dispatch_counters gets its own header.

The gain is small; the leader's processor time still binds in the burst.

--- a/include/walkthread/dispatch/candidate.hpp
+++ b/include/walkthread/dispatch/candidate.hpp
@@ -31,6 +31,7 @@
     double uncertainty_ms{}; ///< by how much the slack may be overestimated: the error of run time estimates
     double run_ms = std::numeric_limits<double>::infinity(); ///< expected, for one task
     bool reserved{};                                         ///< a gang that has a reservation
+    bool beyond_share{};                                     ///< its organisation runs at least its share
     std::uint32_t permitted{};                               ///< tasks that its organisation may still start
     bool lost_with_host{};                                   ///< a run of it was lost together with its host
     /// Tasks of this step and round that run on a host or are about to; set only if the step limits tasks per
--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -16,8 +16,10 @@
 #include <vector>
 
 #include <walkthread/dispatch/advice_cache.hpp>
+#include <walkthread/dispatch/backlog_window.hpp>
 #include <walkthread/dispatch/candidate.hpp>
 #include <walkthread/dispatch/capacity_forecast.hpp>
+#include <walkthread/dispatch/dispatch_counters.hpp>
 #include <walkthread/dispatch/drop_blocker.hpp>
 #include <walkthread/dispatch/freed_capacity_log.hpp>
 #include <walkthread/dispatch/gang_wait_times.hpp>
@@ -25,6 +27,7 @@
 #include <walkthread/dispatch/lost_runs.hpp>
 #include <walkthread/dispatch/objective.hpp>
 #include <walkthread/dispatch/orders.hpp>
+#include <walkthread/dispatch/organisation_shares.hpp>
 #include <walkthread/dispatch/suspect_isolation.hpp>
 #include <walkthread/dispatch/unconfirmed_submissions.hpp>
 #include <walkthread/dispatch/waiting_demand.hpp>
@@ -35,23 +38,6 @@
 namespace walkthread
 {
 
-/// @brief Event counts of the current term of leadership.
-struct dispatch_counters
-{
-    std::uint64_t starts{};
-    std::uint64_t ends{};
-    std::uint64_t refused_starts{};
-    std::uint64_t unanswered_orders{};
-    std::uint64_t unsent_orders{}; ///< no connection was available
-    std::uint64_t lost_workers{};
-    std::uint64_t restarted_workers{}; ///< restarts under the same worker id
-    std::uint64_t tasks_given_up{};    ///< poison tasks: they crash the workers they run on
-    std::uint64_t questions{};
-    std::uint64_t preemptions{};
-    std::uint64_t starts_before_report{}; ///< on workers that had not reported to this leader yet
-    std::uint64_t starts_withdrawn{};     ///< not sent or resent because the worker is leaving
-};
-
 /// @brief Schedules tasks on workers. One object serves one term of leadership.
 /// @since 0.2
 class dispatcher
@@ -94,6 +80,11 @@
     {
         return m_runs_on_unresponsive_workers;
     }
+    /// @brief What organisations run against their shares; empty unless the pool is contended.
+    [[nodiscard]] const std::map<std::string, organisation_share>& shares() const
+    {
+        return m_shares.shares();
+    }
     [[nodiscard]] const std::map<worker_incarnation_id, worker_view>& views() const
     {
         return m_views;
@@ -213,7 +204,14 @@
                                                 bool meantime, monotonic_time now) const;
     void query_advisor_for_reservation(const candidate& item, monotonic_time now);
 
-    // dispatcher_priority.cpp: work that can wait leaves capacity to gangs of higher priority
+    // dispatcher_window.cpp: how many waiting steps are examined; dispatcher_shares.cpp: organisations
+    [[nodiscard]] bool is_within_window(const candidate& item);
+    void count_in_window(const candidate& item);
+    [[nodiscard]] resources expected_capacity(const candidate& item);
+    void apply_shares(std::vector<candidate>& items, bool all);
+    void log_shares(monotonic_time now);
+
+    // dispatcher_priority.cpp: work that can wait leaves capacity to gangs
     void add_waiting_demand(const candidate& item);
     [[nodiscard]] bool leaves_capacity_to_gangs(const candidate& item);
     [[nodiscard]] bool is_idle(pool_number pool);
@@ -334,22 +332,22 @@
     std::uint64_t m_fence;
     monotonic_time m_term_start;
     wall_ms m_wall{};
-    std::shared_ptr<bool> m_alive =
-        std::make_shared<bool>(true); ///< false after the end of the term; callbacks check it
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< until the end of the term
 
     std::map<worker_incarnation_id, worker_view> m_views;
     std::uint64_t m_synced_version = 0;
     monotonic_time m_periodic_work_due{};
     monotonic_time m_waiting_log_due{};                      ///< next log line about the longest waiting step
     std::map<std::string, monotonic_time> m_suspected_racks; ///< when a host there was last suspected
-    std::size_t m_runs_on_unresponsive_workers =
-        0; ///< runs on workers that have not answered for longer than a lease
+    std::size_t m_runs_on_unresponsive_workers = 0;          ///< on workers silent for longer than a lease
     contact_streak m_contact_history;
     monotonic_time m_review_due{};
-    monotonic_time m_full_pass_due{}; ///< next pass over steps that are not urgent
-    double m_poll_loss_rate = 0.0;    ///< moving average of the share of polls that got no answer
-    double m_typical_speed = 1.0;     ///< median speed of the faster half of the hosts
-    bool m_full_pass_needed = false;  ///< steps that are not urgent are waiting
+    pass_schedule m_schedule;
+    double m_poll_loss_rate = 0.0; ///< moving average of the share of polls that got no answer
+    double m_typical_speed = 1.0;  ///< median speed of the faster half of the hosts
+    turnover_time m_turnover;
+    organisation_shares m_shares;
+    backlog_windows m_windows;                                  ///< of this pass
     std::map<task_ref, worker_incarnation_id> m_planned;        ///< starts that are being committed
     std::map<std::string, resources> m_planned_by_organisation; ///< resources of these starts by organisation
     unconfirmed_submissions m_unconfirmed;
@@ -370,8 +368,7 @@
     std::set<std::string> m_admitting_hosts; ///< hosts whose incarnations are being admitted
     std::set<std::string> m_maintenance_in_flight;
     std::map<std::string, monotonic_time> m_maintenance_retry;
-    std::map<std::string, monotonic_time>
-        m_maintenance_accepted;                                 ///< when the platform accepted a host's order
+    std::map<std::string, monotonic_time> m_maintenance_accepted; ///< when the platform accepted an order
     std::map<std::string, monotonic_time> m_maintenance_absent; ///< since when a host of a wave has no worker
     std::map<std::string, monotonic_time> m_drain_blocked_since; ///< since when a host may not be drained
     std::set<std::string> m_maintenance_overtaken; ///< ordered hosts that no longer delay the others
--- a/include/walkthread/dispatch/host_table.hpp
+++ b/include/walkthread/dispatch/host_table.hpp
@@ -21,9 +21,6 @@
 namespace walkthread
 {
 
-/// @brief The number of a pool, for cheap comparison; no host is in pool 0.
-using pool_number = strong<struct pool_number_tag, std::uint32_t>;
-
 /// @brief A worker during one pass.
 struct host_row
 {
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include <walkthread/dispatch/backlog_window.hpp>
 #include <walkthread/dispatch/gang_reservations.hpp>
 #include <walkthread/dispatch/gathering.hpp>
 #include <walkthread/dispatch/mechanisms.hpp>
@@ -98,6 +99,9 @@
     milliseconds stop_effect_delay{600};
     gathering_limits gathering{};
     reservation_settings reservations{}; ///< of capacity for gangs
+    /// Organisations compete for capacity: those that run less than their share go first.
+    bool contended_pool = false;
+    backlog_settings backlog{}; ///< of the examination of waiting steps
     /// From first being considered to the start: two queries, and gathering between them.
     milliseconds gang_lead_time{4000};
     /// Relative to the usual speed: urgent work uses slower hosts last; hosts differ by a factor of 1 to 1.3.
--- a/include/walkthread/policy/scheduler.hpp
+++ b/include/walkthread/policy/scheduler.hpp
@@ -17,6 +17,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <walkthread/policy/fair_share.hpp>
 #include <walkthread/policy/host_pool.hpp>
 #include <walkthread/policy/job_queue.hpp>
 #include <walkthread/state/hall.hpp>
@@ -187,7 +188,6 @@
     [[nodiscard]] bool is_victim(const hall_job& victim, const task_record& task, const hall_job& job,
                                  const plan_state& p, const resources& already) const;
 
-    [[nodiscard]] double weight_of(organisation_id organisation) const;
     [[nodiscard]] double guarantee_of(organisation_id organisation) const;
     [[nodiscard]] double share_of(organisation_id organisation, const plan_state& p) const;
     [[nodiscard]] resources used_by(organisation_id organisation, const plan_state& p) const;
@@ -209,6 +209,7 @@
     void forget_blocked();
 
     scheduler_settings m_settings;
+    fair_share<organisation_id> m_shares;
     std::mt19937_64 m_random;
     host_pool m_pool;
     job_queue m_queue;
--- a/include/walkthread/workload/organisation.hpp
+++ b/include/walkthread/workload/organisation.hpp
@@ -96,6 +96,11 @@
     [[nodiscard]] std::uint32_t places(const std::string& organisation, const resources& each,
                                        const resources& planned = {}) const;
     [[nodiscard]] resources used(const std::string& organisation) const;
+    /// @brief The usage of all organisations with running work.
+    [[nodiscard]] const std::map<std::string, resources>& all_used() const
+    {
+        return m_used;
+    }
     [[nodiscard]] resources limit(const std::string& organisation) const;
 
     MSGPACK_DEFINE(m_limits)
--- a/include/walkthread/workload/workload_state.hpp
+++ b/include/walkthread/workload/workload_state.hpp
@@ -122,6 +122,11 @@
     {
         return m_ready;
     }
+    /// @brief Those of the ready steps that are long-running or of a queue of the highest priority.
+    [[nodiscard]] const std::set<step_ref>& ready_first() const
+    {
+        return m_ready_first;
+    }
     /// @brief Final submissions whose runs may still exist.
     [[nodiscard]] const std::set<submission_id>& closing() const
     {
@@ -202,10 +207,12 @@
     void finish(wall_ms at, submission& owner, submission_phase phase);
     static void drop_details(submission& owner);
     void set_phase(submission& owner, submission_phase phase);
+    [[nodiscard]] bool goes_first(const submission& owner, const step_spec& step) const;
     void refresh_ready(const submission& owner, round_id round, std::uint32_t step);
     void refresh_round(const submission& owner, round_id round);
     void rebuild_indexes();
     void index_configuration();
+    void index_ready_first();
     void index_usage();
     work_task* task_of(const task_ref& ref);
 
@@ -230,6 +237,7 @@
     std::map<worker_incarnation_ref, worker_incarnation_id> m_by_incarnation;
     std::map<std::string, worker_incarnation_id> m_by_host;
     std::set<step_ref> m_ready;
+    std::set<step_ref> m_ready_first;
     std::set<submission_id> m_closing;
     std::set<std::pair<wall_ms, submission_id>> m_ended;
     std::map<std::string, std::uint32_t> m_queued;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -25,13 +25,13 @@
 {
     return 3 + static_cast<int>(expected_timeliness);
 }
-constexpr duration idle_pass_interval = milliseconds(100); // checks leases, retries and due times
 } // namespace
 
 dispatcher::dispatcher(const workload_state& state, dispatch_settings settings, dispatch_hooks hooks,
                        decision_log& log, std::uint64_t fence, monotonic_time now)
     : m_state(state), m_settings(settings), m_hooks(std::move(hooks)), m_log(log), m_fence(fence),
-      m_term_start(now), m_hosts(m_state, m_views, m_settings, m_maintenance_hosts),
+      m_term_start(now), m_schedule(m_settings.backlog), m_windows(m_settings.backlog),
+      m_hosts(m_state, m_views, m_settings, m_maintenance_hosts),
       m_suspects(state.crashes(), m_settings.suspect_watch_period), m_freed_hosts(freed_host_log_size),
       m_poison_tasks_logged(state.crashes().poison_task_count())
 {
@@ -142,11 +142,6 @@
 // Scheduling pass
 // ---------------------------------------------------------------------------------------------------------
 
-monotonic_time dispatcher::next_pass(monotonic_time now) const
-{
-    return m_full_pass_needed ? std::max(m_full_pass_due, now) : now + idle_pass_interval;
-}
-
 void dispatcher::pass(monotonic_time now, wall_ms wall)
 {
     m_wall = wall;
@@ -156,12 +151,14 @@
         m_periodic_work_due = now + periodic_work_interval;
         run_periodic_work(now, wall);
     }
-    const bool all = now >= m_full_pass_due;
-    if (all)
+    stop_unwanted_runs(now);
+    const bool all = m_schedule.is_full_pass_due(now);
+    if (!all && !m_schedule.is_first_pass_due(now))
     {
-        m_full_pass_due = now + m_settings.full_pass_interval;
+        return;
     }
-    stop_unwanted_runs(now);
+    m_schedule.record_pass(all, m_state.ready().size(), m_state.ready_first().size(),
+                           m_settings.full_pass_interval, now);
     m_hosts.begin_pass(now);
     m_suspects.find_isolated(m_state);
     log_waiting(now, wall);
@@ -173,8 +170,13 @@
     }
     m_waiting_demand.clear();
     m_idle_pools.clear();
+    m_windows.clear();
     for (candidate& item : candidates)
     {
+        if (!is_within_window(item))
+        {
+            continue;
+        }
         item.permitted = permitted_tasks(item);
         if (item.permitted == 0)
         {
@@ -185,6 +187,7 @@
         {
             continue;
         }
+        count_in_window(item);
         item.placed = placed_tasks(item);
         item.lost_with_host = has_crash_suspects(item);
         failed += place(item, now) ? 0 : 1;
@@ -275,36 +278,37 @@
 
 std::vector<dispatcher::candidate> dispatcher::order_candidates(wall_ms wall, bool all)
 {
-    std::vector<candidate> out;
-    m_full_pass_needed = false;
-    for (const step_ref& ref : m_state.ready())
+    std::vector<candidate> found;
+    for (const step_ref& ref : all ? m_state.ready() : m_state.ready_first())
     {
         candidate item = make_candidate(ref);
-        if (!all && !item.urgent() && !item.step->long_running)
-        {
-            m_full_pass_needed = true;
-        }
-        else if (evaluate_candidate(item, wall))
+        if (evaluate_candidate(item, wall))
         {
-            out.push_back(item);
+            found.push_back(std::move(item));
         }
     }
+    apply_shares(found, all);
+    // Steps at risk of being late become more so by waiting, so those with more slack go first among them.
+    // Gangs get a lead, as they have to gather capacity and tickets before they start.
     const auto lead_ms = static_cast<double>(m_settings.gang_lead_time.count());
-    std::sort(out.begin(), out.end(),
-              [this, lead_ms](const candidate& a, const candidate& b)
-              {
-                  // Steps at risk of being late become more so by waiting, so those with more slack go first
-                  // among them. Gangs get a lead, as they have to gather capacity and tickets before
-                  // they start.
-                  const auto pressing = [this, lead_ms](const candidate& c)
-                  {
-                      const bool prepares = c.step->gang && !c.urgent();
-                      const double left = c.slack_ms - (prepares ? lead_ms : 0.0);
-                      return rank(c) == rank_of(timeliness::at_risk) ? -left : left;
-                  };
-                  return std::make_tuple(rank(a), pressing(a), a.ref) <
-                         std::make_tuple(rank(b), pressing(b), b.ref);
-              });
+    std::vector<std::tuple<int, bool, double, step_ref, std::size_t>> order;
+    order.reserve(found.size());
+    for (std::size_t i = 0; i < found.size(); ++i)
+    {
+        const candidate& item = found[i];
+        const bool prepares = item.step->gang && !item.urgent();
+        const double left = item.slack_ms - (prepares ? lead_ms : 0.0);
+        const int place = rank(item);
+        order.emplace_back(place, item.beyond_share, place == rank_of(timeliness::at_risk) ? -left : left,
+                           item.ref, i);
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<candidate> out;
+    out.reserve(found.size());
+    for (const auto& entry : order)
+    {
+        out.push_back(std::move(found[std::get<std::size_t>(entry)]));
+    }
     return out;
 }
 
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -340,7 +340,7 @@
 bool dispatcher::recently_scanned(const candidate& item, monotonic_time now) const
 {
     const auto waits = m_waiting.find(item.ref);
-    return !item.has_priority() && waits != m_waiting.end() && now < waits->second.next_full_scan;
+    return waits != m_waiting.end() && now < waits->second.next_full_scan;
 }
 
 // Only considers hosts on which capacity became free since the step's last scan, as the others had none for
@@ -456,7 +456,8 @@
     waits.seen = news;
     if (!scanned_recently)
     {
-        waits.next_full_scan = now + full_scan_interval;
+        waits.next_full_scan =
+            now + (item.has_priority() ? duration(m_settings.advice_interval) : full_scan_interval);
         reserve_hosts(item, left, now);
         query_advisor(item, left, now);
         preempt_for(item, left, now);
--- a/src/dispatch/dispatcher_polling.cpp
+++ b/src/dispatch/dispatcher_polling.cpp
@@ -375,6 +375,7 @@
             const std::int64_t took_ms = std::chrono::duration_cast<milliseconds>(took).count();
             const double expected = m_objectives.expected_ms(owner->queue, step);
             m_objectives.record_run(owner->queue, step.estimate_ms, took_ms);
+            m_turnover.record(step.size, milliseconds(took_ms));
             const double sound =
                 std::min(1.0, reliable_spread / m_objectives.relative_variance(owner->queue));
             const double seen = std::clamp(expected / static_cast<double>(std::max<std::int64_t>(took_ms, 1)),
--- a/src/dispatch/dispatcher_waiting.cpp
+++ b/src/dispatch/dispatcher_waiting.cpp
@@ -17,8 +17,8 @@
 constexpr std::size_t max_named_gangs = 4; // other gangs with holds named in one line
 } // namespace
 
-// Logs, at most once a second, the step that has waited longest and why no work goes to the hosts that have
-// free capacity for one of its tasks.
+// Logs, at most once a second, organisations beyond their shares, the step that has waited longest and why no
+// work goes to the hosts that have free capacity for one of its tasks.
 void dispatcher::log_waiting(monotonic_time now, wall_ms wall)
 {
     if (now < m_waiting_log_due)
@@ -27,6 +27,7 @@
     }
     m_waiting_log_due = now + waiting_log_interval;
     log_unresponsive_worker(now);
+    log_shares(now);
     const submission* longest = nullptr;
     step_ref waiting;
     wall_ms since = wall - waiting_log_threshold;
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -436,6 +436,25 @@
     fill_leading(page);
 }
 
+namespace
+{
+prometheus::MetricFamily collect_shares(const std::map<std::string, organisation_share>& shares)
+{
+    prometheus::MetricFamily out;
+    out.name = "walkthread_organisation_usage_ratio";
+    out.help = "Dominant share of the pool over the organisation's share by weight.";
+    out.type = prometheus::MetricType::Gauge;
+    for (const auto& [organisation, share] : shares)
+    {
+        prometheus::ClientMetric metric;
+        metric.label = {{"organisation", organisation}};
+        metric.gauge.value = share.entitled > 0.0 ? share.used / share.entitled : 0.0;
+        out.metric.push_back(metric);
+    }
+    return out;
+}
+} // namespace
+
 // Metrics that are counted from the start of the current leadership.
 void core_node::fill_leading(metrics_page& page) const
 {
@@ -444,6 +463,10 @@
     page.add_gauge("walkthread_unheard_runs",
                    "Runs that count as running on workers not heard for longer than a lease.",
                    m_dispatcher ? static_cast<double>(m_dispatcher->runs_on_unresponsive_workers()) : 0.0);
+    if (m_dispatcher && !m_dispatcher->shares().empty())
+    {
+        page.add({collect_shares(m_dispatcher->shares())});
+    }
     page.add(m_start_waits.collect());
     page.add(m_advisor_query_times.collect());
     const dispatch_counters c = m_dispatcher ? m_dispatcher->counters() : dispatch_counters{};
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -34,7 +34,7 @@
 }
 
 scheduler::scheduler(scheduler_settings settings, std::uint64_t seed)
-    : m_settings(std::move(settings)), m_random(seed)
+    : m_settings(std::move(settings)), m_shares(m_settings.weights), m_random(seed)
 {
     if (!m_settings.choose_host)
     {
@@ -240,24 +240,14 @@
 // Shares and quotas
 // ---------------------------------------------------------------------------------------------------------
 
-double scheduler::weight_of(organisation_id organisation) const
-{
-    const auto found = m_settings.weights.find(organisation);
-    return found == m_settings.weights.end() ? 1.0 : found->second;
-}
-
 double scheduler::guarantee_of(organisation_id organisation) const
 {
-    double sum = 0.0;
+    double sum = m_shares.total_weight();
     for (const organisation_id other : m_queue.organisations())
     {
-        sum += m_settings.weights.contains(other) ? 0.0 : 1.0;
-    }
-    for (const auto& [other, weight] : m_settings.weights)
-    {
-        sum += weight;
+        sum += m_shares.contains(other) ? 0.0 : m_shares.weight_of(other);
     }
-    return sum > 0.0 ? weight_of(organisation) / sum : 1.0;
+    return sum > 0.0 ? m_shares.weight_of(organisation) / sum : 1.0;
 }
 
 resources scheduler::used_by(organisation_id organisation, const plan_state& p) const
@@ -268,7 +258,7 @@
 
 double scheduler::share_of(organisation_id organisation, const plan_state& p) const
 {
-    return dominant_share(used_by(organisation, p), p.state.capacity()) / weight_of(organisation);
+    return m_shares.weighted_usage(organisation, used_by(organisation, p), p.state.capacity());
 }
 
 bool scheduler::within_grant(const hall_job& job, const plan_state& p) const
--- a/src/workload/workload_indexes.cpp
+++ b/src/workload/workload_indexes.cpp
@@ -32,8 +32,30 @@
     {
         m_ended_by_command.push_back(owner.id); // the caller may still use its details
     }
-    m_ready.erase(m_ready.lower_bound(step_ref{owner.id, round_id{0}, 0}),
-                  m_ready.upper_bound(step_ref{owner.id, round_id{UINT32_MAX}, UINT32_MAX}));
+    for (std::set<step_ref>* index : {&m_ready, &m_ready_first})
+    {
+        index->erase(index->lower_bound(step_ref{owner.id, round_id{0}, 0}),
+                     index->upper_bound(step_ref{owner.id, round_id{UINT32_MAX}, UINT32_MAX}));
+    }
+}
+
+bool workload_state::goes_first(const submission& owner, const step_spec& step) const
+{
+    const queue_spec* queue = find_queue(owner.queue);
+    return step.long_running || (queue != nullptr && queue->priority == 0);
+}
+
+void workload_state::index_ready_first()
+{
+    m_ready_first.clear();
+    for (const step_ref& ref : m_ready)
+    {
+        const submission& owner = *find(ref.submission);
+        if (goes_first(owner, owner.spec.steps[ref.step]))
+        {
+            m_ready_first.insert(m_ready_first.end(), ref);
+        }
+    }
 }
 
 void workload_state::refresh_ready(const submission& owner, round_id round, std::uint32_t step)
@@ -55,10 +77,15 @@
     if (waits && free && !owner.final())
     {
         m_ready.insert(ref);
+        if (goes_first(owner, owner.spec.steps[step]))
+        {
+            m_ready_first.insert(ref);
+        }
     }
     else
     {
         m_ready.erase(ref);
+        m_ready_first.erase(ref);
     }
 }
 
@@ -78,6 +105,7 @@
     {
         m_queue_positions.emplace(m_configuration->queues[place].name, place);
     }
+    index_ready_first();
 }
 
 void workload_state::index_usage()
@@ -99,12 +127,12 @@
 
 void workload_state::rebuild_indexes()
 {
+    m_ready.clear(); // before the configuration is indexed: it may name steps of the former state
     index_configuration();
     index_usage();
     ++m_workers_version;
     m_by_incarnation.clear();
     m_by_host.clear();
-    m_ready.clear();
     m_closing.clear();
     m_ended.clear();
     m_queued.clear();
--- a/tests/src/pool_settings.hpp
+++ b/tests/src/pool_settings.hpp
@@ -48,6 +48,7 @@
     // Time for which a host is down for maintenance; 0: the order has no effect.
     duration maintenance = milliseconds(0);
     resources organisation_limit{}; // of each organisation; no limits if it is empty
+    bool contended_pool = false;    // organisations compete for capacity
     std::uint64_t seed = 1;
     std::size_t poll_connections = SIZE_MAX; // maximum number of concurrent polls, as known to the leader
     mechanism_set mechanisms;
--- a/tests/src/simulated_advisor.hpp
+++ b/tests/src/simulated_advisor.hpp
@@ -12,12 +12,20 @@
 
 class simulated_advisor : public simulated_workers
 {
+  public:
+    // Steps about which the leaders have queried the advisor.
+    [[nodiscard]] const std::set<step_ref>& queried_steps() const
+    {
+        return m_queried_steps;
+    }
+
   protected:
     using simulated_workers::simulated_workers;
 
     void enqueue_question(const advice_question& question, bool urgent,
                           const std::function<void(const advice_answer&)>& handler)
     {
+        m_queried_steps.insert(question.step);
         const auto place = urgent ? m_questions.begin() : m_questions.end();
         m_questions.insert(place, {question, handler, m_now});
         start_questions();
@@ -77,6 +85,7 @@
 
     std::deque<queued_question> m_questions; // waiting for a free client process
     std::size_t m_active_questions = 0;
+    std::set<step_ref> m_queried_steps;
 };
 
 } // namespace walkthread::test
--- a/tests/src/simulated_pool.hpp
+++ b/tests/src/simulated_pool.hpp
@@ -68,6 +68,7 @@
         dispatch_settings chosen;
         chosen.mechanisms = m_settings.mechanisms;
         chosen.poll_connections = m_settings.poll_connections;
+        chosen.contended_pool = m_settings.contended_pool;
         m_leader = std::make_unique<dispatcher>(m_state, chosen, hooks(), *m_log, m_term, m_now);
         for (auto& [incarnation, worker] : m_workers)
         {
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -52,6 +52,13 @@
     BOOST_TEST(out.settings.caller_address.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_pool_is_contended_only_if_the_settings_say_so)
+{
+    BOOST_TEST(!read_settings(write_file(good_settings)).settings.contended_pool);
+    const std::string contracts = "contracts = [\"base\", \"pressure\"]\n";
+    BOOST_TEST(read_settings(write_file(contracts + good_settings)).settings.contended_pool);
+}
+
 BOOST_AUTO_TEST_CASE(all_settings_faults_are_reported_together)
 {
     const settings_outcome out = read_settings(write_file("serves = [\"edge\"]\n"));
