Losses: silence does not tell when a host crashed

Cause: the time from which a host was in doubt was taken for that of its crash. Run 3f4.0.0.0/1 was accepted 43 ms before the first doubt of w1, ended unheard, and w1 was back with a new incarnation 1.45 s after the first doubt. run_lost said began, 43 ms of 562 expected; with the crash of run 2 these were two certain crashes. The doubt is the earliest time of a crash; whether a run was there needs the latest. The runs saved for the next leader had the same fault.

Ruled out by the log: a loss charged twice (runs 1 and 2 are different ones, on w1 and w11), another submission beside it (beside 0), a gang, a change of leader (inherited false).

Now the latest time counts: the first refused or broken connection since the last answer (a poll that fails within 0.15 s), else when another incarnation answers or the worker is dropped. Runs on a host that is only silent are saved as not known to have begun.

Open: a task that takes its machine down silently gives unclear evidence if the restart takes longer than half its expected time, and is given up late or never; no test has one.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -274,14 +274,15 @@
     void evaluate_end(worker_view& view, const reported_end& end, monotonic_time now);
     void drop_lost_workers(monotonic_time now);
     [[nodiscard]] duration expected_run_time(const run_ref& run) const;
-    [[nodiscard]] static monotonic_time lost_since(const worker_view& view, monotonic_time now);
-    [[nodiscard]] std::vector<lost_run> runs_known_on(const worker_view& view, monotonic_time now) const;
-    [[nodiscard]] bool gang_may_have_broken_earlier(const run_ref& run, monotonic_time lost_at,
+    [[nodiscard]] static monotonic_time latest_loss_time(const worker_view& view, monotonic_time now);
+    [[nodiscard]] std::vector<lost_run> runs_known_on(const worker_view& view,
+                                                      std::optional<monotonic_time> lost_by) const;
+    [[nodiscard]] bool gang_may_have_broken_earlier(const run_ref& run, monotonic_time lost_by,
                                                     worker_incarnation_id lost_with) const;
     [[nodiscard]] bool responded_since(const run_ref& run, worker_incarnation_id worker,
                                        monotonic_time then) const;
     [[nodiscard]] std::vector<lost_run> runs_lost_with(const worker_view& view, monotonic_time now) const;
-    void save_last_known_runs(worker_view& view, monotonic_time now);
+    void save_last_known_runs(worker_view& view);
     void clear_last_known_runs(worker_view& view);
     void propose_last_known_runs(worker_view& view, std::vector<lost_run> runs);
     void log_lost_runs(const worker_view& view, const std::vector<lost_run>& lost, monotonic_time now);
--- a/include/walkthread/dispatch/lost_runs.hpp
+++ b/include/walkthread/dispatch/lost_runs.hpp
@@ -5,6 +5,7 @@
 /// @since 0.4
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include <walkthread/dispatch/worker_view.hpp>
@@ -17,11 +18,11 @@
 /// does so at its start, so runs that started within `startup_crash_window` before the last contact with the
 /// host get the larger share; runs that had worked for longer are unlikely causes. Complexity: linear in the
 /// runs.
-/// @param lost_at when the host was first found not to answer; a run that was due to end by then may have
-/// ended before the crash
+/// @param lost_by when the worker's process had certainly ended; a run that was due to end by then may have
+/// ended before the crash. Without a value, the process may still run, and no run counts as begun.
 /// @param run_time returns the expected run time
 [[nodiscard]] std::vector<lost_run> assign_blame(const worker_view& view, duration startup_crash_window,
-                                                 monotonic_time lost_at,
+                                                 std::optional<monotonic_time> lost_by,
                                                  const std::function<duration(const run_ref&)>& run_time);
 
 } // namespace walkthread
--- a/include/walkthread/dispatch/worker_contact.hpp
+++ b/include/walkthread/dispatch/worker_contact.hpp
@@ -43,6 +43,7 @@
         m_heard = now;
         m_doubted = false;
         m_last_failed_poll.reset();
+        m_refused_since.reset();
         m_failed = {};
     }
     /// @brief Records that a call to it got no valid answer.
@@ -68,6 +69,11 @@
             m_last_failed_poll = std::max(m_last_failed_poll.value_or(sent), sent);
         }
     }
+    /// @brief Records that its host refused a connection or broke one, so that its process has ended.
+    void record_refusal(monotonic_time now)
+    {
+        m_refused_since = m_refused_since.value_or(now);
+    }
     /// @brief Polls it rarely: not before `until`. That time does not count as time without contact.
     void poll_rarely(monotonic_time until)
     {
@@ -103,6 +109,12 @@
     {
         return m_doubted_since;
     }
+    /// @brief When its host first refused or broke a connection since the last answer; no value if it has
+    /// only been silent, in which case its process may still run.
+    [[nodiscard]] std::optional<monotonic_time> refused_since() const
+    {
+        return m_refused_since;
+    }
     /// @brief When the newest poll that counts against the worker was sent; no value if there is none since
     /// its last answer.
     [[nodiscard]] std::optional<monotonic_time> last_failed_poll() const
@@ -120,6 +132,7 @@
     monotonic_time m_polled_rarely_until{};
     monotonic_time m_doubted_since{};
     std::optional<monotonic_time> m_last_failed_poll;
+    std::optional<monotonic_time> m_refused_since;
     bool m_doubted = false;
     failed_calls m_failed;
 };
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -46,7 +46,10 @@
     std::size_t poll_connections{SIZE_MAX};
     /// Poll interval of workers without runs if there are fewer connections than workers.
     milliseconds idle_poll_interval{5000};
-    milliseconds poll_retry_delay{150};  ///< after an unanswered poll
+    milliseconds poll_retry_delay{150}; ///< after an unanswered poll
+    /// A poll that fails sooner was refused, or its connection broke, which takes a few milliseconds: a
+    /// silent host fails it by a timeout, the shortest of which is `short_poll_timeout`.
+    milliseconds refusal_time{150};
     milliseconds start_window{2500};     ///< a worker refuses an order to start that arrives later
     milliseconds order_retry_delay{250}; ///< before an unanswered order is sent again
     int max_start_attempts = 3;          ///< unanswered orders before the run is stopped instead
--- a/src/dispatch/dispatcher_losses.cpp
+++ b/src/dispatch/dispatcher_losses.cpp
@@ -12,15 +12,16 @@
 
 // A worker that does not answer, not even on a new connection, may have crashed. Replicates the last known
 // state of its runs: a leader that takes over before the crash is established could not tell the run that
-// caused it from its neighbours or from runs that never started.
-void dispatcher::save_last_known_runs(worker_view& view, monotonic_time now)
+// caused it from its neighbours or from runs that never started. Of a host that is only silent, no run is
+// recorded as begun: it may run on and end before the worker is lost.
+void dispatcher::save_last_known_runs(worker_view& view)
 {
     const worker_incarnation& worker = *m_state.find(view.id);
     if (!view.answered || view.runs.empty() || view.status_commit_pending || !worker.last_known_runs.empty())
     {
         return;
     }
-    propose_last_known_runs(view, runs_known_on(view, now));
+    propose_last_known_runs(view, runs_known_on(view, view.contact.refused_since()));
 }
 
 void dispatcher::clear_last_known_runs(worker_view& view)
@@ -52,26 +53,28 @@
     return milliseconds(static_cast<std::int64_t>(expected_ms));
 }
 
-// When the worker was first suspected.
-monotonic_time dispatcher::lost_since(const worker_view& view, monotonic_time now)
+// When the process of a lost worker had certainly ended. A host that is silent may be cut off and crash
+// later, so only a refused connection tells that before another incarnation answers.
+monotonic_time dispatcher::latest_loss_time(const worker_view& view, monotonic_time now)
 {
-    return view.contact.doubted() ? view.contact.doubted_since() : now;
+    return view.contact.refused_since().value_or(now);
 }
 
 // What this leader knows of the runs there.
-std::vector<lost_run> dispatcher::runs_known_on(const worker_view& view, monotonic_time now) const
+std::vector<lost_run> dispatcher::runs_known_on(const worker_view& view,
+                                                std::optional<monotonic_time> lost_by) const
 {
     const auto run_time = [this](const run_ref& run)
     {
         return expected_run_time(run);
     };
-    return assign_blame(view, m_settings.startup_crash_window, lost_since(view, now), run_time);
+    return assign_blame(view, m_settings.startup_crash_window, lost_by, run_time);
 }
 
 // For a worker that never answered this leader, uses the last known runs that the previous leader saved.
 std::vector<lost_run> dispatcher::runs_lost_with(const worker_view& view, monotonic_time now) const
 {
-    std::vector<lost_run> lost = runs_known_on(view, now);
+    std::vector<lost_run> lost = runs_known_on(view, latest_loss_time(view, now));
     for (const lost_run& before : m_state.find(view.id)->last_known_runs)
     {
         const auto same = [&before](const lost_run& item)
@@ -85,7 +88,8 @@
     }
     for (lost_run& item : lost)
     {
-        item.began = item.began && !gang_may_have_broken_earlier(item.run, lost_since(view, now), view.id);
+        item.began =
+            item.began && !gang_may_have_broken_earlier(item.run, latest_loss_time(view, now), view.id);
     }
     return lost;
 }
@@ -93,7 +97,7 @@
 // Whether a run of a gang may have ended before its host was lost, because another member was lost first. The
 // members of a gang end as soon as one of them is lost, so of several hosts lost under one run only the first
 // still had running members. A host that reported the end of its own member was lost later.
-bool dispatcher::gang_may_have_broken_earlier(const run_ref& run, monotonic_time lost_at,
+bool dispatcher::gang_may_have_broken_earlier(const run_ref& run, monotonic_time lost_by,
                                               worker_incarnation_id lost_with) const
 {
     const step_spec* step = m_state.find(run.task.step);
@@ -103,7 +107,7 @@
         const work_task* known = m_state.find(member.task);
         const bool elsewhere = known != nullptr && known->worker != lost_with;
         if (elsewhere && !known->broke(run.run) &&
-            !(known->is_active(run.run) && responded_since(member, known->worker, lost_at)))
+            !(known->is_active(run.run) && responded_since(member, known->worker, lost_by)))
         {
             return true;
         }
@@ -135,18 +139,19 @@
     {
         const run_view& known = view.runs.at(item.run);
         const crash_evidence* before = m_state.crashes().find(item.run.task);
-        log_event(now, "run_lost", name_of(item.run),
-                  {{"worker", m_state.find(view.id)->description.id},
-                   {"began", item.began},
-                   {"over", item.over},
-                   {"inherited", known.inherited},
-                   {"sent_before_last_word_ms", view.contact.last_heard() - known.sent},
-                   {"ran_at_most_ms",
-                    known.outcome_known_at ? lost_since(view, now) - *known.outcome_known_at : duration{}},
-                   {"expected_ms", expected_run_time(item.run)},
-                   {"beside", lost.size() - 1},
-                   {"blame", item.blame},
-                   {"blame_before", before == nullptr ? 0 : before->blame}});
+        log_event(
+            now, "run_lost", name_of(item.run),
+            {{"worker", m_state.find(view.id)->description.id},
+             {"began", item.began},
+             {"over", item.over},
+             {"inherited", known.inherited},
+             {"sent_before_last_word_ms", view.contact.last_heard() - known.sent},
+             {"ran_at_most_ms",
+              known.outcome_known_at ? latest_loss_time(view, now) - *known.outcome_known_at : duration{}},
+             {"expected_ms", expected_run_time(item.run)},
+             {"beside", lost.size() - 1},
+             {"blame", item.blame},
+             {"blame_before", before == nullptr ? 0 : before->blame}});
     }
 }
 
--- a/src/dispatch/dispatcher_polling.cpp
+++ b/src/dispatch/dispatcher_polling.cpp
@@ -119,9 +119,15 @@
     {
         // It may only be a broken connection, so the first failed poll is repeated at once.
         const bool at_once = lost && (polls_often_lost() || !view->contact.doubted());
+        const bool no_answer =
+            answer.outcome == order_outcome::unanswered || answer.outcome == order_outcome::unreachable;
+        if (no_answer && now - sent < m_settings.refusal_time)
+        {
+            view->contact.record_refusal(now);
+        }
         if (answer.outcome != order_outcome::not_sent && view->contact.doubted())
         {
-            save_last_known_runs(*view, now);
+            save_last_known_runs(*view);
         }
         const bool first = lost && !view->contact.doubted();
         view->contact.record_failed_poll(answer.outcome, sent, now); // a refused poll renews no lease either
--- a/src/dispatch/lost_runs.cpp
+++ b/src/dispatch/lost_runs.cpp
@@ -32,7 +32,7 @@
 } // namespace
 
 std::vector<lost_run> assign_blame(const worker_view& view, duration startup_crash_window,
-                                   monotonic_time lost_at,
+                                   std::optional<monotonic_time> lost_by,
                                    const std::function<duration(const run_ref&)>& run_time)
 {
     const monotonic_time latest = last_contact_time(view);
@@ -70,8 +70,8 @@
         {
             share = blame::one_of_many;
         }
-        const bool was_there = known.outcome_known_at &&
-                               lost_at - *known.outcome_known_at <= run_time(run) * min_run_time_fraction;
+        const bool was_there = lost_by && known.outcome_known_at && *lost_by >= *known.outcome_known_at &&
+                               *lost_by - *known.outcome_known_at <= run_time(run) * min_run_time_fraction;
         out.push_back({run, was_there, share, known.checkpoint, false});
     }
     return out;
--- a/tests/src/unit-crash-loops.cpp
+++ b/tests/src/unit-crash-loops.cpp
@@ -149,6 +149,44 @@
     BOOST_TEST(against->unclear == 1U);
 }
 
+// Guards against counting a crash against a run that had ended unreported: a poll was lost soon after the
+// start, and the time of that was taken for that of the crash, 1.2 s later.
+BOOST_AUTO_TEST_CASE(a_crash_after_a_run_ended_unreported_is_not_counted_as_certain)
+{
+    for (const bool silent : {false, true})
+    {
+        crash_scenario scenario(1);
+        scenario.pool.faults("w0").poll_loss = 1.0;
+        scenario.pool.run(milliseconds(800));
+        const submission_id id = scenario.pool.submit("plain", {make_step(1, 1400, 2000)});
+        scenario.pool.run(milliseconds(100));
+        BOOST_REQUIRE(scenario.pool.running_on("w0") == 1U);
+        scenario.pool.run(milliseconds(2050));
+        BOOST_REQUIRE(scenario.pool.running_on("w0") == 0U);
+        scenario.pool.restart("w0", milliseconds(500), silent);
+        scenario.pool.run(milliseconds(700));
+        const crash_evidence* against = scenario.pool.state().crashes().find({{id, round_id{0}, 0}, 0});
+        BOOST_REQUIRE(against != nullptr);
+        BOOST_TEST(against->crashes == 0U);
+        BOOST_TEST(against->unclear == 1U);
+    }
+}
+
+// A run on a host that refuses connections soon after the start counts as crashed, however long the restart
+// takes: otherwise a task that crashes its workers would be started again without end.
+BOOST_AUTO_TEST_CASE(a_host_that_refuses_connections_soon_after_a_start_is_a_certain_crash)
+{
+    crash_scenario scenario(1);
+    const submission_id id = scenario.pool.submit("plain", {make_step(1, 1400, 1000)});
+    scenario.pool.run(milliseconds(200));
+    BOOST_REQUIRE(scenario.pool.running_on("w0") == 1U);
+    scenario.pool.restart("w0", milliseconds(2500));
+    scenario.pool.run(milliseconds(2800));
+    const crash_evidence* against = scenario.pool.state().crashes().find({{id, round_id{0}, 0}, 0});
+    BOOST_REQUIRE(against != nullptr);
+    BOOST_TEST(against->crashes == 1U);
+}
+
 // A long-running task runs until it is cancelled, whatever happens to its hosts.
 BOOST_AUTO_TEST_CASE(a_lasting_task_is_not_given_up)
 {
