Shares: idle organisations don't count, several pools do

Found while reading the change: organisations whose last starts were committed stay in the table of planned starts with nothing, and counted as active, so that shares came out too small; usage is counted over all pools but was compared with the capacity of one; the log line and the metric kept the last shares once nothing waited. The new case of unit-shares fails without the first of these: by reading, not run on the code before.

--- a/include/walkthread/dispatch/host_table.hpp
+++ b/include/walkthread/dispatch/host_table.hpp
@@ -64,6 +64,8 @@
 
     /// @brief Total capacity of all hosts of a pool, usable or not.
     [[nodiscard]] resources capacity_of(pool_number pool) const;
+    /// @brief Total capacity of all hosts of all pools. Complexity: linear in the pools.
+    [[nodiscard]] resources total_capacity() const;
 
     /// @brief Marks a host's row as outdated.
     void invalidate(worker_incarnation_id worker);
--- a/include/walkthread/dispatch/organisation_shares.hpp
+++ b/include/walkthread/dispatch/organisation_shares.hpp
@@ -46,6 +46,12 @@
     {
         m_waiting.clear();
     }
+    /// @brief Forgets the shares: no work competes for capacity.
+    void clear()
+    {
+        m_waiting.clear();
+        m_shares.clear();
+    }
     void note_waiting(const std::string& organisation)
     {
         m_waiting.insert(organisation);
@@ -53,6 +59,7 @@
     /// @brief Computes the shares of all organisations with running or waiting work. Complexity: linear in
     /// the organisations.
     /// @param planned resources of starts that are not recorded yet
+    /// @param capacity of all hosts, as usage is counted over all pools
     void update(const quota_usage& usage, const std::map<std::string, resources>& planned,
                 const resources& capacity);
     /// @brief Whether an organisation runs at least its share; false for work without an organisation.
@@ -68,6 +75,8 @@
     }
 
   private:
+    void note_use(const std::string& organisation, const resources& used, const resources& capacity);
+
     fair_share<std::string> m_weights{{}, 0.0};
     std::uint64_t m_version = 0; ///< of the configuration with the weights
     std::set<std::string> m_waiting;
--- a/src/dispatch/dispatcher_shares.cpp
+++ b/src/dispatch/dispatcher_shares.cpp
@@ -13,7 +13,15 @@
 // Marks the steps of organisations that already run at least their share.
 void dispatcher::apply_shares(std::vector<candidate>& items, bool all)
 {
-    if (!m_settings.contended_pool || items.empty() || !m_state.current_configuration())
+    if (!m_settings.contended_pool || !m_state.current_configuration())
+    {
+        return;
+    }
+    if (items.empty() && all)
+    {
+        m_shares.clear();
+    }
+    if (items.empty())
     {
         return;
     }
@@ -27,7 +35,7 @@
     {
         m_shares.note_waiting(item.owner->organisation);
     }
-    m_shares.update(m_state.quotas(), m_planned_by_organisation, m_hosts.capacity_of(items.front().pool));
+    m_shares.update(m_state.quotas(), m_planned_by_organisation, m_hosts.total_capacity());
     for (candidate& item : items)
     {
         item.beyond_share = m_shares.exceeds_share(item.owner->organisation);
--- a/src/dispatch/host_table.cpp
+++ b/src/dispatch/host_table.cpp
@@ -76,6 +76,16 @@
     return found == m_capacities.end() ? resources{} : found->second;
 }
 
+resources host_table::total_capacity() const
+{
+    resources sum;
+    for (const auto& [pool, capacity] : m_capacities)
+    {
+        sum += capacity;
+    }
+    return sum;
+}
+
 std::size_t host_table::usable_in(pool_number pool)
 {
     const auto known = m_usable.find(pool);
--- a/src/dispatch/organisation_shares.cpp
+++ b/src/dispatch/organisation_shares.cpp
@@ -19,6 +19,16 @@
     m_weights = fair_share<std::string>(std::move(weights), 0.0);
 }
 
+// Organisations that neither run nor wait for anything leave their share to the others.
+void organisation_shares::note_use(const std::string& organisation, const resources& used,
+                                   const resources& capacity)
+{
+    if (used != resources{})
+    {
+        m_shares[organisation].used = dominant_share(used, capacity);
+    }
+}
+
 void organisation_shares::update(const quota_usage& usage, const std::map<std::string, resources>& planned,
                                  const resources& capacity)
 {
@@ -29,11 +39,11 @@
     }
     for (const auto& [organisation, used] : usage.all_used())
     {
-        m_shares[organisation].used = dominant_share(used, capacity);
+        note_use(organisation, used, capacity);
     }
     for (const auto& [organisation, more] : planned)
     {
-        m_shares[organisation].used = dominant_share(usage.used(organisation) + more, capacity);
+        note_use(organisation, usage.used(organisation) + more, capacity);
     }
     m_shares.erase(std::string{}); // work without an organisation
     double total = 0.0;
--- a/tests/src/unit-shares.cpp
+++ b/tests/src/unit-shares.cpp
@@ -100,6 +100,18 @@
     BOOST_TEST(!shares.exceeds_share("")); // work without an organisation has no share
 }
 
+// An organisation whose last starts were committed stays in the table of planned starts with nothing.
+BOOST_AUTO_TEST_CASE(an_idle_organisation_leaves_its_share_to_the_others)
+{
+    organisation_shares shares;
+    shares.set_weights(1, organisations(1.0, 1.0));
+    quota_usage usage;
+    usage.take("hens", {80'000, 0, 0, 0});
+    shares.update(usage, {{"geese", {}}}, pool_size);
+    BOOST_TEST(!shares.exceeds_share("hens"));
+    BOOST_TEST(shares.shares().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(starts_that_are_being_committed_count)
 {
     organisation_shares shares;
