Cordon of a hall: nothing new starts there, whoever leads

A cordon is a replicated command, acknowledged once it is committed. The state machine records no start in a cordoned hall, hosts there are not eligible, and orders that were not answered are stopped instead of sent again. What runs there ends there. A repeated request changes nothing; the last hall that accepts work cannot be cordoned, checked where the command is applied, so that two operators at once cannot do it either.

Ruled out: marking each worker of the hall as leaving: workers that register later would be missed, and the announcement belongs to the worker, whose next report would revoke it.

--- a/include/walkthread/dispatch/host_availability.hpp
+++ b/include/walkthread/dispatch/host_availability.hpp
@@ -26,16 +26,19 @@
     leaving,    ///< it announced that it leaves
     avoided,    ///< in quarantine or back-off: runs failed there, or it could not start any
     closed,     ///< its host is being drained for maintenance
+    cordoned,   ///< nothing new starts in its hall, at an operator's request
 };
 
 /// @brief The names used in logs and metrics, in the order of `host_availability`.
-inline constexpr std::array<std::string_view, 9> host_availability_names{
-    "usable", "dropped", "unanswered", "unreported", "silent", "doubted", "leaving", "avoided", "closed"};
+inline constexpr std::array<std::string_view, 10> host_availability_names{
+    "usable",  "dropped", "unanswered", "unreported", "silent",
+    "doubted", "leaving", "avoided",    "closed",     "cordoned"};
 
 /// @brief Whether a worker may get new work, or why not. Complexity: constant.
 /// @param closed whether its host is being drained
+/// @param cordoned whether its hall is cordoned
 [[nodiscard]] host_availability availability_of(const worker_view& view, const worker_incarnation& worker,
-                                                bool closed, monotonic_time now,
+                                                bool closed, bool cordoned, monotonic_time now,
                                                 const dispatch_settings& settings);
 
 } // namespace walkthread
--- a/include/walkthread/fabric/core_node.hpp
+++ b/include/walkthread/fabric/core_node.hpp
@@ -119,6 +119,9 @@
     void handle(const wave_state_call& call, const call_handler& handler);
     void handle(const advise_call& call, const call_handler& handler);
     void handle(const explain_call& call, const call_handler& handler);
+    void handle(const hall_cordon_call& call, const call_handler& handler);
+    void handle(const list_cordons_call& call, const call_handler& handler);
+    [[nodiscard]] std::vector<std::string> known_halls() const;
     [[nodiscard]] std::string choose_report_address(const std::string& incarnation, monotonic_time now) const;
     [[nodiscard]] std::optional<service_reply> check_access(const access_decision& caller,
                                                             std::string_view call);
--- a/include/walkthread/fabric/fabric_node.hpp
+++ b/include/walkthread/fabric/fabric_node.hpp
@@ -28,6 +28,7 @@
 {
     std::string name;
     std::string hall;
+    std::vector<std::string> halls;   ///< all halls of the deployment, as far as the settings name them
     std::string peer_address;         ///< address that peers connect to, `IP:PORT`
     std::string bind_address;         ///< address to listen on, if peers connect through a proxy or NAT
     std::vector<std::string> seeds;   ///< peer addresses of some processes with replicas; may be stale
@@ -68,6 +69,10 @@
     virtual std::string start();
     /// @brief Sends a call to the leader; see `call_router::call`.
     void call(service_call body, milliseconds timeout, call_handler handler);
+    [[nodiscard]] const std::string& name() const
+    {
+        return m_settings.name;
+    }
     /// @brief The address of the leader that calls are sent to; empty for unknown.
     [[nodiscard]] const std::string& leader() const
     {
--- a/include/walkthread/fabric/messages.hpp
+++ b/include/walkthread/fabric/messages.hpp
@@ -5,6 +5,7 @@
 /// @since 0.2
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -12,6 +13,7 @@
 #include <walkthread/dispatch/orders.hpp>
 #include <walkthread/replication/messages.hpp>
 #include <walkthread/workload/commands.hpp>
+#include <walkthread/workload/hall_cordons.hpp>
 
 namespace walkthread
 {
@@ -116,9 +118,28 @@
     MSGPACK_DEFINE(id)
 };
 
-using service_call = std::variant<submit_call, state_call, cancel_call, pending_call, put_configuration_call,
-                                  get_configuration_call, report_call, leave_call, begin_wave_call,
-                                  wave_state_call, advise_call, explain_call>;
+/// @brief An operator cordons a hall or lifts its cordon.
+/// @since 0.6
+struct hall_cordon_call
+{
+    std::string hall;
+    bool cordoned{};
+    std::string requested_by; ///< the process that took the request
+    MSGPACK_DEFINE(hall, cordoned, requested_by)
+};
+
+/// @brief An operator asks which halls are cordoned.
+/// @since 0.6
+struct list_cordons_call
+{
+    std::uint8_t unused{};
+    MSGPACK_DEFINE(unused)
+};
+
+using service_call =
+    std::variant<submit_call, state_call, cancel_call, pending_call, put_configuration_call,
+                 get_configuration_call, report_call, leave_call, begin_wave_call, wave_state_call,
+                 advise_call, explain_call, hall_cordon_call, list_cordons_call>;
 
 /// @brief The outcome of a call.
 enum class reply_kind : std::uint8_t
@@ -141,7 +162,8 @@
     std::string leader;     ///< if not leading, the address of the leader if known
     std::string redirect;   ///< for reports: the address for later reports; empty for any
     advice_answer advice;   ///< advise_call only
-    MSGPACK_DEFINE(kind, code, number, text, leader, redirect, advice)
+    std::map<std::string, hall_cordon> cordons; ///< list_cordons_call only
+    MSGPACK_DEFINE(kind, code, number, text, leader, redirect, advice, cordons)
 
     [[nodiscard]] reply_kind what() const
     {
--- a/include/walkthread/node/errors.hpp
+++ b/include/walkthread/node/errors.hpp
@@ -24,6 +24,7 @@
     stopping = 810,        ///< this process is shutting down
     change_pending = 811,  ///< another membership change is in progress
     connection_lost = 812, ///< the peer connection was lost
+    last_hall = 813,       ///< cordoning this hall would leave none that accepts work
 };
 using node_error = layer_error<node_code>;
 
--- a/include/walkthread/node/messages.hpp
+++ b/include/walkthread/node/messages.hpp
@@ -83,7 +83,8 @@
     resources reserved{};
     resources largest{}; ///< largest capacity of any host in each dimension
     std::uint32_t waiting{};
-    MSGPACK_DEFINE(hall, capacity, reserved, largest, waiting)
+    bool cordoned{};
+    MSGPACK_DEFINE(hall, capacity, reserved, largest, waiting, cordoned)
 };
 
 /// @brief Requests timeline events.
@@ -105,6 +106,7 @@
     templates = 6,      ///< root
     all_jobs = 7,       ///< root: jobs of an organisation, including ended ones
     teams = 8,          ///< root
+    cordon = 9,         ///< whether one hall is cordoned, since when, and at whose request
 };
 
 /// @brief Requests a JSON document from a group's leader.
--- a/include/walkthread/node/operator_api.hpp
+++ b/include/walkthread/node/operator_api.hpp
@@ -52,6 +52,9 @@
     http_response timeline_for(organisation_id organisation, const http_request& request);
     http_response hosts();
     http_response drain(const http_request& request);
+    http_response halls();
+    http_response set_cordon(const std::string& name, bool cordoned);
+    [[nodiscard]] std::optional<std::string> cordon_document(hall_id hall);
     http_response groups();
     http_response replace_member(const http_request& request);
     http_response ready();
--- a/include/walkthread/observe/timeline.hpp
+++ b/include/walkthread/observe/timeline.hpp
@@ -40,6 +40,8 @@
     request_sent = 15,
     request_ended = 16,
     members_changed = 17,
+    hall_cordoned = 18,
+    hall_uncordoned = 19,
 };
 
 /// @brief The name of an event kind.
--- a/include/walkthread/state/hall.hpp
+++ b/include/walkthread/state/hall.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -18,6 +19,7 @@
 #include <walkthread/state/claims.hpp>
 #include <walkthread/state/estimate.hpp>
 #include <walkthread/state/model.hpp>
+#include <walkthread/units/hall_cordon.hpp>
 
 namespace walkthread
 {
@@ -130,8 +132,15 @@
     std::set<job_id> failed_jobs{}; ///< distinct jobs that failed on this worker since its last success
     std::uint32_t quarantines{};
     wall_ms phase_since{};
+    bool cordoned{}; ///< its hall is cordoned
     MSGPACK_DEFINE(id, rack, address, port, size, reserved, epoch, phase, draining, tasks, failed_jobs,
-                   quarantines, phase_since)
+                   quarantines, phase_since, cordoned)
+
+    /// @brief Whether operators allow new tasks there.
+    [[nodiscard]] bool is_schedulable() const
+    {
+        return !draining && !cordoned;
+    }
 
     [[nodiscard]] worker_phase state() const
     {
@@ -272,9 +281,19 @@
     MSGPACK_DEFINE(orders)
 };
 
+/// @brief Cordons the hall, or lifts its cordon. Idempotent. Nothing new starts in a cordoned hall; what runs
+/// there continues.
+/// @since 0.6
+struct cordon_hall
+{
+    bool cordoned{};
+    std::string requested_by; ///< the node that took the operator's request
+    MSGPACK_DEFINE(cordoned, requested_by)
+};
+
 using hall_command = std::variant<register_worker, mark_workers_lost, drain_workers, probe_workers,
                                   admit_jobs, cancel_hall_jobs, forget_jobs, place_tasks, report_runs,
-                                  stop_runs, claim_request, settle_claim>;
+                                  stop_runs, claim_request, settle_claim, cordon_hall>;
 
 /// @brief Result of a hall command.
 /// @since 0.1
@@ -338,6 +357,11 @@
     {
         return m_capacity;
     }
+    /// @brief The hall's cordon, if there is one.
+    [[nodiscard]] const std::optional<hall_cordon>& cordon() const
+    {
+        return m_cordon;
+    }
     /// @brief Resources reserved by an organisation. Complexity: logarithmic.
     [[nodiscard]] resources used_by(organisation_id organisation) const;
     /// @brief Resources reserved by a team. Complexity: logarithmic.
@@ -376,6 +400,7 @@
     hall_result run(wall_ms at, const stop_runs& command);
     hall_result run(wall_ms at, const claim_request& command);
     hall_result run(wall_ms at, const settle_claim& command);
+    hall_result run(wall_ms at, const cordon_hall& command);
 
     [[nodiscard]] bool may_place(const placement& p, const resources& reserved_in_batch) const;
     [[nodiscard]] bool may_place_all(const std::vector<placement>& all, std::size_t first,
@@ -405,11 +430,12 @@
     resources m_capacity{};
     log_index m_applied_root_index{};
     claim_table m_claims;
+    std::optional<hall_cordon> m_cordon;
     hall_changes m_changes;
 
   public:
     MSGPACK_DEFINE(m_hall, m_workers, m_jobs, m_used, m_team_used, m_estimates, m_capacity,
-                   m_applied_root_index, m_claims)
+                   m_applied_root_index, m_claims, m_cordon)
 };
 
 } // namespace walkthread
--- a/include/walkthread/workload/commands.hpp
+++ b/include/walkthread/workload/commands.hpp
@@ -31,6 +31,8 @@
     former_incarnation = 427, ///< this incarnation of the worker has ended; a late report has no effect
     no_key = 428,             ///< the queue requires an API key
     unknown_key = 429,        ///< the API key belongs to no organisation
+    unknown_hall = 430,       ///< no setting and no worker names this hall
+    last_hall = 431,          ///< cordoning this hall would leave none that accepts work
 };
 using workload_error = layer_error<workload_code>;
 
@@ -196,10 +198,22 @@
     MSGPACK_DEFINE(wave, host, phase)
 };
 
+/// @brief Cordons a hall, or lifts its cordon. Idempotent. While a hall is cordoned, nothing new starts on
+/// its workers; what runs there continues.
+/// @since 0.6
+struct set_hall_cordon
+{
+    std::string hall;
+    bool cordoned{};
+    std::string requested_by;       ///< the process that took the operator's request
+    std::vector<std::string> halls; ///< all halls known to the leader: at least one has to accept work
+    MSGPACK_DEFINE(hall, cordoned, requested_by, halls)
+};
+
 using workload_command =
     std::variant<replace_cluster_configuration, accept_submission, cancel_submission, admit_worker,
                  drop_worker, record_starts, record_ends, forget_submissions, begin_wave, advance_maintenance,
-                 mark_leaving, record_last_known_runs>;
+                 mark_leaving, record_last_known_runs, set_hall_cordon>;
 
 /// @brief Result of applying a command: 0 for success, or a workload_code.
 struct workload_result
--- a/include/walkthread/workload/workload_state.hpp
+++ b/include/walkthread/workload/workload_state.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include <walkthread/workload/commands.hpp>
+#include <walkthread/workload/hall_cordons.hpp>
 
 namespace walkthread
 {
@@ -141,6 +142,11 @@
     {
         return m_waves;
     }
+    /// @brief Halls in which nothing new starts.
+    [[nodiscard]] const hall_cordons& cordons() const
+    {
+        return m_cordons;
+    }
     /// @brief Evidence on tasks that may crash the hosts they run on.
     [[nodiscard]] const crash_evidence_table& crashes() const
     {
@@ -169,8 +175,9 @@
         crash_evidence_table crashes;
         std::vector<worker_incarnation_ref> former;
         quota_usage quotas;
+        hall_cordons cordons;
         MSGPACK_DEFINE(held, submissions, workers, waves, next_worker, former_ids, unheard, crashes, former,
-                       quotas)
+                       quotas, cordons)
     };
 
     workload_result handle(wall_ms at, const replace_cluster_configuration& command);
@@ -185,6 +192,7 @@
     workload_result handle(wall_ms at, const forget_submissions& command);
     workload_result handle(wall_ms at, const begin_wave& command);
     workload_result handle(wall_ms at, const advance_maintenance& command);
+    workload_result handle(wall_ms at, const set_hall_cordon& command);
 
     bool start(const planned_start& planned);
     [[nodiscard]] bool can_start(const planned_start& planned) const;
@@ -227,6 +235,7 @@
         m_unresponsive; ///< removed incarnations with a leaving state, oldest first
     crash_evidence_table m_crashes;
     quota_usage m_quotas;
+    hall_cordons m_cordons;
 
     // Indexes derived from the above; not saved.
     api_key_index m_keys;
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -54,6 +54,7 @@
   explain ID                        why a job waits, was placed on its hosts, or stopped
   timeline [job ID | host ID | request ID]
   hosts list | hosts drain HALL ID | hosts return HALL ID
+  halls list | halls cordon HALL | halls uncordon HALL
   groups                            leaders, members and lag
   members replace NODE              replace a node that lost its disk
   status                            whether this process is ready
@@ -348,6 +349,24 @@
               return send_and_print(g, "POST",
                                     "/v1/hosts/" + g.command[3] + "/drain?back=true&hall=" + g.command[2]);
           }}},
+        {"halls list",
+         {2,
+          [](o g)
+          {
+              return send_and_print(g, "GET", "/v1/halls");
+          }}},
+        {"halls cordon",
+         {3,
+          [](o g)
+          {
+              return send_and_print(g, "POST", "/v1/halls/" + g.command[2] + "/cordon");
+          }}},
+        {"halls uncordon",
+         {3,
+          [](o g)
+          {
+              return send_and_print(g, "DELETE", "/v1/halls/" + g.command[2] + "/cordon");
+          }}},
         {"members replace",
          {3,
           [](o g)
--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -19,10 +19,13 @@
 // Starts
 // ---------------------------------------------------------------------------------------------------------
 
-// Since the start was planned, the worker may have begun to drain, or the submission may have been cancelled.
+// Since the start was planned, the worker may have begun to drain, its hall may have been cordoned, or the
+// submission may have been cancelled.
 bool dispatcher::may_still_start(const worker_view& view, const run_ref& run) const
 {
-    return !view.draining && !view.drop_proposed && m_state.needs_run(run);
+    const worker_incarnation* worker = m_state.find(view.id);
+    const bool cordoned = worker != nullptr && m_state.cordons().contains(worker->description.hall);
+    return !view.draining && !view.drop_proposed && !cordoned && m_state.needs_run(run);
 }
 
 // Sends the committed starts. Sends none of a gang if any of its members may no longer start.
--- a/src/dispatch/dispatcher_waiting.cpp
+++ b/src/dispatch/dispatcher_waiting.cpp
@@ -172,7 +172,8 @@
                {"doubted", of(host_availability::doubted)},
                {"leaving", of(host_availability::leaving)},
                {"avoided", of(host_availability::avoided)},
-               {"closed", of(host_availability::closed)}});
+               {"closed", of(host_availability::closed)},
+               {"cordoned", of(host_availability::cordoned)}});
 }
 
 } // namespace walkthread
--- a/src/dispatch/host_availability.cpp
+++ b/src/dispatch/host_availability.cpp
@@ -4,7 +4,7 @@
 {
 
 host_availability availability_of(const worker_view& view, const worker_incarnation& worker, bool closed,
-                                  monotonic_time now, const dispatch_settings& settings)
+                                  bool cordoned, monotonic_time now, const dispatch_settings& settings)
 {
     if (view.drop_proposed)
     {
@@ -34,7 +34,11 @@
     {
         return host_availability::avoided;
     }
-    return closed ? host_availability::closed : host_availability::usable;
+    if (closed)
+    {
+        return host_availability::closed;
+    }
+    return cordoned ? host_availability::cordoned : host_availability::usable;
 }
 
 } // namespace walkthread
--- a/src/dispatch/host_table.cpp
+++ b/src/dispatch/host_table.cpp
@@ -43,7 +43,8 @@
     row.open = worker.description.size - worker.used - row.view->planned;
     row.free = held == m_held.end() ? row.open : row.open - held->second;
     const bool closed = !m_closed.empty() && m_closed.contains(worker.description.host);
-    row.reason = availability_of(*row.view, worker, closed, m_now, m_settings);
+    const bool cordoned = m_state.cordons().contains(worker.description.hall);
+    row.reason = availability_of(*row.view, worker, closed, cordoned, m_now, m_settings);
     row.usable = row.reason == host_availability::usable;
     row.stamp = m_pass;
 }
--- a/src/fabric/core_calls.cpp
+++ b/src/fabric/core_calls.cpp
@@ -2,6 +2,9 @@
 
 #include <walkthread/fabric/core_node.hpp>
 
+#include <algorithm>
+#include <set>
+
 #include <walkthread/fabric/addresses.hpp>
 #include <walkthread/node/clock.hpp>
 #include <walkthread/wire/codec.hpp>
@@ -313,9 +316,62 @@
                     " tasks completed" + (ready ? ", waits for capacity or advice." : ".");
         }
     }
+    for (const auto& [hall, cordon] : m_state.cordons().all())
+    {
+        text += " Nothing new starts in hall " + hall + ", which is cordoned.";
+    }
     handler(make_reply(reply_kind::done, std::move(text)));
 }
 
+std::vector<std::string> core_node::known_halls() const
+{
+    std::set<std::string> halls(m_settings.halls.begin(), m_settings.halls.end());
+    for (const auto& [id, worker] : m_state.workers())
+    {
+        halls.insert(worker.description.hall);
+    }
+    return {halls.begin(), halls.end()};
+}
+
+// Acknowledged once it is committed: from then on no leader records or resends a start in the hall.
+void core_node::handle(const hall_cordon_call& call, const call_handler& handler)
+{
+    std::vector<std::string> halls = known_halls();
+    const bool in_place = m_state.cordons().contains(call.hall);
+    if (!in_place && std::find(halls.begin(), halls.end(), call.hall) == halls.end())
+    {
+        log_event("cordon_refused", call.hall, {{"reason", "unknown hall"}, {"by", call.requested_by}});
+        handler(refuse(workload_code::unknown_hall, "There is no such hall."));
+        return;
+    }
+    if (in_place == call.cordoned)
+    {
+        // Applied by this leader's state machine, so it is committed: a repeated request has no other effect.
+        handler(make_reply(reply_kind::done));
+        return;
+    }
+    propose_and_reply(set_hall_cordon{call.hall, call.cordoned, call.requested_by, std::move(halls)},
+                      [this, alive = m_alive, call, began = monotonic_now(), handler](service_reply reply)
+                      {
+                          if (*alive)
+                          {
+                              log_event(call.cordoned ? "hall_cordoned" : "hall_uncordoned", call.hall,
+                                        {{"kind", reply.kind},
+                                         {"code", reply.code},
+                                         {"by", call.requested_by},
+                                         {"took_ms", monotonic_now() - began}});
+                          }
+                          handler(std::move(reply));
+                      });
+}
+
+void core_node::handle(const list_cordons_call& /*call*/, const call_handler& handler)
+{
+    service_reply reply = make_reply(reply_kind::done);
+    reply.cordons = m_state.cordons().all();
+    handler(std::move(reply));
+}
+
 // ---------------------------------------------------------------------------------------------------------
 // Workers and peers
 // ---------------------------------------------------------------------------------------------------------
--- a/src/node/documents.cpp
+++ b/src/node/documents.cpp
@@ -170,7 +170,9 @@
     out["first_start_ms"] = job.first_start;
     out["declared_run_ms"] = job.spec.values.run_seconds * 1000;
     out["expected_run_ms"] = state.estimate_of(job.spec.from).predict_ms(job.spec.values.run_seconds);
-    out["waits_because"] = reason ? to_string(*reason) : "It does not wait.";
+    out["waits_because"] = reason && state.cordon() ? "Its hall is cordoned."
+                           : reason                 ? to_string(*reason)
+                                                    : "It does not wait.";
     json tasks = json::array();
     for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
     {
@@ -213,12 +215,22 @@
                            {"hall", state.hall().value()},
                            {"rack", worker.rack.value()},
                            {"address", worker.address},
-                           {"state", worker.draining ? "draining" : display_name(worker.state())},
+                           {"state", worker.draining   ? "draining"
+                                     : worker.cordoned ? "cordoned"
+                                                       : display_name(worker.state())},
                            {"size", to_json(worker.size)},
                            {"reserved", to_json(worker.reserved)},
                            {"tasks", worker.tasks.size()}});
         }
         break;
+    case query_kind::cordon:
+        out = json{{"hall", state.hall().value()}, {"cordoned", state.cordon().has_value()}};
+        if (state.cordon())
+        {
+            out["since_ms"] = state.cordon()->since;
+            out["requested_by"] = state.cordon()->requested_by;
+        }
+        break;
     default:
         return group_document(core);
     }
--- a/src/node/hall_events.cpp
+++ b/src/node/hall_events.cpp
@@ -72,6 +72,16 @@
             add_event(event_kind::worker_draining, nullptr, worker, drained->draining ? "Leaving." : "Back.");
         }
     }
+    else if (const auto* cordon = std::get_if<cordon_hall>(&command))
+    {
+        if (cordon->cordoned != m_state.cordon().has_value())
+        {
+            m_log->info("Hall {} is {}, at the request of {}.", m_hall.value(),
+                        cordon->cordoned ? "cordoned" : "no longer cordoned", cordon->requested_by);
+            add_event(cordon->cordoned ? event_kind::hall_cordoned : event_kind::hall_uncordoned, nullptr,
+                      worker_id{}, "Requested by " + cordon->requested_by + '.');
+        }
+    }
     else if (const auto* admitted = std::get_if<admit_jobs>(&command))
     {
         for (const job_spec& spec : admitted->jobs)
--- a/src/node/hall_root.cpp
+++ b/src/node/hall_root.cpp
@@ -137,6 +137,7 @@
             std::max(summary.largest.accelerators, usable ? worker.size.accelerators : 0);
         summary.largest.slots = std::max(summary.largest.slots, usable ? worker.size.slots : 0);
     }
+    summary.cordoned = m_state.cordon().has_value();
     summary.waiting = static_cast<std::uint32_t>(m_leader_state->planner.waiting());
     m_core.call(root_group, summary, summary_interval, [](const reply_body&) {});
 }
--- a/src/node/operator_api.cpp
+++ b/src/node/operator_api.cpp
@@ -9,25 +9,15 @@
 #include <walkthread/node/http_responses.hpp>
 #include <walkthread/wire/codec.hpp>
 
+#include "operator_responses.hpp"
+
 namespace walkthread
 {
 
 namespace
 {
-constexpr milliseconds command_timeout{6000};
-constexpr milliseconds query_timeout{3000};
 const std::string name_pattern = "([A-Za-z0-9][A-Za-z0-9._-]{0,63})";
 
-http_response call_error_response(const reply_body& reply)
-{
-    const auto* call_error = std::get_if<call_error_reply>(&reply);
-    const int code = call_error == nullptr ? static_cast<int>(node_code::no_leader) : call_error->code;
-    const bool outcome_unknown = code == static_cast<int>(node_code::timed_out);
-    return error_response(outcome_unknown ? http_status::timed_out : http_status::unavailable, code,
-                          outcome_unknown ? "No reply before the timeout. Resend with the same request id."
-                                          : "The group has no leader at the moment.");
-}
-
 int status_of(int code)
 {
     switch (static_cast<state_code>(code))
@@ -51,12 +41,6 @@
     }
     return out;
 }
-
-std::string query_text(const std::map<std::string, std::string>& query, const std::string& key)
-{
-    const auto found = query.find(key);
-    return found == query.end() ? std::string{} : found->second;
-}
 } // namespace
 
 operator_api::operator_api(process_core& core, root_service& root, const std::atomic<bool>& healthy)
@@ -191,30 +175,6 @@
                });
 }
 
-void operator_api::add_admin_routes(http_server& server)
-{
-    server.get("/v1/hosts", require_admin(
-                                [this](const http_request&)
-                                {
-                                    return hosts();
-                                }));
-    server.post("/v1/hosts/([0-9]{1,9})/drain", require_admin(
-                                                    [this](const http_request& r)
-                                                    {
-                                                        return drain(r);
-                                                    }));
-    server.get("/v1/groups", require_admin(
-                                 [this](const http_request&)
-                                 {
-                                     return groups();
-                                 }));
-    server.post("/v1/members/([0-9]{1,5})/replace", require_admin(
-                                                        [this](const http_request& r)
-                                                        {
-                                                            return replace_member(r);
-                                                        }));
-}
-
 // ---------------------------------------------------------------------------------------------------------
 // Commands
 // ---------------------------------------------------------------------------------------------------------
@@ -395,95 +355,6 @@
     return ok_response(timeline_document(std::move(events)));
 }
 
-http_response operator_api::hosts()
-{
-    nlohmann::json out = nlohmann::json::array();
-    for (const hall_settings& hall : m_core.config().halls)
-    {
-        const query_call query{static_cast<std::uint8_t>(query_kind::hosts), {}, {}, {}};
-        const reply_body reply = m_core.call_and_wait(group_of(hall.id), query, query_timeout);
-        if (const auto* document = std::get_if<document_reply>(&reply))
-        {
-            for (auto& entry : nlohmann::json::parse(document->json))
-            {
-                out.push_back(std::move(entry));
-            }
-        }
-    }
-    return ok_response(out.dump());
-}
-
-http_response operator_api::drain(const http_request& request)
-{
-    const hall_settings* hall = m_core.config().find_hall(query_text(request.query, "hall"));
-    if (hall == nullptr)
-    {
-        return error_response(http_status::bad_request, node_code::bad_request,
-                              "Parameter 'hall' must be the name of a hall.");
-    }
-    const worker_id worker{static_cast<std::uint32_t>(std::stoul(request.parts[0]))};
-    const bool back = query_text(request.query, "back") == "true";
-    const hall_command command = drain_workers{{worker}, !back};
-    const reply_body reply =
-        m_core.call_and_wait(group_of(hall->id), hall_call{encode(command)}, command_timeout);
-    return std::holds_alternative<hall_reply>(reply) ? ok_response("{}") : call_error_response(reply);
-}
-
-http_response operator_api::groups()
-{
-    nlohmann::json out = nlohmann::json::array();
-    for (const group_id group : m_core.config().groups())
-    {
-        const query_call query{static_cast<std::uint8_t>(query_kind::group), {}, {}, {}};
-        for (const node_id node : m_core.config().replicas_of(group))
-        {
-            const reply_body reply = m_core.call_node_and_wait(node, group, query, query_timeout);
-            if (const auto* document = std::get_if<document_reply>(&reply))
-            {
-                auto part = nlohmann::json::parse(document->json);
-                part["group"] = group.value();
-                part["told_by"] = node.value();
-                out.push_back(std::move(part));
-            }
-        }
-    }
-    return ok_response(out.dump());
-}
-
-// Adds the node under its new incarnation to all its groups. The former incarnation is removed once the new
-// one is a voter.
-http_response operator_api::replace_member(const http_request& request)
-{
-    const node_id node{static_cast<std::uint16_t>(std::stoul(request.parts[0]))};
-    const incarnation_id incarnation = m_core.network().incarnation_of(node);
-    if (incarnation.value() == 0 || m_core.config().find_peer(node) == nullptr)
-    {
-        return error_response(http_status::not_found, node_code::not_found,
-                              "The node is unknown or has not connected yet.");
-    }
-    bool changed = false;
-    for (const group_id group : m_core.config().groups())
-    {
-        const std::vector<node_id>& replicas = m_core.config().replicas_of(group);
-        if (std::find(replicas.begin(), replicas.end(), node) == replicas.end())
-        {
-            continue;
-        }
-        members_call change;
-        change.add = learner{replica_id{node, incarnation}, true, {}};
-        const reply_body reply = m_core.call_and_wait(group, change, command_timeout);
-        const auto* accepted = std::get_if<done_reply>(&reply);
-        if (accepted == nullptr)
-        {
-            return call_error_response(reply);
-        }
-        changed = changed || accepted->changed;
-    }
-    return changed ? ok_response("{}")
-                   : error_response(http_status::conflict, node_code::change_pending,
-                                    "The node is already a member under its latest known incarnation.");
-}
-
 http_response operator_api::ready()
 {
     const bool ready = m_core.run<bool>(
--- a/src/node/root_service.cpp
+++ b/src/node/root_service.cpp
@@ -195,7 +195,7 @@
 
 void root_service::handle_summary(const hall_summary_call& call)
 {
-    m_halls[call.hall] = hall_load{call.capacity, call.reserved, call.largest, {}};
+    m_halls[call.hall] = hall_load{call.capacity, call.reserved, call.largest, {}, call.cordoned};
 }
 
 void root_service::handle_update_call(const root_update_call& call, const reply_handler& handler)
--- a/src/observe/timeline.cpp
+++ b/src/observe/timeline.cpp
@@ -55,6 +55,10 @@
         return "request_ended";
     case event_kind::members_changed:
         return "members_changed";
+    case event_kind::hall_cordoned:
+        return "hall_cordoned";
+    case event_kind::hall_uncordoned:
+        return "hall_uncordoned";
     }
     return "?";
 }
--- a/src/policy/hall_choice.cpp
+++ b/src/policy/hall_choice.cpp
@@ -1,6 +1,7 @@
 #include <walkthread/policy/hall_choice.hpp>
 
 #include <algorithm>
+#include <functional>
 
 namespace walkthread
 {
@@ -12,6 +13,7 @@
     hall_id hall{};
     double fill_after{};
     bool known{};
+    bool cordoned{};
 };
 
 constexpr double unknown_fill = 1000.0; // sorts halls of unknown load last
@@ -34,8 +36,8 @@
             continue;
         }
         const resources after = load.reserved + load.planned + values.size * tasks;
-        out.push_back(
-            {hall, is_known(load) ? dominant_share(after, load.capacity) : unknown_fill, is_known(load)});
+        out.push_back({hall, is_known(load) ? dominant_share(after, load.capacity) : unknown_fill,
+                       is_known(load), load.cordoned});
     }
     const auto less_full = [](const candidate& a, const candidate& b)
     {
@@ -45,6 +47,15 @@
     return out;
 }
 
+template <typename Condition>
+void keep_only_if_any(std::vector<candidate>& candidates, const Condition& wanted)
+{
+    if (std::any_of(candidates.begin(), candidates.end(), wanted))
+    {
+        std::erase_if(candidates, std::not_fn(wanted));
+    }
+}
+
 std::vector<hall_part> spread(const std::vector<candidate>& candidates, std::uint32_t tasks)
 {
     std::vector<hall_part> parts;
@@ -71,19 +82,16 @@
         return state_error{state_code::never_runnable,
                            "No hall that the job may use has a host large enough for one of its tasks."};
     }
-    const bool any_known = std::any_of(candidates.begin(), candidates.end(),
-                                       [](const candidate& c)
-                                       {
-                                           return c.known;
-                                       });
-    if (any_known)
-    {
-        std::erase_if(candidates,
-                      [](const candidate& c)
-                      {
-                          return !c.known;
-                      });
-    }
+    keep_only_if_any(candidates,
+                     [](const candidate& c)
+                     {
+                         return !c.cordoned;
+                     });
+    keep_only_if_any(candidates,
+                     [](const candidate& c)
+                     {
+                         return c.known;
+                     });
     if (service)
     {
         return spread(candidates, values.tasks);
--- a/src/policy/scheduler_place.cpp
+++ b/src/policy/scheduler_place.cpp
@@ -310,7 +310,7 @@
     const host_view& host = m_pool.at(slot);
     const worker_record& worker = p.state.workers().at(host.worker);
     std::vector<wall_ms> times;
-    const bool usable = worker.state() == worker_phase::live && !worker.draining;
+    const bool usable = worker.state() == worker_phase::live && worker.is_schedulable();
     if (!usable)
     {
         return times;
--- a/src/policy/scheduler_preempt.cpp
+++ b/src/policy/scheduler_preempt.cpp
@@ -104,7 +104,8 @@
     const host_view& host = m_pool.at(slot);
     const worker_record& worker = p.state.workers().at(host.worker);
     const resources& need = job.spec.values.size;
-    const bool usable = worker.state() == worker_phase::live && !worker.draining && fits(need, host.size);
+    const bool usable =
+        worker.state() == worker_phase::live && worker.is_schedulable() && fits(need, host.size);
     if (!usable)
     {
         return std::nullopt;
--- a/src/state/hall.cpp
+++ b/src/state/hall.cpp
@@ -17,7 +17,8 @@
 
 resources worker_record::free() const
 {
-    const bool takes_work = !draining && (state() == worker_phase::live || state() == worker_phase::probing);
+    const bool takes_work =
+        is_schedulable() && (state() == worker_phase::live || state() == worker_phase::probing);
     if (!takes_work)
     {
         return {};
@@ -67,6 +68,7 @@
     worker.address = command.address;
     worker.port = command.port;
     worker.size = command.size;
+    worker.cordoned = m_cordon.has_value();
     worker.epoch = epoch_id{worker.epoch.value() + 1};
     m_capacity += worker.size;
     const bool stays_quarantined = known && worker.state() == worker_phase::quarantined;
@@ -124,6 +126,22 @@
     return {};
 }
 
+// Unlike draining, a cordon stops nothing that runs.
+hall_result hall_state::run(wall_ms at, const cordon_hall& command)
+{
+    if (command.cordoned == m_cordon.has_value())
+    {
+        return {};
+    }
+    m_cordon = command.cordoned ? std::optional(hall_cordon{at, command.requested_by}) : std::nullopt;
+    for (auto& [id, worker] : m_workers)
+    {
+        worker.cordoned = command.cordoned;
+        m_changes.workers.push_back(id);
+    }
+    return {};
+}
+
 hall_result hall_state::run(wall_ms at, const probe_workers& command)
 {
     for (const worker_id id : command.workers)
--- a/src/workload/workload_indexes.cpp
+++ b/src/workload/workload_indexes.cpp
@@ -172,6 +172,7 @@
     out.unheard = m_unresponsive;
     out.crashes = m_crashes;
     out.quotas = m_quotas;
+    out.cordons = m_cordons;
     for (const auto& [id, owner] : m_submissions)
     {
         out.submissions.push_back(owner);
@@ -205,6 +206,7 @@
     m_unresponsive = std::move(in.unheard);
     m_crashes = std::move(in.crashes);
     m_quotas = std::move(in.quotas);
+    m_cordons = std::move(in.cordons);
     m_submissions.clear();
     m_workers.clear();
     m_waves.clear();
--- a/src/workload/workload_runs.cpp
+++ b/src/workload/workload_runs.cpp
@@ -17,7 +17,7 @@
         return false;
     }
     // Checked here as well, since a leader may propose a start on the basis of outdated knowledge.
-    if (worker->leaving || worker->assumed)
+    if (worker->leaving || worker->assumed || m_cordons.contains(worker->description.hall))
     {
         return false;
     }
--- a/src/workload/workload_state.cpp
+++ b/src/workload/workload_state.cpp
@@ -345,4 +345,20 @@
     return {};
 }
 
+workload_result workload_state::handle(wall_ms at, const set_hall_cordon& command)
+{
+    if (!command.cordoned)
+    {
+        m_cordons.remove(command.hall);
+        return {};
+    }
+    // Checked here and not only by the leader, so that two requests at once cannot cordon the last two halls.
+    if (!m_cordons.contains(command.hall) && !m_cordons.leaves_any(command.halls, command.hall))
+    {
+        return refuse(workload_code::last_hall, "No other hall would accept work.");
+    }
+    m_cordons.add(command.hall, {at, command.requested_by});
+    return {};
+}
+
 } // namespace walkthread
--- a/tests/src/simulated_pool.hpp
+++ b/tests/src/simulated_pool.hpp
@@ -144,7 +144,7 @@
         worker.slowness = slow ? 1.3 : 1.0;
         worker.description = {incarnation,     host,
                               host + ":1",     "pool",
-                              "hall",          {"kind", "rack" + std::to_string(m_workers.size() / 8)},
+                              hall_of(host),   {"kind", "rack" + std::to_string(m_workers.size() / 8)},
                               m_settings.size, process_start_ms{1}};
         worker.faults.reports_lost = !reports;
         if (m_leader && reports)
@@ -248,6 +248,26 @@
            });
         return id;
     }
+    // An operator cordons a hall or lifts the cordon; returns whether that was accepted and is acknowledged.
+    bool cordon(const std::string& hall, bool cordoned)
+    {
+        std::vector<std::string> halls;
+        for (std::size_t i = 0; i < m_settings.halls; ++i)
+        {
+            halls.push_back(hall_name(i));
+        }
+        const bool accepted = commit(set_hall_cordon{hall, cordoned, "edge-1", halls}).code == 0;
+        if (accepted && cordoned)
+        {
+            m_cordoned_since.emplace(hall, m_now);
+        }
+        else if (accepted)
+        {
+            m_cordoned_since.erase(hall);
+        }
+        wake();
+        return accepted;
+    }
     void cancel(submission_id id)
     {
         const submission* known = m_state.find(id);
--- a/tests/src/simulated_workers.hpp
+++ b/tests/src/simulated_workers.hpp
@@ -174,6 +174,7 @@
         begin(worker, order, *owner);
         if (!late)
         {
+            check_cordon(worker, order.run);
             check_limit(*owner, owner->spec.steps[order.run.task.step.step], order.run);
         }
         return order_outcome::accepted;
--- a/tests/src/simulation_records.hpp
+++ b/tests/src/simulation_records.hpp
@@ -169,6 +169,8 @@
     };
     // Time after the acknowledgement beyond which no task may start: half of the platform's shortest bound.
     static constexpr milliseconds drain_bound{1000};
+    // The same for a cordoned hall: a fifth of the platform's bound.
+    static constexpr milliseconds cordon_bound{1000};
 
     void note_acknowledged(const worker_report& report)
     {
@@ -200,6 +202,24 @@
                                    ": " + name_of(run));
         }
     }
+    [[nodiscard]] std::string hall_name(std::size_t place) const
+    {
+        return "hall" + std::to_string(place % m_settings.halls);
+    }
+    // Hosts are assigned to halls in turn; all incarnations on a host are in its hall.
+    std::string hall_of(const std::string& host)
+    {
+        return hall_name(m_host_places.emplace(host, m_host_places.size()).first->second);
+    }
+    void check_cordon(const sim_worker& worker, const run_ref& run)
+    {
+        const auto since = m_cordoned_since.find(worker.description.hall);
+        if (since != m_cordoned_since.end() && m_now - since->second > cordon_bound)
+        {
+            m_violations.push_back("started in a cordoned hall: " + name_of(run) + " on " +
+                                   worker.description.id);
+        }
+    }
     workload_result commit(const workload_command& command)
     {
         return m_state.apply(wall(), command);
@@ -255,6 +275,7 @@
     // Workers, each with the terms of leaders that have a connection to it.
     std::set<std::pair<std::string, std::uint64_t>> m_connected;
     std::map<std::string, sim_worker> m_workers;
+    std::map<std::string, std::size_t> m_host_places; // in the order of their first worker
     std::map<std::pair<step_ref, std::string>, monotonic_time> m_tickets;
     static constexpr milliseconds limit_propagation_time{2000};
     resources m_limit{}; // of each organisation
@@ -269,8 +290,9 @@
     std::map<task_ref, std::size_t> m_crashes; // workers that crashed while running it
     std::map<submission_id, monotonic_time> m_cancelled;
     duration m_longest_after_cancel{};
-    std::set<std::string> m_maintained_hosts;     // hosts whose maintenance began
-    std::set<std::string> m_hosts_in_maintenance; // those of them that are down
+    std::map<std::string, monotonic_time> m_cordoned_since; // when the operator had the acknowledgement
+    std::set<std::string> m_maintained_hosts;               // hosts whose maintenance began
+    std::set<std::string> m_hosts_in_maintenance;           // those of them that are down
     std::size_t m_max_hosts_down = 0;
     std::vector<std::string> m_violations;
 };
