Calls go through another entry process while the leader does not answer this one

An entry process that does not hear the leader for 0.15 s asks the leader and three other entry processes. One that has heard the leader since relays the calls; all of them are idempotent. If nobody answers, callers are sent on at once (503, Retry-After 0; 504 where an order was sent). If the others answer but have not heard the leader either, it has failed, and calls are held as before. Nothing is sent while the leader answers; in an outage at most three messages per process in 0.25 s, between entry processes only. Who can be asked is learned from the replicas, one query in ten seconds.

unit-leader-path plays both sides in virtual time and counts the probes.

--- a/include/walkthread/fabric/call_router.hpp
+++ b/include/walkthread/fabric/call_router.hpp
@@ -46,9 +46,18 @@
     void call_peer(const std::string& peer, service_call body, milliseconds timeout, call_handler handler);
     /// @brief Handles a received reply.
     void handle_reply(reply_message message);
-    /// @brief Sets the current leader, empty for unknown. Pending calls are sent to it at once.
+    /// @brief Sets the current leader or the process that relays calls to it, empty for unknown. Pending
+    /// calls are sent to it at once.
     void set_leader(const std::string& leader);
 
+    /// @brief Sets whether this process reaches no other. When it becomes isolated, calls from callers end at
+    /// once, and later ones too: as `isolated` if they had no effect, else as `unknown`.
+    void set_isolated(bool isolated);
+    [[nodiscard]] bool isolated() const
+    {
+        return m_isolated;
+    }
+
     [[nodiscard]] const std::string& leader() const
     {
         return m_leader;
@@ -83,6 +92,7 @@
 
     [[nodiscard]] service_reply make_no_leader_reply(milliseconds timeout, monotonic_time now);
     void reject_unsent_calls(monotonic_time now);
+    void end_calls_from_callers();
     void send(std::uint64_t number, waiting_call& item, const std::string& to);
     void finish(std::uint64_t number, service_reply reply);
     void arm();
@@ -93,6 +103,7 @@
     boost::asio::steady_timer m_timer;
     bool m_armed = false;
     std::string m_leader;
+    bool m_isolated = false;
     leader_outage m_outage;
     time_histograms m_outages{
         "walkthread_leaderless_seconds", "How long no leader was known, by outage.", {}};
--- a/include/walkthread/fabric/core_node.hpp
+++ b/include/walkthread/fabric/core_node.hpp
@@ -91,6 +91,9 @@
     void announce_leadership(monotonic_time now);
     [[nodiscard]] replica_id find_unresponsive_voter(monotonic_time now) const;
     [[nodiscard]] leader_status describe_leader(monotonic_time now) const;
+    [[nodiscard]] std::vector<std::string> choose_probe_peers(const std::string& asker,
+                                                              const std::vector<std::string>& replicas,
+                                                              monotonic_time now) const;
     [[nodiscard]] bool leads(monotonic_time now) const;
     [[nodiscard]] std::size_t target_voters() const
     {
--- a/include/walkthread/fabric/fabric_node.hpp
+++ b/include/walkthread/fabric/fabric_node.hpp
@@ -15,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <walkthread/fabric/call_router.hpp>
+#include <walkthread/fabric/leader_path.hpp>
 #include <walkthread/fabric/leader_watch.hpp>
 #include <walkthread/observe/decision_log.hpp>
 #include <walkthread/observe/metrics_page.hpp>
@@ -107,6 +108,7 @@
     void log_suspension();
     void log_event(std::string_view event, std::string_view subject, std::initializer_list<log_field> fields);
     void answer_call(const std::string& from, const call_message& message);
+    void relay_call(service_call body, const call_handler& answer);
     /// @brief Sets the leader that calls are sent to; empty for unknown. Each change of the leader or its
     /// term is logged, also a change without an outage in between.
     void follow(const std::string& leader);
@@ -128,6 +130,15 @@
 
   private:
     void tick();
+    void check_leader_path(monotonic_time now);
+    void arm_path_check();
+    void route_calls(const std::string& leader, monotonic_time now);
+    void answer_probe(const std::string& from, monotonic_time now);
+    void record_sender(const std::string& from, const mesh_message& message, monotonic_time now);
+    leader_path m_path;
+    boost::asio::steady_timer m_path_timer;
+    bool m_path_check_due = false;
+    std::string m_logged_relay;      ///< the relay in the last logged event
     duration m_suspended;            ///< total time this machine had been suspended at the last check
     std::string m_logged_leader;     ///< the leader in the last logged leader event
     std::uint64_t m_logged_term = 0; ///< the term in that event
--- a/include/walkthread/fabric/leader_watch.hpp
+++ b/include/walkthread/fabric/leader_watch.hpp
@@ -5,6 +5,7 @@
 /// @since 0.2
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -44,6 +45,11 @@
     {
         return m_leader;
     }
+    /// @brief How long ago the leader was heard; no value if none is known.
+    [[nodiscard]] std::optional<duration> silent_for(monotonic_time now) const
+    {
+        return m_leader.empty() ? std::nullopt : std::optional<duration>(now - m_last_leader_contact);
+    }
     /// @brief The highest term in which a leader was known.
     [[nodiscard]] std::uint64_t term() const
     {
--- a/include/walkthread/fabric/messages.hpp
+++ b/include/walkthread/fabric/messages.hpp
@@ -149,6 +149,7 @@
     unavailable, ///< it had no effect; the caller may retry
     not_leading, ///< another process leads; it had no effect
     unknown,     ///< it may have taken effect or not; the call can be repeated
+    isolated,    ///< this process reaches no other; it had no effect, and any other process can take it now
 };
 
 /// @brief The reply to a call.
@@ -206,7 +207,8 @@
 struct leader_query
 {
     bool can_query_advisor{}; ///< the sender can reach the placement advisor
-    MSGPACK_DEFINE(can_query_advisor)
+    bool wants_probe_peers{}; ///< the sender asks for other processes without a replica
+    MSGPACK_DEFINE(can_query_advisor, wants_probe_peers)
 };
 
 /// @brief The leader that the sender knows of.
@@ -215,8 +217,11 @@
     bool leads{};       ///< the sender itself leads, confirmed by its lease
     std::string leader; ///< peer address of the leader; empty for unknown
     std::uint64_t term{};
-    std::vector<std::string> replicas; ///< peer addresses of all processes with a replica
-    MSGPACK_DEFINE(leads, leader, term, replicas)
+    std::vector<std::string> replicas;      ///< peer addresses of all processes with a replica
+    std::vector<std::string> probe_peers{}; ///< some processes without one, if the query asked for them
+    /// From a process without a replica: milliseconds since it heard the leader; negative if it knows none.
+    std::int64_t leader_silent_ms = -1;
+    MSGPACK_DEFINE(leads, leader, term, replicas, probe_peers, leader_silent_ms)
 };
 
 /// @brief A replica outside the membership asks to join.
--- a/src/fabric/call_router.cpp
+++ b/src/fabric/call_router.cpp
@@ -22,6 +22,11 @@
     return std::holds_alternative<submit_call>(body) || std::holds_alternative<state_call>(body) ||
            std::holds_alternative<cancel_call>(body) || std::holds_alternative<pending_call>(body);
 }
+
+bool is_read(const service_call& body)
+{
+    return std::holds_alternative<state_call>(body) || std::holds_alternative<pending_call>(body);
+}
 } // namespace
 
 call_router::call_router(boost::asio::io_context& loop, mesh& peers,
@@ -39,6 +44,11 @@
 {
     const monotonic_time now = monotonic_now();
     const bool from_caller = is_caller_request(body);
+    if (from_caller && m_isolated)
+    {
+        handler(make_reply(reply_kind::isolated, "This process reaches no other."));
+        return;
+    }
     if (from_caller && m_outage.rejects_calls(now))
     {
         handler(make_no_leader_reply(timeout, now));
@@ -85,6 +95,35 @@
     }
 }
 
+void call_router::set_isolated(bool isolated)
+{
+    const bool becomes_isolated = isolated && !m_isolated;
+    m_isolated = isolated;
+    if (becomes_isolated)
+    {
+        end_calls_from_callers();
+    }
+}
+
+// Another entry process can take these calls now. An order that was sent may have arrived before the cut, so
+// its outcome is unknown; sending it again under the same id is safe.
+void call_router::end_calls_from_callers()
+{
+    std::vector<std::pair<std::uint64_t, reply_kind>> ending;
+    for (const auto& [number, item] : m_calls)
+    {
+        const bool no_effect = is_read(item.body) || !item.ever_sent;
+        if (item.from_caller)
+        {
+            ending.emplace_back(number, no_effect ? reply_kind::isolated : reply_kind::unknown);
+        }
+    }
+    for (const auto& [number, kind] : ending)
+    {
+        finish(number, make_reply(kind, "This process reaches no other."));
+    }
+}
+
 void call_router::call_peer(const std::string& peer, service_call body, milliseconds timeout,
                             call_handler handler)
 {
--- a/src/fabric/core_members.cpp
+++ b/src/fabric/core_members.cpp
@@ -48,7 +48,12 @@
     else if (auto* query = std::get_if<leader_query>(&message))
     {
         m_leader_clients[from] = {now, query->can_query_advisor};
-        m_mesh.send(from, describe_leader(now));
+        leader_status status = describe_leader(now);
+        if (query->wants_probe_peers)
+        {
+            status.probe_peers = choose_probe_peers(from, status.replicas, now);
+        }
+        m_mesh.send(from, std::move(status));
         if (query->can_query_advisor && m_dispatcher)
         {
             m_advisor_queries.record_client(from, now);
@@ -68,6 +73,29 @@
     }
 }
 
+// The next processes without a replica, by address, that asked recently: a process keeps the same ones over
+// repeated queries, and different processes get different ones.
+std::vector<std::string> core_node::choose_probe_peers(const std::string& asker,
+                                                       const std::vector<std::string>& replicas,
+                                                       monotonic_time now) const
+{
+    std::vector<std::string> out;
+    const auto first = m_leader_clients.upper_bound(asker);
+    const auto add = [&](const auto& client)
+    {
+        const bool recent = now - client.second.asked < m_core_settings.leader_notice_window;
+        const bool has_replica = std::find(replicas.begin(), replicas.end(), client.first) != replicas.end();
+        if (out.size() < leader_path_settings{}.max_probe_peers && recent && !has_replica &&
+            client.first != asker)
+        {
+            out.push_back(client.first);
+        }
+    };
+    std::for_each(first, m_leader_clients.end(), add);
+    std::for_each(m_leader_clients.begin(), first, add);
+    return out;
+}
+
 void core_node::query_leader(monotonic_time now)
 {
     const replica& core = m_replica->group().core();
--- a/src/fabric/fabric_node.cpp
+++ b/src/fabric/fabric_node.cpp
@@ -10,6 +10,8 @@
 {
 constexpr milliseconds tick_interval{150};        // the shortest query interval in `leader_watch_settings`
 constexpr milliseconds min_logged_suspension{50}; // shorter ones affect no lease or timeout
+constexpr milliseconds path_check_interval{50};
+constexpr milliseconds relayed_call_timeout{2000}; // the process that relays sends its call again by itself
 } // namespace
 
 fabric_node::fabric_node(boost::asio::io_context& loop, fabric_settings settings, platform_hooks hooks,
@@ -31,7 +33,8 @@
                {
                    return handle_locally(body, handler);
                }),
-      m_watch(m_settings.seeds, leader_watch_settings{}), m_timer(loop), m_suspended(total_suspended_time())
+      m_watch(m_settings.seeds, leader_watch_settings{}), m_timer(loop), m_path_timer(loop),
+      m_suspended(total_suspended_time())
 {
 }
 
@@ -64,11 +67,12 @@
         return;
     }
     m_router.call(std::move(body), timeout, std::move(handler));
+    arm_path_check();
 }
 
 bool fabric_node::connected() const
 {
-    return !m_router.leader().empty();
+    return !m_router.leader().empty() && !m_router.isolated();
 }
 
 void fabric_node::add_seeds(const std::vector<std::string>& seeds)
@@ -123,16 +127,115 @@
 
 void fabric_node::query_leader(monotonic_time now)
 {
-    for (const std::string& peer : m_watch.peers_to_query(now))
+    const std::vector<std::string> peers = m_watch.peers_to_query(now);
+    for (const std::string& peer : peers)
     {
-        m_mesh.send(peer, leader_query{static_cast<bool>(m_platform_hooks.ask_advisor)});
+        m_mesh.send(peer, leader_query{static_cast<bool>(m_platform_hooks.ask_advisor),
+                                       m_path.needs_probe_peers(now)});
+    }
+    if (!peers.empty())
+    {
+        arm_path_check();
     }
     follow(m_watch.leader());
 }
 
+// ---------------------------------------------------------------------------------------------------------
+// The path to the leader, for processes without a replica
+// ---------------------------------------------------------------------------------------------------------
+
+void fabric_node::arm_path_check()
+{
+    if (!m_settings.data_folder.empty())
+    {
+        return;
+    }
+    m_path.expect_answer(monotonic_now());
+    if (m_path_check_due)
+    {
+        return;
+    }
+    m_path_check_due = true;
+    m_path_timer.expires_after(path_check_interval);
+    m_path_timer.async_wait(
+        [this, alive = m_alive](boost::system::error_code cancelled)
+        {
+            if (*alive && !cancelled)
+            {
+                m_path_check_due = false;
+                check_leader_path(monotonic_now());
+            }
+        });
+}
+
+void fabric_node::check_leader_path(monotonic_time now)
+{
+    if (!m_path.is_waiting())
+    {
+        return;
+    }
+    const std::vector<std::string> peers = m_path.peers_to_probe(now);
+    for (const std::string& peer : peers)
+    {
+        m_mesh.send(peer, leader_query{});
+    }
+    if (!peers.empty() && !m_watch.leader().empty())
+    {
+        m_mesh.send(m_watch.leader(), leader_query{static_cast<bool>(m_platform_hooks.ask_advisor), false});
+    }
+    route_calls(m_watch.leader(), now);
+    arm_path_check();
+}
+
+// Directs calls to the leader, or to the process that relays them.
+void fabric_node::route_calls(const std::string& leader, monotonic_time now)
+{
+    const std::string relay = m_path.relay(now);
+    const bool isolated = m_path.is_isolated(now);
+    if (relay != m_logged_relay || isolated != m_router.isolated())
+    {
+        log_event("path_changed", {},
+                  {{"relay", relay}, {"isolated", isolated}, {"calls_waiting", m_router.waiting()}});
+        m_logged_relay = relay;
+    }
+    m_router.set_isolated(isolated);
+    m_router.set_leader(relay.empty() ? leader : relay);
+}
+
+// Another process without a replica probes whether this one hears the leader.
+void fabric_node::answer_probe(const std::string& from, monotonic_time now)
+{
+    leader_status status;
+    status.leader = m_watch.leader();
+    status.term = m_watch.term();
+    const std::optional<duration> silent = m_watch.silent_for(now);
+    status.leader_silent_ms =
+        silent ? std::chrono::duration_cast<milliseconds>(*silent).count() : std::int64_t{-1};
+    m_mesh.send(from, status);
+}
+
+void fabric_node::record_sender(const std::string& from, const mesh_message& message, monotonic_time now)
+{
+    m_path.record_message(now);
+    const auto* status = std::get_if<leader_status>(&message);
+    if (from == m_watch.leader() || (status != nullptr && status->leads))
+    {
+        m_path.record_leader_contact();
+    }
+    if (status != nullptr)
+    {
+        m_path.set_probe_peers(status->probe_peers, now);
+        m_path.record_probe_answer(from,
+                                   status->leader_silent_ms < 0
+                                       ? std::nullopt
+                                       : std::optional<duration>(milliseconds(status->leader_silent_ms)),
+                                   now);
+    }
+}
+
 void fabric_node::follow(const std::string& leader)
 {
-    m_router.set_leader(leader);
+    route_calls(leader, monotonic_now());
     const std::uint64_t term = known_term();
     if (leader == m_logged_leader && (leader.empty() || term == m_logged_term))
     {
@@ -151,10 +254,16 @@
 
 void fabric_node::receive(const std::string& from, mesh_message message)
 {
+    const monotonic_time now = monotonic_now();
+    record_sender(from, message, now);
     if (auto* status = std::get_if<leader_status>(&message))
     {
-        m_watch.receive(from, *status, monotonic_now());
-        query_leader(monotonic_now());
+        m_watch.receive(from, *status, now);
+        query_leader(now);
+    }
+    else if (std::holds_alternative<leader_query>(message))
+    {
+        answer_probe(from, now);
     }
     else if (auto* reply = std::get_if<reply_message>(&message))
     {
@@ -181,9 +290,28 @@
         answer(make_reply(reply_kind::refused, error_of(body).detail));
         return;
     }
+    const bool relays =
+        m_settings.data_folder.empty() && !std::holds_alternative<advise_call>(value_of(body));
+    if (relays)
+    {
+        relay_call(std::move(value_of(body)), answer);
+        return;
+    }
     handle_locally(value_of(body), answer);
 }
 
+// Sends a call on to the leader for a process that does not reach it. Only over a direct path, so that calls
+// do not go in circles.
+void fabric_node::relay_call(service_call body, const call_handler& answer)
+{
+    if (m_watch.leader().empty() || m_router.leader() != m_watch.leader() || m_router.isolated())
+    {
+        answer(make_reply(reply_kind::not_leading));
+        return;
+    }
+    m_router.call(std::move(body), relayed_call_timeout, answer);
+}
+
 bool fabric_node::handle_locally(const service_call& body, const call_handler& handler)
 {
     const auto* question = std::get_if<advise_call>(&body);
