A new leader polls its workers a bounded number at a time

Cause, traced on the fleet: a leader polled all of its 6,000 workers in one go, each over a new connection. Its event loop was busy for 0.2 to 0.3 s at 0.6 of a core, so heartbeats and callers waited. The time grows with the workers: at twice the fleet it is above the election timeout, and no leader would last.

first_poll_queue sends at most 256 first polls at a time, those of workers with runs first; a silent worker holds a place for 0.1 s. 256 connections open in a few milliseconds, whatever the size of the fleet. A worker that waits for its first poll is not silent.

Ruled out: a longer election timeout (grows with the fleet as well); polling idle workers only when one is needed (the placement of gangs looks at all of them).

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -246,6 +246,7 @@
 
     // dispatcher_polling.cpp: polls, leases, run ends; dispatcher_orders.cpp: starts, stops, retries
     void poll_workers(monotonic_time now);
+    void send_first_polls(monotonic_time now);
     void poll_worker(worker_view& view, monotonic_time now);
     [[nodiscard]] bool may_poll_rarely(const worker_view& view) const;
     void poll_rarely(worker_view& view, monotonic_time now) const;
@@ -345,7 +346,8 @@
     monotonic_time m_review_due{};
     pass_schedule m_schedule;
     double m_poll_loss_rate = 0.0; ///< moving average of the share of polls that got no answer
-    double m_typical_speed = 1.0;  ///< median speed of the faster half of the hosts
+    first_poll_queue m_first_polls;
+    double m_typical_speed = 1.0; ///< median speed of the faster half of the hosts
     turnover_time m_turnover;
     organisation_shares m_shares;
     backlog_windows m_windows;                                  ///< of this pass
@@ -377,12 +379,6 @@
     host_table m_hosts;
     suspect_isolation m_suspects;
     freed_capacity_log m_freed_hosts; ///< hosts on which capacity became free
-    /// A step for which too little capacity was free.
-    struct waiting_step
-    {
-        std::uint64_t seen{};            ///< position in the log of freed hosts up to which it has checked
-        monotonic_time next_full_scan{}; ///< next scan of all hosts
-    };
     std::map<step_ref, waiting_step> m_waiting;
     /// Run ends of one submission that are being committed.
     struct pending_ends
--- a/include/walkthread/dispatch/freed_capacity_log.hpp
+++ b/include/walkthread/dispatch/freed_capacity_log.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <vector>
 
+#include <walkthread/units/time.hpp>
 #include <walkthread/workload/submission.hpp>
 
 namespace walkthread
@@ -63,4 +64,12 @@
     std::vector<worker_incarnation_id> m_hosts;
 };
 
+/// @brief A step for which too little capacity was free.
+/// @since 0.3
+struct waiting_step
+{
+    std::uint64_t seen{};            ///< position in the log of freed hosts up to which it has checked
+    monotonic_time next_full_scan{}; ///< next scan of all hosts
+};
+
 } // namespace walkthread
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include <walkthread/dispatch/backlog_window.hpp>
+#include <walkthread/dispatch/first_polls.hpp>
 #include <walkthread/dispatch/gang_reservations.hpp>
 #include <walkthread/dispatch/gathering.hpp>
 #include <walkthread/dispatch/mechanisms.hpp>
@@ -47,6 +48,7 @@
     /// Poll interval of workers without runs if there are fewer connections than workers.
     milliseconds idle_poll_interval{5000};
     milliseconds poll_retry_delay{150}; ///< after an unanswered poll
+    first_poll_settings first_polls{};  ///< pace of a new leader
     /// A poll that fails sooner was refused, or its connection broke, which takes a few milliseconds: a
     /// silent host fails it by a timeout, the shortest of which is `short_poll_timeout`.
     milliseconds refusal_time{150};
@@ -151,6 +153,7 @@
 {
     worker_incarnation_id id{};
     bool answered{};                     ///< it has answered with this leader's fencing token
+    bool awaits_first_poll{};            ///< it is in the queue of first polls
     worker_contact contact;              ///< whether it can be reached
     monotonic_time answered_poll_sent{}; ///< send time of the newest poll that was answered
     monotonic_time clock_at{};
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -30,8 +30,8 @@
 dispatcher::dispatcher(const workload_state& state, dispatch_settings settings, dispatch_hooks hooks,
                        decision_log& log, std::uint64_t fence, monotonic_time now)
     : m_state(state), m_settings(settings), m_hooks(std::move(hooks)), m_log(log), m_fence(fence),
-      m_term_start(now), m_schedule(m_settings.backlog), m_windows(m_settings.backlog),
-      m_hosts(m_state, m_views, m_settings, m_maintenance_hosts),
+      m_term_start(now), m_schedule(m_settings.backlog), m_first_polls(m_settings.first_polls),
+      m_windows(m_settings.backlog), m_hosts(m_state, m_views, m_settings, m_maintenance_hosts),
       m_suspects(state.crashes(), m_settings.suspect_watch_period), m_freed_hosts(freed_host_log_size),
       m_poison_tasks_logged(state.crashes().poison_task_count())
 {
@@ -90,6 +90,7 @@
         if (!m_views.contains(id))
         {
             m_views.emplace(id, make_view(worker, now));
+            m_first_polls.add(id, !worker.occupied.empty());
         }
     }
     std::erase_if(m_views,
@@ -103,6 +104,7 @@
 {
     worker_view view;
     view.id = worker.id;
+    view.awaits_first_poll = true;
     view.contact = worker_contact(now);
     view.next_quarantine = m_settings.quarantine;
     view.draining = worker.leaving;
@@ -151,6 +153,7 @@
         m_periodic_work_due = now + periodic_work_interval;
         run_periodic_work(now, wall);
     }
+    send_first_polls(now);
     stop_unwanted_runs(now);
     const bool all = m_schedule.is_full_pass_due(now);
     if (!all && !m_schedule.is_first_pass_due(now))
--- a/src/dispatch/dispatcher_polling.cpp
+++ b/src/dispatch/dispatcher_polling.cpp
@@ -34,13 +34,31 @@
         {
             view.poll_in_flight = false; // a late answer still counts
         }
-        if (!view.poll_in_flight && !view.ends_commit_pending && !view.drop_proposed && now >= view.poll_due)
+        if (!view.awaits_first_poll && !view.poll_in_flight && !view.ends_commit_pending &&
+            !view.drop_proposed && now >= view.poll_due)
         {
             poll_worker(view, now);
         }
     }
 }
 
+void dispatcher::send_first_polls(monotonic_time now)
+{
+    for (const worker_incarnation_id worker : m_first_polls.take(now))
+    {
+        worker_view* view = view_of(worker);
+        if (view != nullptr && view->awaits_first_poll)
+        {
+            view->contact.poll_rarely(now); // it was not silent while it was not polled
+            poll_worker(*view, now);
+        }
+        else
+        {
+            m_first_polls.finish(worker);
+        }
+    }
+}
+
 void dispatcher::poll_worker(worker_view& view, monotonic_time now)
 {
     const worker_incarnation* worker = m_state.find(view.id);
@@ -48,6 +66,7 @@
     {
         return;
     }
+    view.awaits_first_poll = false;
     poll_order order;
     order.to = address_of(view.id);
     order.last_seen = worker->ends_recorded_up_to;
@@ -92,6 +111,7 @@
 void dispatcher::handle_poll_answer(worker_incarnation_id worker, const poll_answer& answer,
                                     monotonic_time sent, monotonic_time now)
 {
+    m_first_polls.finish(worker);
     worker_view* view = view_of(worker);
     if (view == nullptr)
     {
