--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -33,6 +33,18 @@
     assert status == 400, status
 
 
+def evacuations(cell):
+    """Evacuating a zone and taking it back: repeated, of an unknown zone, of the only zone; the call of another method."""
+    operator = cell.operator_addresses()[0]
+    path = "/walkthread/evacuations/"
+    assert call(operator, "POST", path + "nowhere")[0] == 404
+    status, error = call(operator, "POST", path + "a")
+    assert (status, error["error"]["code"]) == (409, 431), (status, error)  # the fake has one zone
+    assert [call(operator, "DELETE", path + "a")[0] for _ in range(2)] == [200, 200]
+    assert call(operator, "PUT", path + "a")[0] == 405
+    assert call(operator, "GET", "/walkthread/evacuations") == (200, {"evacuations": {}})
+
+
 def run(cell):
     wait_for(lambda: cell.configure(), 30)
     wait_for(lambda: cell.ask("GET")[0] == 200, 30)
@@ -51,6 +63,7 @@
     expected = sum(step["count"] for n in range(24) for step in KINDS[n % len(KINDS)])
     assert len(tasks) == expected, (len(tasks), expected)
     bad_input(cell)
+    evacuations(cell)
 
     # Planned stop of the leader: another process becomes leader, and accepted work is kept.
     leader = wait_for(cell.leader, 30)
--- a/tests/src/unit-hall.cpp
+++ b/tests/src/unit-hall.cpp
@@ -69,6 +69,33 @@
     BOOST_TEST(hall.apply(over_capacity).applied == 0U);
 }
 
+// Nothing may start in a cordoned hall, also on a worker that registers later; what runs there goes on.
+BOOST_AUTO_TEST_CASE(a_cordoned_hall_places_nothing_and_stops_nothing)
+{
+    hall_fixture hall;
+    hall.add_workers(1, 4, 0);
+    const job_id before = hall.submit(hall.make_job(workload_kind::batch, 1, small));
+    BOOST_REQUIRE(hall.plan_all() == 1U);
+    hall.report_all(before, run_event::started);
+    hall.apply(cordon_hall{true, "node 1"});
+    hall.add_workers(1, 4, 0);
+    const job_id during = hall.submit(hall.make_job(workload_kind::batch, 2, small));
+    BOOST_TEST(hall.plan_all() == 0U);
+    BOOST_TEST(hall.apply(place_tasks{{place(hall, during, 2)}}).applied == 0U); // a stale plan
+    BOOST_TEST(hall.running_in(before) == 1U);
+    const wall_ms since = hall.state().cordon()->since;
+    hall.advance_time(1000);
+    hall.apply(cordon_hall{true, "node 2"}); // a repeated request changes nothing
+    BOOST_TEST(hall.state().cordon()->since == since);
+    BOOST_TEST(hall.state().cordon()->requested_by == "node 1");
+    hall_state copy;
+    BOOST_REQUIRE(copy.load(hall.state().save()));
+    BOOST_TEST((copy.cordon() == hall.state().cordon()));
+    hall.apply(cordon_hall{false, "node 1"});
+    BOOST_TEST(hall.plan_all() == 2U);
+    BOOST_TEST(hall.state().check() == "");
+}
+
 BOOST_AUTO_TEST_CASE(a_host_is_freed_only_when_the_stop_is_confirmed)
 {
     hall_fixture hall;
--- a/tests/src/unit-root.cpp
+++ b/tests/src/unit-root.cpp
@@ -152,7 +152,7 @@
 
 BOOST_AUTO_TEST_CASE(halls_are_chosen_by_free_capacity)
 {
-    const hall_load empty{{100'000, 100'000, 0, 80}, {}, {16'000, 65'536, 0, 8}, {}};
+    const hall_load empty{{100'000, 100'000, 0, 80}, {}, {16'000, 65'536, 0, 8}, {}, false};
     hall_load full = empty;
     full.reserved = {90'000, 90'000, 0, 72};
     const std::map<hall_id, hall_load> halls{
@@ -169,3 +169,18 @@
     BOOST_TEST(
         (error_of(choose_halls(halls, workload_kind::batch, giant)).code == state_code::never_runnable));
 }
+
+// A job must not wait in a cordoned hall while another one would start it. One that may use no other hall
+// waits.
+BOOST_AUTO_TEST_CASE(cordoned_halls_are_chosen_last)
+{
+    const hall_load open{
+        {100'000, 100'000, 0, 80}, {90'000, 90'000, 0, 72}, {16'000, 65'536, 0, 8}, {}, false};
+    const hall_load cordoned{{100'000, 100'000, 0, 80}, {}, {16'000, 65'536, 0, 8}, {}, true};
+    const std::map<hall_id, hall_load> halls{{hall_id{1}, open}, {hall_id{2}, cordoned}};
+    parameters values{{1000, 1024, 0, 1}, 4, 1, 60, {}};
+    BOOST_TEST(value_of(choose_halls(halls, workload_kind::batch, values)).front().hall.value() == 1);
+    BOOST_TEST(value_of(choose_halls(halls, workload_kind::service, values)).size() == 1U);
+    values.halls = {hall_id{2}};
+    BOOST_TEST(value_of(choose_halls(halls, workload_kind::batch, values)).front().hall.value() == 2);
+}
