The stand-in's gang members wait for each other, as the platform's do

The leader is killed between the recording and the sending of a gang's starts; one member was sent, ended by itself as done, and one such end stands for the whole gang. On the platform a member works only once all of its run are present, and ends "alone" otherwise; the stand-in did not do that.

The check of the test is unchanged.

--- a/tests/fakes/platform_cell.py
+++ b/tests/fakes/platform_cell.py
@@ -19,6 +19,7 @@
 HOST, PREFIX = "example.test", "/q/"
 WORKER_CPU = 16000  # millicores
 CRASH_DELAY_S, RESTART_DELAY_S = 0.01, 2.0  # delay until a task crashes its worker; delay until the worker's next incarnation
+GANG_S, GANG_CHECK_S = 3.0, 0.05  # how long a member waits for the others of its gang, and how often it looks
 LATE_EXECUTION_S = (2.0, 4.0)  # delay of an unanswered order's execution; on the platform it is 2 to 12 s
 
 
@@ -168,10 +169,21 @@
                         self.cell.violations.append("%s runs on %s and %s at the same time" % (
                             task, self.worker_id, other.worker_id))
 
-    def complete(self, key):
+    def complete(self, key, waited_s=0.0):
+        """Ends a run. A member of a gang works only once all members of its run have started, and ends `alone` after GANG_S."""
         with self.lock:
-            if key in self.running and self.live:
-                self.end(key, "done" if self.clock() <= self.until else "lapsed")
+            if key not in self.running or not self.live:
+                return
+            if self.clock() > self.until:
+                self.end(key, "lapsed")
+            elif self.cell.gang_complete(*key):
+                self.end(key, "done")
+            elif waited_s >= GANG_S:
+                self.end(key, "alone")
+            else:
+                timer = threading.Timer(GANG_CHECK_S, self.complete, (key, waited_s + GANG_CHECK_S))
+                timer.daemon = True
+                timer.start()
 
     def crash(self, next_worker_id):
         """Ends this incarnation with all its runs, and starts the next one on the same host, under the given id."""
@@ -279,6 +291,7 @@
         self.starts, self.done, self.acknowledged_ends, self.violations, self.tickets, self.workers = [], [], [], [], {}, []
         # Starts that were executed without delay; the time at which each worker's leaving was acknowledged.
         self.timely_starts, self.leaving_acknowledged_at = [], {}
+        self.gangs = {}  # number of tasks of each gang, by step
         self.crashes = {}  # number of workers that crashed while running each task
         self.hosts, self.leaving_workers = workers, []  # leaving_workers: those that have been replaced
         self.processes, self.logs = {}, {}
@@ -293,6 +306,14 @@
         """The address under which others reach a worker that listens at `address`."""
         return address
 
+    def gang_complete(self, task, run_id):
+        """Whether all members of a task's gang have started under this run id; true for other tasks."""
+        step = task.rsplit(".", 1)[0]
+        if step not in self.gangs:
+            return True
+        started = {(t, r) for t, r, *_ in list(self.starts)}
+        return all(("%s.%d" % (step, i), run_id) in started for i in range(self.gangs[step]))
+
     def cpu_of(self, _task):
         """Millicores that a task uses; 0 if the test does not know."""
         return 0
@@ -388,6 +409,9 @@
 
     def submit(self, submission, steps):
         """Sends a submission, with the same id each time, until it is accepted."""
+        for i, step in enumerate(steps):
+            if step.get("gang"):
+                self.gangs["%s.0.%d" % (submission, i)] = step["count"]
         return wait_for(lambda: self.ask("POST", submission, {"spec": "text", "steps": steps})[0] == 200, 30)
 
     def state(self, submission):
