HTTP listeners bind ports that a peer listener's connections left

Cause: the HTTP library sets SO_REUSEPORT alone, all other listeners and the tests' choice of ports SO_REUSEADDR. The kernel refuses to bind a port whose former connections, for 60 s in TIME_WAIT, belong to a listener of the other kind. Blocks of test ports are chosen by process id and come back within the minute.

Ruled out: another cell or an outgoing connection that takes the port (blocks are locked and below the ephemeral range; process-ports).

The library's default also let two processes with one HTTP address start side by side without an error.

--- a/include/walkthread/node/http_server.hpp
+++ b/include/walkthread/node/http_server.hpp
@@ -75,6 +75,8 @@
     void post(const std::string& pattern, http_handler handler);
     void erase(const std::string& pattern, http_handler handler);
 
+    /// @brief The address it listens on. @since 0.5
+    [[nodiscard]] const socket_address& address() const;
     /// @brief Starts listening. @return whether the address could be bound
     [[nodiscard]] bool start();
     /// @brief Stops accepting and waits until the requests in progress are answered.
--- a/src/node/http_server.cpp
+++ b/src/node/http_server.cpp
@@ -1,5 +1,7 @@
 #include <walkthread/node/http_server.hpp>
 
+#include <sys/socket.h>
+
 #include <condition_variable>
 #include <deque>
 #include <mutex>
@@ -206,6 +208,14 @@
                                  "application/json");
         });
 }
+
+// The library's default, SO_REUSEPORT, has two faults: a second server shares a taken address without an error,
+// and a port whose former listener had SO_REUSEADDR cannot be bound until its connections leave TIME_WAIT.
+void set_listener_options(int socket)
+{
+    const int on = 1;
+    ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+}
 } // namespace
 
 struct http_server::implementation
@@ -230,6 +240,7 @@
     }
     httplib::Server& server = *m_implementation->server;
     server.set_tcp_nodelay(true);
+    server.set_socket_options(set_listener_options);
     server.new_task_queue = [limits]
     {
         return new bounded_queue(limits);
@@ -267,6 +278,11 @@
     m_implementation->server->Delete(pattern, to_library(std::move(handler)));
 }
 
+const socket_address& http_server::address() const
+{
+    return m_implementation->address;
+}
+
 bool http_server::start()
 {
     implementation& impl = *m_implementation;
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -122,7 +122,8 @@
         {
             if (!server->start())
             {
-                m_log->error("Cannot bind an HTTP address or read the TLS certificate.");
+                m_log->error("Cannot bind the HTTP address {} or read the TLS certificate.",
+                             server->address().text());
                 return false;
             }
         }
