A worker's registration names what began, so that a dropped order is placed again

Cause: a renewal that hung at a frozen process reaches the new leader in the last milliseconds of the worker's lease; the answer carries a start and arrives as the lease is over, so the worker drops it. The leader had told it, and could not know.

Now a registration lists the runs that began in the epoch before (`begun`). A run placed there and not listed never began and is placed again. Workers that send no list are treated as before; a malformed list is an error (process-bad_input).

Weighed: giving a request up after a third of the lease only makes the case rarer.

--- a/include/walkthread/state/hall.hpp
+++ b/include/walkthread/state/hall.hpp
@@ -165,7 +165,10 @@
     resources size{};
     epoch_id previous{};          ///< the worker's last epoch; 0 if unknown
     std::vector<run_id> unsent{}; ///< runs placed there whose start order was never sent: they never began
-    MSGPACK_DEFINE(worker, rack, address, port, size, previous, unsent)
+    /// Runs that began in the epoch `previous` and were not forgotten; absent if the worker does not say. Any
+    /// other run that was placed there in that epoch never began.
+    std::optional<std::vector<run_id>> begun{};
+    MSGPACK_DEFINE(worker, rack, address, port, size, previous, unsent, begun)
 };
 
 /// @brief A worker and one of its lease epochs.
@@ -417,6 +420,9 @@
     void cancel(wall_ms at, hall_job& job, job_outcome outcome);
     void quarantine(wall_ms at, worker_record& worker);
     void set_phase(wall_ms at, worker_record& worker, worker_phase phase);
+    /// @brief Runs placed on a worker in its last epoch that certainly never began there.
+    [[nodiscard]] std::vector<run_id> never_began(const worker_record& worker,
+                                                  const register_worker& command) const;
     void release_all(wall_ms at, worker_record& worker, const std::vector<run_id>& unsent);
     void record_change(const hall_job& job);
     task_record* find_run(const run_id& run, const worker_epoch& from, hall_job*& job);
--- a/src/node/documents_parse.cpp
+++ b/src/node/documents_parse.cpp
@@ -252,6 +252,30 @@
 }
 
 constexpr const char* not_json = "The body is not valid JSON.";
+void read_begun(object_reader& body, register_worker& out)
+{
+    if (!body.has("begun"))
+    {
+        return;
+    }
+    const json& begun = body.child("begun");
+    if (!begun.is_array() || begun.size() > max_runs)
+    {
+        body.fail("begun", "must be a list of at most 1024 runs");
+        return;
+    }
+    out.begun.emplace();
+    for (const json& item : begun)
+    {
+        run_id run;
+        if (!item.is_string() || !parse_run_id(item.get<std::string>(), run))
+        {
+            body.fail("begun", "must have runs as job/task/number");
+            return;
+        }
+        out.begun->push_back(run);
+    }
+}
 } // namespace
 
 result<put_template, std::string> parse_template(const settings& config, std::string_view text)
@@ -381,8 +405,8 @@
         return std::string(not_json);
     }
     object_reader reader(body);
-    reader.check_keys(
-        {"hall", "worker", "epoch", "previous", "rack", "address", "port", "size", "wait_ms", "runs"});
+    reader.check_keys({"hall", "worker", "epoch", "previous", "rack", "address", "port", "size", "wait_ms",
+                       "runs", "begun"});
     renew_call out;
     out.worker = worker_id{static_cast<std::uint32_t>(reader.integer("worker", 0, 0, UINT32_MAX))};
     out.epoch = epoch_id{static_cast<std::uint32_t>(reader.integer("epoch", 0, 0, UINT32_MAX))};
@@ -408,6 +432,7 @@
         reader.fail("size", "is invalid: " + size.error());
     }
     read_runs(reader, out);
+    read_begun(reader, out.registration);
     if (!reader.error().empty())
     {
         return reader.error();
--- a/src/node/http_server.cpp
+++ b/src/node/http_server.cpp
@@ -209,8 +209,9 @@
         });
 }
 
-// The library's default, SO_REUSEPORT, has two faults: a second server shares a taken address without an error,
-// and a port whose former listener had SO_REUSEADDR cannot be bound until its connections leave TIME_WAIT.
+// The library's default, SO_REUSEPORT, has two faults: a second server shares a taken address without an
+// error, and a port whose former listener had SO_REUSEADDR cannot be bound until its connections leave
+// TIME_WAIT.
 void set_listener_options(int socket)
 {
     const int on = 1;
--- a/src/state/hall.cpp
+++ b/src/state/hall.cpp
@@ -57,7 +57,7 @@
     }
     if (known)
     {
-        release_all(at, worker, command.unsent);
+        release_all(at, worker, never_began(worker, command));
         if (worker.state() != worker_phase::lost)
         {
             m_capacity -= worker.size;
@@ -179,6 +179,27 @@
     set_phase(at, worker, worker_phase::quarantined);
 }
 
+std::vector<run_id> hall_state::never_began(const worker_record& worker, const register_worker& command) const
+{
+    std::vector<run_id> out = command.unsent;
+    if (!command.begun || command.previous != worker.epoch)
+    {
+        return out;
+    }
+    for (const task_id& id : worker.tasks)
+    {
+        const task_record& task = m_jobs.at(id.job).tasks[id.index];
+        const run_id run{id, task.run};
+        const bool begun =
+            std::find(command.begun->begin(), command.begun->end(), run) != command.begun->end();
+        if (task.state() == task_phase::placed && !begun)
+        {
+            out.push_back(run);
+        }
+    }
+    return out;
+}
+
 void hall_state::release_all(wall_ms at, worker_record& worker, const std::vector<run_id>& unsent)
 {
     const std::vector<task_id> tasks = worker.tasks;
--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -99,6 +99,7 @@
         self.epoch, self.previous, self.lease_until = 0, 0, 0.0
         self.runs, self.lock = {}, threading.Lock()
         self.answers = {}
+        self.begun = set()  # runs that began in the epoch `previous` and were not forgotten
         self.stopping = False
         self.frozen = threading.Event()
         self.endpoint = Endpoint(self)
@@ -159,7 +160,7 @@
         if epoch == 0:
             self.runs.clear()
             cpu, memory, accelerators, slots = self.size
-            return {"worker": self.number, "epoch": 0, "previous": self.previous, "rack": self.rack, "address": "127.0.0.1",
+            return {"worker": self.number, "epoch": 0, "previous": self.previous, "begun": sorted(self.begun), "rack": self.rack, "address": "127.0.0.1",
                     "port": self.endpoint.server_address[1],
                     "size": {"cpu_millicores": cpu, "memory_mib": memory, "accelerators": accelerators, "slots": slots}}
         runs = [{"run": run, "state": s["state"], "port": s["port"], "cpu_millicores": s["cpu"],
@@ -181,10 +182,13 @@
                 self.apply_orders(asked, body)
 
     def apply_orders(self, asked, body):
+        if self.epoch == 0:
+            self.begun.clear()
         self.epoch = self.previous = body["epoch"]
         self.lease_until = max(self.lease_until, asked + body["lease_ms"] / 1000)
         for run in body.get("forget", []):
             self.runs.pop(run, None)
+            self.begun.discard(run)
         for order in body.get("start", []):
             self.start(order)
         for order in body.get("stop", []):
@@ -206,6 +210,7 @@
                           "ends": float("inf") if service else time.monotonic() + order["run_seconds"],
                           "fails": self.fails or "fail" in name, "stopping": False, "throttled": False,
                           "cpu": size["cpu_millicores"] * hog, "service": service}
+        self.begun.add(run)
         self.records.add("start", run=run, host=self.number, hall=self.hall, service=service, configuration=name,
                          organisation=order["organisation"],
                          size=(size["cpu_millicores"], size["memory_mib"], size["accelerators"]))
--- a/tests/process/test_bad_input.py
+++ b/tests/process/test_bad_input.py
@@ -108,6 +108,8 @@
     assert renew("{") == (400, 804)
     assert renew({"worker": 0}) == (400, 804)
     assert renew({"worker": 1, "epoch": 1, "runs": [{"run": "1/2", "state": "started"}]}) == (400, 804)
+    assert renew({"worker": 1, "epoch": 0, "begun": ["1/2"]}) == (400, 804)
+    assert renew({"worker": 1, "epoch": 0, "begun": "1/0/1"}) == (400, 804)
     status, _, text = cell.http(node.workers, "POST", "/v1/halls/santiago-1/renew", TOKENS["worker"],
                                 {"worker": 77, "epoch": 5})
     assert status == 200 and json.loads(text)["register"] is True
--- a/tests/src/unit-hall.cpp
+++ b/tests/src/unit-hall.cpp
@@ -158,6 +158,59 @@
     }
 }
 
+// Guards against ending a job with an unknown outcome when a start order reached its worker in the moment its
+// lease expired: the order was sent, and the worker dropped it.
+BOOST_AUTO_TEST_CASE(a_not_repeatable_task_that_never_began_runs_elsewhere)
+{
+    enum class says
+    {
+        nothing,
+        not_begun,
+        begun,
+        other_begun,
+    };
+    for (const says worker_says : {says::nothing, says::not_begun, says::begun, says::other_begun})
+    {
+        for (const bool reported : {false, true})
+        {
+            hall_fixture hall;
+            hall.add_workers(2, 4, 0);
+            job_spec spec = hall.make_job(workload_kind::batch, 1, whole);
+            spec.repeatable = false;
+            hall.submit(spec);
+            hall.plan();
+            if (reported)
+            {
+                hall.report_all(spec.id, run_event::started);
+            }
+            const task_record task = hall.state().jobs().at(spec.id).tasks[0];
+            register_worker again;
+            again.worker = task.worker;
+            again.size = whole;
+            again.previous = epoch_id{1};
+            if (worker_says != says::nothing)
+            {
+                again.begun.emplace();
+            }
+            if (worker_says == says::begun)
+            {
+                again.begun->push_back({{spec.id, 0}, task.run});
+            }
+            if (worker_says == says::other_begun)
+            {
+                again.begun->push_back({{spec.id, 0}, task.run + 1});
+            }
+            hall.apply(again);
+            hall.plan_all();
+            const bool never_began =
+                !reported && (worker_says == says::not_begun || worker_says == says::other_begun);
+            BOOST_TEST(hall.running_in(spec.id) == (never_began ? 1U : 0U));
+            BOOST_TEST(hall.state().jobs().at(spec.id).finished() == !never_began);
+            BOOST_TEST(hall.state().check() == "");
+        }
+    }
+}
+
 // A run that has started may have done part of its work, whoever stops it.
 BOOST_AUTO_TEST_CASE(a_not_repeatable_task_that_was_stopped_never_runs_again)
 {
