A replaced worker whose process runs on no longer disturbs its successor

Cause: each report of the replaced incarnation was confirmed by its own process, so the present one was marked as about to be dropped. The state rejects a former incarnation, but the entry counts as committed, and only an uncommitted one took the mark back: the present incarnation was never polled again. Under two ids its drop was proposed separately, and its tasks were started twice.

Ruled out: the evacuation (the zone was open), an admission of the former incarnation (the state rejects it).

Reports of an ended incarnation are now not taken, and the mark is taken back whenever the view still exists.

unit-lives a_replaced_incarnation_that_runs_on_is_ignored: five checks fail before (2 starts instead of 1), none after.

--- a/include/walkthread/workload/workload_state.hpp
+++ b/include/walkthread/workload/workload_state.hpp
@@ -105,6 +105,10 @@
     /// @brief An incarnation of a worker, or null.
     [[nodiscard]] const worker_incarnation* find(worker_incarnation_id id) const;
     [[nodiscard]] const worker_incarnation* find_incarnation(const worker_incarnation_ref& incarnation) const;
+    /// @brief Whether an incarnation was replaced by another one on its host or under its id. It is not added
+    /// again, also if its process still runs. Complexity: linear in the ended incarnations that are kept, at
+    /// most 1,000. @since 0.6
+    [[nodiscard]] bool has_ended(const worker_incarnation_ref& incarnation) const;
     /// @brief The incarnation that was added last with this worker id, or null.
     [[nodiscard]] const worker_incarnation* find_id(const std::string& id) const;
     /// @brief The current incarnation on a host, or null.
--- a/src/dispatch/dispatcher_reports.cpp
+++ b/src/dispatch/dispatcher_reports.cpp
@@ -27,6 +27,15 @@
         done(true);
         return;
     }
+    if (known == nullptr && m_state.has_ended(report.description.incarnation()))
+    {
+        // Its process may still run and answer polls. It must not replace the present incarnation.
+        log_event(now, "report_not_taken", report.description.id,
+                  {{"reason", "its incarnation has been replaced"},
+                   {"born", report.description.process_start.value()}});
+        done(false);
+        return;
+    }
     if (lacks_start_time(report))
     {
         log_event(now, "report_not_taken", report.description.id,
@@ -202,9 +211,9 @@
                         }
                         m_admitting_hosts.erase(report.description.host);
                         poll_new_incarnation(report.description.incarnation(), m_hooks.now());
-                        if (worker_view* still = view_of(before); still != nullptr && !committed)
+                        if (worker_view* still = view_of(before); still != nullptr)
                         {
-                            still->drop_proposed = false;
+                            still->drop_proposed = false; // not committed, or rejected where it was applied
                         }
                         const worker_incarnation* admitted =
                             m_state.find_incarnation(report.description.incarnation());
--- a/src/dispatch/dispatcher_restarts.cpp
+++ b/src/dispatch/dispatcher_restarts.cpp
@@ -38,21 +38,21 @@
                          runs_lost_at_restart(view, answer, now)};
     command.description.process_start = answer.process_start;
     log_lost_runs(view, command.lost, now);
-    m_hooks.propose(command,
-                    [this, alive = m_alive, former = view.id,
-                     incarnation = command.description.incarnation()](bool committed)
-                    {
-                        worker_view* still = *alive ? view_of(former) : nullptr;
-                        if (still != nullptr && !committed)
-                        {
-                            still->drop_proposed = false;
-                        }
-                        if (*alive)
-                        {
-                            poll_new_incarnation(incarnation, m_hooks.now());
-                            m_hooks.wake();
-                        }
-                    });
+    m_hooks.propose(
+        command,
+        [this, alive = m_alive, former = view.id, incarnation = command.description.incarnation()](bool)
+        {
+            worker_view* still = *alive ? view_of(former) : nullptr;
+            if (still != nullptr)
+            {
+                still->drop_proposed = false; // erased by the next sync if it was replaced
+            }
+            if (*alive)
+            {
+                poll_new_incarnation(incarnation, m_hooks.now());
+                m_hooks.wake();
+            }
+        });
 }
 
 // Polls a new incarnation at once, while the view of the former one still exists to carry state over from.
--- a/src/workload/workload_incarnations.cpp
+++ b/src/workload/workload_incarnations.cpp
@@ -29,7 +29,7 @@
         }
         return {};
     }
-    if (std::find(m_former.begin(), m_former.end(), incarnation) != m_former.end())
+    if (has_ended(incarnation))
     {
         return {static_cast<std::int32_t>(workload_code::former_incarnation),
                 "This incarnation of the worker has ended."};
@@ -112,6 +112,11 @@
     }
 }
 
+bool workload_state::has_ended(const worker_incarnation_ref& incarnation) const
+{
+    return std::find(m_former.begin(), m_former.end(), incarnation) != m_former.end();
+}
+
 void workload_state::mark_former(const worker_incarnation_ref& incarnation)
 {
     m_former.push_back(incarnation);
--- a/tests/src/simulated_pool.hpp
+++ b/tests/src/simulated_pool.hpp
@@ -166,6 +166,11 @@
         m_workers[incarnation].running.clear();
         add_worker(next, host, reports);
     }
+    // The process of a replaced incarnation turns out to run on: it answers and reports.
+    void run_on(const std::string& incarnation)
+    {
+        m_workers[incarnation].terminated = false;
+    }
     // The worker terminates permanently. From then on its machine refuses connections or does not respond.
     void remove_worker(const std::string& incarnation, bool refuses_connections)
     {
--- a/tests/src/unit-lives.cpp
+++ b/tests/src/unit-lives.cpp
@@ -84,6 +84,26 @@
     check_started_once(pool, id);
 }
 
+// A worker was taken for gone and replaced, and its process runs on: each of its reports is confirmed by the
+// process itself. It must neither end the work of its successor nor keep the successor from being polled.
+BOOST_AUTO_TEST_CASE(a_replaced_incarnation_that_runs_on_is_ignored)
+{
+    simulated_pool pool(small_pool_settings(2));
+    pool.start_leader();
+    pool.run(seconds(1));
+    pool.crash("w0", "w0-again");
+    pool.run(seconds(4));
+    const submission_id id = fill_worker(pool, "w0-again");
+    pool.run_on("w0");
+    for (int i = 0; i < 6; ++i)
+    {
+        pool.report("w0", false);
+        pool.run(seconds(1));
+    }
+    check_started_once(pool, id);
+    BOOST_TEST(pool.starts_on("w0") == 0U);
+}
+
 // An incarnation whose address does not answer yet must not replace the running one.
 BOOST_AUTO_TEST_CASE(an_unresponsive_incarnation_replaces_none)
 {
