--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -430,6 +430,7 @@
     gauge("walkthread_suspects", "Tasks that may take down the hosts that they run on.",
           m_state.crashes().suspects().size());
     gauge("walkthread_workers", "Workers' lives in the replicated state.", m_state.workers().size());
+    gauge("walkthread_halls_cordoned", "Halls in which nothing new starts.", m_state.cordons().all().size());
     page.add_count("walkthread_log_syncs_total", "Syncs of the log.",
                    static_cast<double>(m_replica->syncs()));
     page.add(m_commit_times.collect());
--- a/tests/fakes/platform_cell.py
+++ b/tests/fakes/platform_cell.py
@@ -88,6 +88,7 @@
     def __init__(self, cell, number, worker_id=None):
         self.cell, self.number = cell, number
         self.worker_id = worker_id or "i-%08x" % number  # its id; the next incarnation may keep it
+        self.zone = cell.zone_of[self.worker_id] = cell.zones[number % len(cell.zones)]
         self.process_start_ms, self.clock_origin = int(time.time() * 1000), time.monotonic()
         self.lock = threading.Condition()
         self.fence = self.until = 0
@@ -264,7 +265,7 @@
     def report(self):
         self.sequence += 1
         draining = self.draining
-        body = {"service": "pool", "machine": "m-%d" % self.number, "address": self.address, "zone": "a",
+        body = {"service": "pool", "machine": "m-%d" % self.number, "address": self.address, "zone": self.zone,
                 "version": "v1", "slots": 8, "state": "draining" if draining else "ready", "room": {"cpu": WORKER_CPU, "mem-mb": 65536, "gpu": 0},
                 "labels": ["a", "r1-%d" % (self.number % 2)], "clock-ms": self.clock(), "sequence": self.sequence,
                 "born": self.process_start_ms}
@@ -284,10 +285,10 @@
 class PlatformCell:
     """Core and edge processes with their settings, workers and a placement advisor."""
 
-    def __init__(self, build, cores=3, edges=2, workers=4, run_seconds=0.3):
+    def __init__(self, build, cores=3, edges=2, workers=4, run_seconds=0.3, zones=("a",)):
         self.program = os.path.join(build, "walkthread-platformd")
         self.folder = tempfile.mkdtemp(prefix="walkthread-platform-")
-        self.run_seconds = run_seconds
+        self.run_seconds, self.zones, self.zone_of = run_seconds, zones, {}
         self.starts, self.done, self.acknowledged_ends, self.violations, self.tickets, self.workers = [], [], [], [], {}, []
         # Starts that were executed without delay; the time at which each worker's leaving was acknowledged.
         self.timely_starts, self.leaving_acknowledged_at = [], {}
@@ -403,6 +404,11 @@
                 return True
         return False
 
+    def evacuate(self, zone, method="POST"):
+        """Asks that nothing new start in a zone, or takes it back with DELETE, at any replica. Returns whether one acknowledged it."""
+        addresses = random.sample(self.operator_addresses(), len(self.cores))
+        return any(call(address, method, "/walkthread/evacuations/" + zone, timeout=2.5)[0] == 200 for address in addresses)
+
     def ask(self, method, submission="", body=None, edge=None):
         edge = random.choice(self.edges) if edge is None else edge
         return call("%s:%d" % (loopback(edge), self.front), method, PREFIX + submission, body, {"Host": HOST})
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -6,6 +6,7 @@
 CANCELLED_AFTER_S = 3.5  # the platform's time limit for a cancellation, including the stop at the workers
 CALM_S = 4.0             # after the last fault, before time limits are checked again
 DRAIN_S = 2.0            # a worker whose leaving was acknowledged gets no new run after that: the platform's shortest drain
+EVACUATION_S = 5.0       # the platform's bound on starts in a zone behind the acknowledgement of its evacuation
 # Fault-free time in which accepted work must finish: the longest lease, the drop of a worker, two steps, and a busy machine.
 STALL_LIMIT_S = 20.0
 
@@ -19,6 +20,19 @@
         self.versions_acked, self.calm_since = 0, time.monotonic()
         self.accepted_at, self.stall_limit_s, self.led_since = {}, float("inf"), 0.0
 
+        self.evacuated, self.evacuations = {}, []  # zone: acknowledged at; (zone, acknowledged at, taken back at)
+
+    def take_back(self, zone):
+        """Ends an evacuation for the check, before the operator asks for it. Does nothing if it was not acknowledged."""
+        since = self.evacuated.pop(zone, None)
+        if since is not None:
+            self.evacuations.append((zone, since, time.monotonic()))
+
+    def check_evacuated(self, task, run, worker_id, at):
+        for zone, since, until in self.evacuations:
+            if self.cell.zone_of[worker_id] == zone and since + EVACUATION_S < at < until:
+                self.fail("%s/%d started on %s %.1f s after its zone %s was evacuated" % (task, run, worker_id, at - since, zone))
+
     def fail(self, text):
         with self.lock:
             self.failures.append("%.2f %s" % (time.monotonic(), text))
@@ -93,6 +107,7 @@
         for text in self.cell.violations:
             self.fail(text)
         for task, run, worker_id, at in list(self.cell.timely_starts):
+            self.check_evacuated(task, run, worker_id, at)
             if at > self.cell.leaving_acknowledged_at.get(worker_id, at) + DRAIN_S:
                 self.fail("%s/%d started on %s %.1f s after the worker's leaving was acknowledged" % (
                     task, run, worker_id, at - self.cell.leaving_acknowledged_at[worker_id]))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,7 +1,7 @@
 """A randomized soak test: runs the real processes under injected faults and checks the guarantees that callers, operators and
 workers observe.
 
-Usage: soak.py BUILD [--seed N] [--seconds S] [--cores N] [--edges N] [--workers N] [--calm] [--poison] [--gone] [--keep FOLDER]
+Usage: soak.py BUILD [--seed N] [--seconds S] [--cores N] [--edges N] [--workers N] [--calm] [--poison] [--gone] [--evacuate] [--keep FOLDER]
 
 With --calm, one fault at a time hits the leader right after an acknowledgement and is followed by a fault-free period. Rules
 with a time limit are checked only in such periods, which overlapping faults do not leave.
@@ -9,6 +9,8 @@
 With --gone, workers are lost permanently at about the time at which the leader or the whole core fails; all accepted work must
 finish in bounded time on the remaining workers.
 
+With --evacuate, workers are in two zones, of which an operator evacuates one at a time and takes it back.
+
 With --poison, some submissions have a task that crashes each worker that starts it; they end as failed.
 
 The seed selects the faults, their order and their targets. Timing still differs between runs, as these are real processes.
@@ -47,6 +49,8 @@
 CALM_AFTER_FAULT_S = 6.0             # fault-free time after a single fault; above CALM_S
 EXTRA_WORKERS = 8                # with --gone: additional workers that may be lost
 LEADER_POLL_S = 0.3
+EVACUATED_S = (4.0, 10.0)        # with --evacuate: how long a zone stays evacuated
+ACKNOWLEDGED_S = 30              # time limit for an operator's order, sent again until it is acknowledged
 TERM = re.compile(r"\nwalkthread_term (\d+)")
 COMPLETION_TIMEOUT_S = 60            # time limit for accepted work to finish after the last fault
 CLIENTS = 4
@@ -55,9 +59,9 @@
 class SoakCell(PlatformCell):
     """A cell whose processes and workers are reached through proxies."""
 
-    def __init__(self, build, cores, edges, workers, run_seconds):
+    def __init__(self, build, cores, edges, workers, run_seconds, zones):
         self.faults, self.proxies, self.bind, self.sizes, self.poison = Faults(), {}, {}, {}, set()
-        super().__init__(build, cores, edges, workers, run_seconds)
+        super().__init__(build, cores, edges, workers, run_seconds, zones)
 
     def own_settings(self, number):
         if number not in self.proxies:
@@ -164,21 +168,45 @@
 
 
 class Operator(threading.Thread):
-    """Increases the configuration's version and reads it back."""
+    """Increases the configuration's version and reads it back. In a cell of several zones it evacuates one at a time."""
 
     def __init__(self, cell, checker, seed):
         super().__init__(daemon=True)
         self.cell, self.checker, self.random = cell, checker, random.Random(seed * 7 + 3)
         self.stopping, self.version = threading.Event(), 1
+        # A separate generator, so that --evacuate does not change other random choices.
+        self.evacuations, self.evacuated, self.next_change = random.Random(seed * 11 + 5), None, 0.0
 
     def run(self):
         while not self.stopping.is_set():
             time.sleep(self.random.uniform(0.2, 1.0))
+            if len(self.cell.zones) > 1 and time.monotonic() >= self.next_change:
+                self.change_evacuation()
             self.version += self.random.randint(1, 3)
             if self.cell.configure(self.version):
                 self.checker.versions_acked = self.version
             self.read()
 
+    def change_evacuation(self):
+        """Evacuates a zone, or takes back the one that is evacuated; sends either again until it is acknowledged."""
+        if self.evacuated is None:
+            self.evacuated = self.evacuations.choice(self.cell.zones)
+        zone = self.evacuated
+        if zone not in self.checker.evacuated:
+            if self.cell.evacuate(zone):
+                self.checker.evacuated[zone] = time.monotonic()
+                self.next_change = time.monotonic() + self.evacuations.uniform(*EVACUATED_S)
+            return
+        self.check_listed(zone)
+        self.checker.take_back(zone)
+        wait_for(lambda: self.cell.evacuate(zone, "DELETE"), ACKNOWLEDGED_S)
+        self.evacuated, self.next_change = None, time.monotonic() + self.evacuations.uniform(1.0, 4.0)
+
+    def check_listed(self, zone):
+        status, held = call(self.random.choice(self.cell.operator_addresses()), "GET", "/walkthread/evacuations", timeout=1.5)
+        if status == 200 and zone not in held["evacuations"]:
+            self.checker.fail("the acknowledged evacuation of %s is not listed: %s" % (zone, held))
+
     def read(self):
         acked = self.checker.versions_acked
         status, held = call(self.random.choice(self.cell.operator_addresses()), "GET", "/walkthread/config", timeout=1.5)
@@ -268,6 +296,9 @@
     for thread in clients + [operator]:
         thread.stopping.set()
         thread.join(20)
+    if operator.evacuated is not None:
+        checker.take_back(operator.evacuated)
+        wait_for(lambda: cell.evacuate(operator.evacuated, "DELETE"), ACKNOWLEDGED_S)
     wait_for_completion(cell, checker)
     over.set()
     checker.check_cancelled()
@@ -311,10 +342,12 @@
     options.add_argument("--calm", action="store_true")
     options.add_argument("--poison", action="store_true")
     options.add_argument("--gone", action="store_true")
+    options.add_argument("--evacuate", action="store_true")
     options.add_argument("--keep")
     chosen = options.parse_args()
     workers = chosen.workers + (EXTRA_WORKERS if chosen.gone else 0)
-    cell = SoakCell(chosen.build, chosen.cores, chosen.edges, workers, run_seconds=0.3)
+    cell = SoakCell(chosen.build, chosen.cores, chosen.edges, workers, run_seconds=0.3,
+                    zones=("a", "b") if chosen.evacuate else ("a",))
     checker, log = GuaranteeChecker(cell), []
     checker.stall_limit_s = STALL_LIMIT_S if chosen.gone else checker.stall_limit_s
     try:
--- a/tests/src/stall_check.hpp
+++ b/tests/src/stall_check.hpp
@@ -250,13 +250,14 @@
                dominant_share(sum.used, sum.total) < max_used_share;
     }
     template <class Worker>
-    [[nodiscard]] static bool takes_work(const Worker& worker)
+    [[nodiscard]] bool takes_work(const Worker& worker) const
     {
         const worker_faults& wrong = worker.faults;
         const double chance = wrong.late + wrong.late_stops + wrong.poll_loss + wrong.refuse + wrong.unsent;
-        return !worker.terminated && !worker.draining && !wrong.unresponsive && !wrong.polls_not_sent &&
-               !wrong.rejects_polls && !wrong.reports_lost && !wrong.fails_all && !wrong.runs_hang &&
-               !wrong.resets && chance == 0.0;
+        const bool cordoned = m_pool.state().cordons().contains(worker.description.hall);
+        return !worker.terminated && !worker.draining && !cordoned && !wrong.unresponsive &&
+               !wrong.polls_not_sent && !wrong.rejects_polls && !wrong.reports_lost && !wrong.fails_all &&
+               !wrong.runs_hang && !wrong.resets && chance == 0.0;
     }
     template <class Worker>
     void add_capacity(const Worker& worker, const step_spec& spec, const step_ref& step,
--- a/tests/src/unit-dispatch.cpp
+++ b/tests/src/unit-dispatch.cpp
@@ -332,10 +332,31 @@
 }
 
 // Combined faults generated from seeds: delayed orders, refusals, unresponsive, crashing and failing workers,
-// and leader changes.
+// leader changes, and cordons of halls if asked for.
 namespace
 {
-void run_random_scenarios(std::uint64_t first, std::uint64_t count, const mechanism_set& mechanisms)
+constexpr std::size_t halls_with_cordons = 4;
+
+// Cordons a hall or lifts a cordon in one of eight steps. Draws of its own: seeds without cordons stay as
+// they are.
+void draw_cordon(simulated_pool& pool, std::mt19937_64& random)
+{
+    if (random() % 8 == 0)
+    {
+        pool.cordon("hall" + std::to_string(random() % halls_with_cordons), random() % 2 == 0);
+    }
+}
+
+void lift_cordons(simulated_pool& pool)
+{
+    for (std::size_t i = 0; i < halls_with_cordons; ++i)
+    {
+        BOOST_REQUIRE(pool.cordon("hall" + std::to_string(i), false));
+    }
+}
+
+void run_random_scenarios(std::uint64_t first, std::uint64_t count, const mechanism_set& mechanisms,
+                          bool cordons = false)
 {
     for (std::uint64_t seed = first; seed < first + count; ++seed)
     {
@@ -343,9 +364,11 @@
         settings.seed = seed;
         settings.mechanisms = mechanisms;
         settings.good_share = 0.85; // so that enough hosts are approved for each gang
+        settings.halls = cordons ? halls_with_cordons : settings.halls;
         simulated_pool pool(settings);
         const stall_check stalls(pool);
         std::mt19937_64 random(seed * 977);
+        std::mt19937_64 cordon_random(seed * 1009);
         const auto draw = [&random](std::uint64_t below)
         {
             return random() % below;
@@ -425,8 +448,16 @@
                     "batch", {make_step(static_cast<std::uint32_t>(1 + draw(8)), 1000, 900), second}));
             }
             }
+            if (cordons)
+            {
+                draw_cordon(pool, cordon_random);
+            }
             pool.run(milliseconds(draw(400)));
         }
+        if (cordons)
+        {
+            lift_cordons(pool);
+        }
         for (int i = 0; i < 10; ++i)
         {
             pool.faults(incarnation[i]) = worker_faults{};
@@ -453,6 +484,13 @@
     run_random_scenarios(first_seed(), seed_count(60), {});
 }
 
+// A cordon beside every other fault: a step whose hosts were all in cordoned halls is done once they are open
+// again.
+BOOST_AUTO_TEST_CASE(random_scenarios_with_cordons_start_nothing_twice_and_finish)
+{
+    run_random_scenarios(first_seed(), seed_count(40), {}, true);
+}
+
 // Mechanisms are policies: with any of them off, no task runs twice and every submission ends.
 BOOST_AUTO_TEST_CASE(random_scenarios_hold_with_any_mechanism_off)
 {
