SoakCell keeps one zone unless a test asks for more

Ruled out: the product; the cell was not started.

The zones default to one, as in PlatformCell. Before: the test fails in 0.2 s, always.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -59,7 +59,7 @@
 class SoakCell(PlatformCell):
     """A cell whose processes and workers are reached through proxies."""
 
-    def __init__(self, build, cores, edges, workers, run_seconds, zones):
+    def __init__(self, build, cores, edges, workers, run_seconds, zones=("a",)):
         self.faults, self.proxies, self.bind, self.sizes, self.poison = Faults(), {}, {}, {}, set()
         super().__init__(build, cores, edges, workers, run_seconds, zones)
 
