The soak never runs two processes of one worker, and does not run out of ports

Two processes with one id, in two logs also with one `born`, ran side by side, which the platform never has. Now a worker is replaced under a lock.

Proxies of workers now listen at ports of the system, and `free_port` fails when its block is used up.

Ruled out: the changes of workers followed since; the leader's log shows the two processes admitted by turns, as they report. No check of the soak is changed.

--- a/tests/fakes/platform_cell.py
+++ b/tests/fakes/platform_cell.py
@@ -209,9 +209,10 @@
             restart_timer.start()
 
     def restart(self):
-        if self in self.cell.workers:
-            self.cell.workers[self.cell.workers.index(self)] = Worker(
-                self.cell, self.number, random.choice([self.worker_id, self.worker_id + "a"]))
+        with self.cell.workers_lock:
+            if self in self.cell.workers:
+                self.cell.workers[self.cell.workers.index(self)] = Worker(
+                    self.cell, self.number, random.choice([self.worker_id, self.worker_id + "a"]))
 
     def leave(self, next_worker_id, linger_s):
         """Announces that it leaves, keeps serving for a while, and ends. Returns the worker on another host that replaces it."""
@@ -289,6 +290,8 @@
         self.program = os.path.join(build, "walkthread-platformd")
         self.folder = tempfile.mkdtemp(prefix="walkthread-platform-")
         self.run_seconds, self.zones, self.zone_of = run_seconds, zones, {}
+        # Held while one worker takes the place of another: the platform never runs two incarnations of one worker at a time.
+        self.workers_lock = threading.Lock()
         self.starts, self.done, self.acknowledged_ends, self.violations, self.tickets, self.workers = [], [], [], [], {}, []
         # Starts that were executed without delay; the time at which each worker's leaving was acknowledged.
         self.timely_starts, self.leaving_acknowledged_at = [], {}
--- a/tests/fakes/ports.py
+++ b/tests/fakes/ports.py
@@ -27,11 +27,11 @@
 
 
 def free_port():
-    """A port that is currently free on every address of this machine."""
+    """A port that is currently free on every address of this machine. Raises RuntimeError if none of the block is free."""
     global held_lock, own_block, next_port
     if held_lock is None:
         own_block, held_lock = lock_block(os.getpid())
-    while True:
+    for _ in range(BLOCK):
         port = FIRST_PORT + own_block * BLOCK + next_port % BLOCK
         next_port += 1
         with socket.socket() as s:
@@ -41,3 +41,4 @@
                 return port
             except OSError:
                 continue
+    raise RuntimeError("All %d ports of this process's block are in use." % BLOCK)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -73,9 +73,10 @@
     def reachable(self, address):
         """Puts a proxy in front of a worker."""
         host, port = address.rsplit(":", 1)
-        listen = ("127.0.0.1", free_port())
-        self.proxies[address] = PeerProxy(address, listen, (host, int(port)), self.faults)
-        return "%s:%d" % listen
+        # Any port will do, as no worker listens again at the address of a former one. A long run starts more workers than
+        # the block of free_port() has ports.
+        self.proxies[address] = PeerProxy(address, ("127.0.0.1", 0), (host, int(port)), self.faults)
+        return "%s:%d" % self.proxies[address].listener.getsockname()
 
     def cpu_of(self, task):
         name, _, step, _ = task.split(".")
--- a/tests/soak/trouble.py
+++ b/tests/soak/trouble.py
@@ -153,10 +153,11 @@
     def crash_worker_at(self, index):
         """A worker crashes and restarts at once, with probability 0.5 under the same id."""
         self.new_ids += 1
-        old = self.cell.workers[index]
-        keeps = self.random.random() < 0.5
-        self.record("crash worker %s%s" % (old.worker_id, ", which keeps its id" if keeps else ""))
-        self.cell.workers[index] = old.crash(old.worker_id if keeps else "i-%08x" % (0x1000 + self.new_ids))
+        keeps, new_id = self.random.random() < 0.5, "i-%08x" % (0x1000 + self.new_ids)
+        with self.cell.workers_lock:
+            old = self.cell.workers[index]
+            self.record("crash worker %s%s" % (old.worker_id, ", which keeps its id" if keeps else ""))
+            self.cell.workers[index] = old.crash(old.worker_id if keeps else new_id)
 
     def replace_worker(self, hold):
         """A worker is replaced: it announces that it leaves, serves for a while and ends; another one takes its place."""
@@ -164,10 +165,12 @@
 
     def replace_worker_at(self, index, hold):
         self.new_ids += 1
-        old = self.cell.workers[index]
-        self.record("worker %s leaves" % old.worker_id)
-        self.cell.leaving_workers.append(old)
-        self.cell.workers[index] = old.leave("i-%08x" % (0x1000 + self.new_ids), hold + 1.0)
+        new_id = "i-%08x" % (0x1000 + self.new_ids)
+        with self.cell.workers_lock:
+            old = self.cell.workers[index]
+            self.record("worker %s leaves" % old.worker_id)
+            self.cell.leaving_workers.append(old)
+            self.cell.workers[index] = old.leave(new_id, hold + 1.0)
         return old
 
     def disrupt_leader(self, hold):
@@ -213,8 +216,9 @@
 
     def lose_permanently(self, worker, how):
         self.record("worker %s is lost permanently with %d runs: %s" % (worker.worker_id, len(worker.running), how))
-        self.cell.workers.remove(worker)
-        self.cell.leaving_workers.append(worker)
+        with self.cell.workers_lock:
+            self.cell.workers.remove(worker)
+            self.cell.leaving_workers.append(worker)
         proxy = self.cell.proxies[worker.server.address]
         if how == "its machine falls silent":
             worker.reports_paused_until = float("inf")
