Idle workers beyond the connections for polls no longer cost the others theirs

Cause: 6,000 workers, 4,845 connections for polls. Idle workers are polled in turn, and a full pool closed the connection that was unused for longest: that of the worker to be polled next. Nearly each poll opened one and first asked who answers there.

Now a poll says whether the next one is seconds away (`poll_order::idle`), and a full pool closes the connection of the idle worker polled last.

Ruled out: closing the most recently used one of all workers without runs. In unit-fleet-connections (a third of the workers at work, 0.4 connections a worker) that opened 105 a second where the bound is 60: workers that have just become idle get work again. A larger share of descriptors for polls was not tried: it moves the size at which the same happens.

Deployments with connections enough are not concerned.

--- a/include/walkthread/dispatch/orders.hpp
+++ b/include/walkthread/dispatch/orders.hpp
@@ -89,6 +89,7 @@
     std::uint64_t last_seen{};            ///< ends up to this number may be discarded by the worker
     std::int64_t wait_ms{}; ///< long poll: the answer may be delayed for that long until a run ends
     milliseconds timeout{}; ///< after `wait_ms`, until the poll times out
+    bool idle{};            ///< the worker is polled rarely: the next poll is several seconds away
 };
 
 /// @brief The answer to a start, stop or pace order.
--- a/include/walkthread/fabric/connection_pool.hpp
+++ b/include/walkthread/fabric/connection_pool.hpp
@@ -34,6 +34,13 @@
     usual,
 };
 
+/// @brief When a connection is likely to be used again, as far as its last caller knows.
+enum class next_use : std::uint8_t
+{
+    soon,
+    late, ///< not for several seconds: its owner has nothing to do until then
+};
+
 /// @brief Limits of a pool.
 struct connection_pool_settings
 {
@@ -58,7 +65,10 @@
 /// @brief Shares a bounded number of connections among calls to many addresses.
 ///
 /// A call uses an idle connection to its address. If the address has no connection, one is opened; if the
-/// pool is full, the least recently used idle connection is closed for it. If all connections to the address
+/// pool is full, an idle connection is closed for it: the most recently used one of those whose next use is
+/// late, else the least recently used one. Where more addresses than connections are called in turn, this
+/// keeps most connections, while closing the oldest would close each just before its next use. If all
+/// connections to the address
 /// are busy, the call first waits `busy_wait_limit` for one of them, as opening another usually takes longer.
 /// If all connections of the pool are busy, the call waits, and the next connection to be released goes to
 /// the waiting call with the highest priority.
@@ -78,8 +88,10 @@
     std::vector<pool_grant> open_additional(monotonic_time now);
     /// @brief Returns a connection after its call has finished.
     /// @param open whether the connection can be used again
+    /// @param next decides which idle connection is closed first when the pool is full
     /// @return the waiting call that is granted a connection now, if any
-    std::optional<pool_grant> release(pooled_connection_id connection, bool open, monotonic_time now);
+    std::optional<pool_grant> release(pooled_connection_id connection, bool open, monotonic_time now,
+                                      next_use next = next_use::soon);
     /// @brief Removes and returns waiting calls whose deadline has passed.
     std::vector<pooled_call_id> expire(monotonic_time now);
     /// @brief Removes and returns connections past the idle timeout, oldest first; the owner closes them.
@@ -91,7 +103,7 @@
     }
     [[nodiscard]] std::size_t idle() const
     {
-        return m_idle.size();
+        return m_idle.size() + m_idle_late.size();
     }
     [[nodiscard]] std::size_t waiting() const
     {
@@ -123,10 +135,13 @@
     {
         std::string address;
         std::optional<std::list<idle_connection>::iterator> idle;
+        next_use next{}; ///< selects the list that `idle` points into
     };
 
     pool_grant use_idle(address_state& state, const std::string& address, pooled_call_id call);
     pool_grant open_new(address_state& state, const std::string& address, pooled_call_id call);
+    [[nodiscard]] std::list<idle_connection>& idle_list(next_use next);
+    [[nodiscard]] pooled_connection_id choose_replaced() const;
     [[nodiscard]] bool can_open(const address_state& state) const;
     waiting_call pop_first_waiting(address_state& state);
     void update_pool_queue(address_state& state, const std::string& address);
@@ -136,7 +151,8 @@
     connection_pool_settings m_settings;
     std::map<std::string, address_state> m_addresses;
     std::map<pooled_connection_id, connection_state> m_connections;
-    std::list<idle_connection> m_idle; ///< least recently used first
+    std::list<idle_connection> m_idle;      ///< next use soon; least recently used first
+    std::list<idle_connection> m_idle_late; ///< next use late; least recently used first
     std::map<queue_position, std::string>
         m_waiting_for_capacity; ///< addresses whose first call waits for pool capacity
     std::set<std::tuple<monotonic_time, queue_position, std::string>> m_deadlines;
--- a/include/walkthread/fabric/pooled_client.hpp
+++ b/include/walkthread/fabric/pooled_client.hpp
@@ -35,8 +35,9 @@
 
     /// @brief Sends a request as soon as a connection is available.
     /// @param timeout limit for the wait for a connection, and again for the request itself
+    /// @param next when the address is likely to be called again
     void send(const std::string& address, web_request request, call_priority priority, milliseconds timeout,
-              web_response_handler handler);
+              web_response_handler handler, next_use next = next_use::soon);
     /// @brief Adds the metrics of the connections to a metrics page.
     void fill(metrics_page& page) const;
 
@@ -46,11 +47,12 @@
         web_request request;
         milliseconds timeout{};
         web_response_handler handler;
+        next_use next{};
     };
 
     void begin(const pool_grant& grant);
     void finish(pooled_connection_id connection, const web_response_handler& handler,
-                const web_result& outcome);
+                const web_result& outcome, next_use next);
     void close(pooled_connection_id connection);
     void arm();
     void fail_expired(const std::vector<pooled_call_id>& calls, monotonic_time now);
--- a/src/dispatch/dispatcher_polling.cpp
+++ b/src/dispatch/dispatcher_polling.cpp
@@ -81,6 +81,9 @@
     const milliseconds wait = polls_often_lost() ? m_settings.short_poll_wait
                               : shared           ? m_settings.colocation_poll_wait
                                                  : m_settings.poll_wait;
+    // A worker that has just become idle is likely to get work again, so that only the next poll finds it
+    // idle.
+    order.idle = may_poll_rarely(view) && now - view.poll_sent >= m_settings.idle_poll_interval;
     // Unanswered orders are resolved by the list of runs, which a poll that waits for an end would delay.
     const bool waits = view.answered && !view.has_unresolved_runs() && !view.has_unresolved_start() &&
                        !may_poll_rarely(view);
--- a/src/fabric/connection_pool.cpp
+++ b/src/fabric/connection_pool.cpp
@@ -56,7 +56,7 @@
 }
 
 std::optional<pool_grant> connection_pool::release(pooled_connection_id connection, bool open,
-                                                   monotonic_time now)
+                                                   monotonic_time now, next_use next_call)
 {
     const auto found = m_connections.find(connection);
     if (found == m_connections.end())
@@ -77,8 +77,10 @@
     }
     if (open && !other)
     {
-        m_idle.push_back({connection, now});
-        found->second.idle = std::prev(m_idle.end());
+        std::list<idle_connection>& idle = idle_list(next_call);
+        idle.push_back({connection, now});
+        found->second.idle = std::prev(idle.end());
+        found->second.next = next_call;
         state.idle.push_back(connection);
         return std::nullopt;
     }
@@ -121,15 +123,31 @@
 std::vector<pooled_connection_id> connection_pool::close_idle(monotonic_time now)
 {
     std::vector<pooled_connection_id> out;
-    while (!m_idle.empty() && now - m_idle.front().since >= m_settings.idle_timeout)
+    for (;;)
     {
-        const pooled_connection_id oldest = m_idle.front().id;
+        const bool late =
+            m_idle.empty() || (!m_idle_late.empty() && m_idle_late.front().since < m_idle.front().since);
+        const std::list<idle_connection>& idle = late ? m_idle_late : m_idle;
+        if (idle.empty() || now - idle.front().since < m_settings.idle_timeout)
+        {
+            return out;
+        }
+        const pooled_connection_id oldest = idle.front().id;
         const std::string address = m_connections.at(oldest).address;
         remove(oldest);
         erase_if_unused(address);
         out.push_back(oldest);
     }
-    return out;
+}
+
+std::list<connection_pool::idle_connection>& connection_pool::idle_list(next_use next)
+{
+    return next == next_use::late ? m_idle_late : m_idle;
+}
+
+pooled_connection_id connection_pool::choose_replaced() const
+{
+    return m_idle_late.empty() ? m_idle.front().id : m_idle_late.back().id;
 }
 
 pool_grant connection_pool::use_idle(address_state& state, const std::string& address, pooled_call_id call)
@@ -137,7 +155,7 @@
     const pooled_connection_id connection = state.idle.back();
     state.idle.pop_back();
     connection_state& known = m_connections.at(connection);
-    m_idle.erase(*known.idle);
+    idle_list(known.next).erase(*known.idle);
     known.idle.reset();
     return pool_grant{call, connection, address, false, std::nullopt};
 }
@@ -147,7 +165,7 @@
     pool_grant grant{call, pooled_connection_id{m_next_connection++}, address, true, std::nullopt};
     if (m_connections.size() >= m_settings.max_connections)
     {
-        grant.replaced = m_idle.front().id;
+        grant.replaced = choose_replaced();
         const std::string other = m_connections.at(*grant.replaced).address;
         remove(*grant.replaced);
         if (other != address)
@@ -162,7 +180,7 @@
 
 bool connection_pool::can_open(const address_state& state) const
 {
-    const bool has_capacity = m_connections.size() < m_settings.max_connections || !m_idle.empty();
+    const bool has_capacity = m_connections.size() < m_settings.max_connections || idle() > 0;
     return has_capacity && state.open < m_settings.max_per_address;
 }
 
@@ -198,7 +216,7 @@
     address_state& state = m_addresses[found->second.address];
     if (found->second.idle)
     {
-        m_idle.erase(*found->second.idle);
+        idle_list(found->second.next).erase(*found->second.idle);
         std::erase(state.idle, connection);
     }
     --state.open;
--- a/src/fabric/pooled_client.cpp
+++ b/src/fabric/pooled_client.cpp
@@ -25,11 +25,11 @@
 }
 
 void pooled_client::send(const std::string& address, web_request request, call_priority priority,
-                         milliseconds timeout, web_response_handler handler)
+                         milliseconds timeout, web_response_handler handler, next_use next)
 {
     const monotonic_time now = monotonic_now();
     const pooled_call_id call{m_next_call++};
-    m_waiting.emplace(call, open_call{std::move(request), timeout, std::move(handler)});
+    m_waiting.emplace(call, open_call{std::move(request), timeout, std::move(handler), next});
     if (const auto grant = m_pool.acquire(call, address, priority, now + timeout, now))
     {
         begin(*grant);
@@ -64,19 +64,19 @@
     open_call& call = node.mapped();
     m_channels.at(grant.connection)
         ->send(std::move(call.request), call.timeout,
-               [this, alive = m_alive, connection = grant.connection,
-                handler = std::move(call.handler)](const web_result& outcome)
+               [this, alive = m_alive, connection = grant.connection, handler = std::move(call.handler),
+                next = call.next](const web_result& outcome)
                {
                    if (*alive)
                    {
-                       finish(connection, handler, outcome);
+                       finish(connection, handler, outcome, next);
                    }
                });
 }
 
 // Releases the connection before calling the handler, so that a request sent by the handler can use it.
 void pooled_client::finish(pooled_connection_id connection, const web_response_handler& handler,
-                           const web_result& outcome)
+                           const web_result& outcome, next_use next)
 {
     const auto failed_as = [&outcome](web_failure failure)
     {
@@ -90,7 +90,7 @@
     {
         m_channels.erase(connection);
     }
-    const auto grant = m_pool.release(connection, open, monotonic_now());
+    const auto grant = m_pool.release(connection, open, monotonic_now(), next);
     if (grant)
     {
         begin(*grant);
--- a/tests/src/limited_connection_pool.hpp
+++ b/tests/src/limited_connection_pool.hpp
@@ -26,6 +26,10 @@
     {
         return m_connections_opened;
     }
+    [[nodiscard]] std::size_t polls() const
+    {
+        return m_calls;
+    }
 
   protected:
     using poll_handler = std::function<void(const poll_answer&)>;
@@ -49,11 +53,12 @@
         const auto [order, handler] = m_waiting.extract(grant.call).mapped();
         simulated_pool::deliver_poll(
             order,
-            [this, handler = handler, connection = grant.connection](const poll_answer& answer)
+            [this, handler = handler, connection = grant.connection,
+             next_call = order.idle ? next_use::late : next_use::soon](const poll_answer& answer)
             {
                 const bool open = answer.outcome != order_outcome::unanswered &&
                                   answer.outcome != order_outcome::unreachable;
-                if (const auto next = m_connections.release(connection, open, now()))
+                if (const auto next = m_connections.release(connection, open, now(), next_call))
                 {
                     begin(*next);
                 }
--- a/tests/src/unit-connections.cpp
+++ b/tests/src/unit-connections.cpp
@@ -71,7 +71,7 @@
         uses[grant.connection] = {grant.call, grant.address, true};
         opened += grant.is_new ? 1 : 0;
     }
-    void finish(pooled_connection_id connection, bool open)
+    void finish(pooled_connection_id connection, bool open, next_use next_call = next_use::soon)
     {
         const use done = uses.at(connection);
         if (open)
@@ -82,7 +82,7 @@
         {
             uses.erase(connection);
         }
-        const auto grant = pool.release(connection, open, now);
+        const auto grant = pool.release(connection, open, now, next_call);
         if (grant)
         {
             apply_grant(*grant);
@@ -177,6 +177,45 @@
                             }));
 }
 
+// A leader with more workers than connections polls idle workers in turn. Closing the oldest connection opens
+// one for each poll.
+BOOST_AUTO_TEST_CASE(calls_in_turn_to_more_addresses_than_connections_keep_most_connections)
+{
+    constexpr std::size_t connections = 200;
+    for (const std::size_t workers : {250U, 500U})
+    {
+        pool_simulation run(connections, 2);
+        const auto call = [&run](std::size_t worker, next_use next_call)
+        {
+            run.acquire(address_of(worker), call_priority::usual, milliseconds(300));
+            run.finish(run.busy().front(), true, next_call);
+            run.now += milliseconds(1);
+        };
+        for (std::size_t round = 0; round < 4; ++round)
+        {
+            const std::size_t before = run.opened;
+            for (std::size_t worker = 0; worker < workers; ++worker)
+            {
+                call(worker, next_use::late);
+            }
+            if (round > 0)
+            {
+                BOOST_TEST(run.opened - before <= workers - connections + 1);
+            }
+        }
+        // A worker with runs is called again soon: its connection outlasts those of idle workers.
+        call(0, next_use::soon);
+        const std::size_t before = run.opened;
+        for (std::size_t worker = workers; worker < 2 * workers; ++worker)
+        {
+            call(worker, next_use::late);
+        }
+        BOOST_TEST(run.opened - before == workers);
+        call(0, next_use::soon);
+        BOOST_TEST(run.opened - before == workers);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_released_connection_goes_to_the_highest_priority_call)
 {
     pool_simulation run(1, 1);
@@ -242,7 +281,8 @@
                         const pooled_connection_id id = busy[below(busy.size())];
                         if (run.uses.contains(id) && run.uses.at(id).busy)
                         {
-                            run.finish(id, below(20) != 0);
+                            run.finish(id, below(20) != 0,
+                                       id.value() % 2 == 0 ? next_use::soon : next_use::late);
                         }
                     }
                     run.expire();
--- a/tests/src/unit-fleet-connections.cpp
+++ b/tests/src/unit-fleet-connections.cpp
@@ -87,6 +87,27 @@
     stalls.check();
 }
 
+// Polls of idle workers in turn must not open a connection each. The ratio is that of the whole fleet: 6,000
+// workers, 4,845 connections; the users ask for a third of the connections opened there.
+BOOST_AUTO_TEST_CASE(polls_of_idle_workers_keep_most_connections)
+{
+    for (const std::size_t workers : {300U, 600U})
+    {
+        pool_settings settings = small_pool_settings(workers);
+        settings.poll_connections = workers * 8 / 10;
+        limited_connection_pool pool(settings);
+        pool.start_leader();
+        pool.run(seconds(12));
+        const std::size_t polls_before = pool.polls();
+        const std::size_t opened_before = pool.connections_opened();
+        pool.run(seconds(30));
+        const std::size_t polls = pool.polls() - polls_before;
+        const std::size_t opened = pool.connections_opened() - opened_before;
+        BOOST_TEST(polls > 4 * workers);
+        BOOST_TEST(3 * opened <= polls);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(ends_are_seen_as_soon_with_few_connections)
 {
     limited_connection_pool pool(more_workers_than_connections());
