Messages between processes are counted by kind and sender's role

A process now counts what it sends by kind and what it receives by kind and by the sender's role, from the sender's greeting.

`mesh::send_encoded` had no caller outside of the class and is gone.

unit-fabric-messages: three queries and a call of an entry process and one query of a replica are counted apart. unit-fabric passes.

--- a/include/walkthread/fabric/mesh.hpp
+++ b/include/walkthread/fabric/mesh.hpp
@@ -16,6 +16,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <walkthread/fabric/message_counts.hpp>
 #include <walkthread/fabric/messages.hpp>
 
 namespace walkthread
@@ -45,14 +46,14 @@
     /// @brief Sends a message and opens a link if there is none. Messages are dropped while the queue is
     /// full.
     void send(const std::string& to, const mesh_message& message);
-    /// @brief Sends an encoded message, to avoid encoding it again for each of several peers.
-    void send_encoded(const std::string& to, const std::string& body);
     /// @brief Closes the link to a peer that was permanently removed.
     void forget(const std::string& to);
 
     [[nodiscard]] const std::string& self() const;
     [[nodiscard]] std::uint64_t bytes_sent() const;
     [[nodiscard]] std::uint64_t messages_dropped() const;
+    /// @brief Messages by kind and by the sender's role.
+    [[nodiscard]] const message_counts& counts() const;
     /// @brief Number of links closed because of the limit.
     [[nodiscard]] std::uint64_t links_displaced() const;
 
--- a/src/fabric/fabric_node.cpp
+++ b/src/fabric/fabric_node.cpp
@@ -91,6 +91,7 @@
     page.add_count("walkthread_peer_links_displaced_total",
                    "Connections to or from processes closed as there were too many.",
                    static_cast<double>(m_mesh.links_displaced()));
+    page.add(m_mesh.counts().collect());
     page.add_count("walkthread_log_lines_dropped_total", "Log lines dropped for their rate.",
                    static_cast<double>(m_log.dropped()));
     page.add_count("walkthread_leader_changes_total", "Leaders and terms that this process came to follow.",
--- a/src/fabric/mesh.cpp
+++ b/src/fabric/mesh.cpp
@@ -109,11 +109,6 @@
 }
 
 void mesh::send(const std::string& to, const mesh_message& message)
-{
-    send_encoded(to, encode(message));
-}
-
-void mesh::send_encoded(const std::string& to, const std::string& body)
 {
     if (to.empty() || to == m_core->self.address)
     {
@@ -125,6 +120,8 @@
         m_core->displace_outgoing();
         found = m_core->links.emplace(to, std::make_shared<core::outgoing>(m_core, to)).first;
     }
+    const std::string body = encode(message);
+    m_core->counts.record_sent(message.index(), body.size());
     found->second->send(make_frame(body));
 }
 
@@ -153,6 +150,11 @@
     return m_core->dropped;
 }
 
+const message_counts& mesh::counts() const
+{
+    return m_core->counts;
+}
+
 std::uint64_t mesh::links_displaced() const
 {
     return m_core->displaced;
--- a/src/fabric/mesh_core.hpp
+++ b/src/fabric/mesh_core.hpp
@@ -88,6 +88,7 @@
     std::set<incoming*> received;
     std::uint64_t sent = 0;
     std::uint64_t dropped = 0;
+    message_counts counts;
     std::uint64_t displaced = 0;
     bool closed = false;
 };
@@ -392,11 +393,13 @@
             if (auto* greeting = std::get_if<peer_greeting>(&value_of(message)))
             {
                 from = greeting->address;
+                from_replica = greeting->has_replica;
             }
             if (from.empty() || owner->closed)
             {
                 return false;
             }
+            owner->counts.record_received(value_of(message).index(), from_replica, value_of(body)->size());
             owner->message_handler(from, std::move(value_of(message)));
         }
     }
@@ -409,6 +412,7 @@
     monotonic_time last_received = monotonic_now();
     frame_reader reader;
     std::string from;
+    bool from_replica = false;
     bool ack_pending = false;
 };
 
