--- a/review/small_cell.py
+++ b/review/small_cell.py
@@ -12,8 +12,10 @@
 import time
 
 ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..")
-sys.path.insert(0, os.path.join(ROOT, "tests", "fakes"))
+sys.path[:0] = [os.path.join(ROOT, "tests", "fakes"), os.path.join(ROOT, "tests", "soak")]
 import platform_cell  # noqa: E402
+from peer_proxy import Faults, PeerProxy  # noqa: E402
+from ports import free_port  # noqa: E402
 from platform_cell import HOST, PREFIX, PlatformCell, call, loopback, wait_for  # noqa: E402,F401
 
 BOUNDS = {"seed-lag-s": 3, "reuse-after-s": 2, "contact-ms": 3000, "ack-ms": 4000, "catch-up-s": 4, "drain-ms": 2000, "grace-s": 6,
@@ -56,8 +58,10 @@
 
 
 class SmallCell(PlatformCell):
-    def __init__(self, edges=2, workers=6, run_seconds=0.3):
+    def __init__(self, edges=2, workers=6, run_seconds=0.3, proxied=()):
+        """`proxied`: processes whose peer port has the project's proxy in front, by number."""
         self.began = time.monotonic()
+        self.proxied, self.proxies, self.faults, self.bind = proxied, {}, Faults(), {}
         self.events, self.events_lock = [], threading.Lock()
         super().__init__(os.path.join(ROOT, "target"), cores=5, edges=edges, workers=0, run_seconds=run_seconds)
         self.workers = [SmallWorker(self, n) for n in range(workers)]
@@ -76,6 +80,11 @@
                  'discovery = "registration"', 'entry = "vip"', "heartbeat-ms = 1500",
                  'contracts = ["base","drain","config","cost","recover","sched","advice","upkeep","sharing"]',
                  'config_mode = "highest"', 'orders = "call"', 'advice = "%s"' % self.advisor.address]
+        if number in self.proxied:
+            self.bind.setdefault(number, free_port())
+            if number not in self.proxies:
+                self.proxies[number] = PeerProxy(ip, (ip, self.peer), (ip, self.bind[number]), self.faults)
+            lines.append('peer-bind = "%s:%d"' % (ip, self.bind[number]))
         lines += ['data-dir = "%s"' % os.path.join(self.folder, "disk-%d" % number)] if core else []
         lines += ["[zones]", 'a = "r"', "[listen-addrs]"]
         lines += ['control = "%s:%d"' % (ip, self.control)] if core else [
