--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,78 +1,49 @@
-"""A submission is accepted and run, and its client is told that there is no such queue."""
+"""A route is removed: the tasks of its accepted submissions that have not started yet never start."""
 
 import os
 import sys
-import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
-from small_cell import HOST, PREFIX, call, loopback, play, wait_for  # noqa: E402
+from small_cell import play, route, wait_for  # noqa: E402
 
-STEPS = [{"count": 1, "cpu": 1000, "mem-mb": 100, "estimate-ms": 300}]
-OTHER = "/other/"
-EDGE = 6
-ROUNDS = 6               # the same again, with the route put back in between
-SENT, GAP_S = 20, 0.02   # submissions in a round, one after the other, by clients of their own
-CHANGE_AFTER_S = 0.1     # the configuration without the route is sent that long after the first of them
-
-
-def route(name, prefix):
-    return {"name": name, "host": HOST, "path-prefix": prefix, "kind": "non_idempotent", "timeout-ms": 3000, "target-latency-ms": 500,
-            "priority": 0, "service": "pool", "max-attempts": 2, "stretch": 2.0,
-            "advice": {"decision-ms": 5.0, "each-ms": 0.1, "validity-ms": 1500}}
-
-
-def put(cell, version, routes):
-    body = {"version": version, "routes": routes, "services": [{"name": "pool", "rejects-overload": False, "spare": False}]}
-    for address in cell.operator_addresses():
-        cell.note("PUT configuration %d with the routes %s -> %s" % (version, [r["name"] for r in routes], address))
-        status, _ = call(address, "PUT", "/walkthread/config", body, timeout=1.0)
-        cell.note("PUT configuration %d <- %s" % (version, status))
-        if status == 200:
-            return True
-    return False
+TASK = {"count": 2, "cpu": 1000, "mem-mb": 100, "estimate-ms": 2000}
+STEPS = [TASK, dict(TASK, **{"after-rev": [0]})]
+ACCEPTED = ["%016x" % (0x100 + i) for i in range(4)]
+RUN_S, WATCHED_S = 2.0, 25.0
+STALL_S, CALM_S = 3.0, 4.0  # the rule's
 
 
 def scenario(cell, trouble):
-    both = [route("r", PREFIX), route("other", OTHER)]
-    wait_for(lambda: put(cell, 1, both), 30)
+    kept = route("other", "/other/")
+    wait_for(lambda: cell.put_configuration(1, [route(), kept]), 30)
     wait_for(lambda: len(cell.ready_edges()) == len(cell.edges), 20)
-    wait_for(lambda: cell.send("GET", "", edge=EDGE)[0] == 200, 20)
-    assert cell.send("POST", "%016x" % 0xAAA, STEPS, edge=EDGE)[0] == 200
-    wait_for(lambda: (cell.send("GET", "%016x" % 0xAAA, edge=EDGE)[1] or {}).get("state") == "completed", 20)
-    answers = {}
-    for number in range(ROUNDS):
-        time.sleep(3.0)  # calm
-        change_route(cell, trouble, number, both, answers)
-        time.sleep(3.0)
-        wait_for(lambda: put(cell, 3 + 2 * number, both), 10)
-    started = {s[0].split(".")[0] for s in cell.starts}
-    rejected = sorted(i for i, status in answers.items() if status in (404, 429, 503))
-    cell.note("rejected: %s" % ["%s with %d" % (i, answers[i]) for i in rejected])
-    return ["REFUSED: the only attempt to submit %s was answered %d, and its task was started" % (i, answers[i])
-            for i in rejected if i in started]
-
-
-def change_route(cell, trouble, number, both, answers):
-    """Clients submit to the route while the configuration without it is sent."""
-    leader = wait_for(cell.leader, 10)
+    wait_for(lambda: cell.send("GET", "")[0] == 200, 20)
+    time.sleep(CALM_S)
+    for submission in ACCEPTED:
+        assert cell.send("POST", submission, STEPS)[0] == 200
+    wait_for(lambda: len({s[0] for s in cell.starts}) == 2 * len(ACCEPTED), 10)
+    cell.note("the operator removes the route" if trouble else "the operator changes the route's time-out")
+    wait_for(lambda: cell.put_configuration(2, [kept] if trouble else [route(timeout_ms=2900), kept]), 10)
+    changed = time.monotonic()
+    time.sleep(WATCHED_S)
+    now = time.monotonic()
+    busy = sum(len(w.running) for w in cell.workers)
+    cell.note("%d tasks run on %d workers with room for 16 such tasks each" % (busy, len(cell.workers)))
+    broken = []
+    for submission in ACCEPTED:
+        done = [d for d in cell.done if d[0].startswith(submission)]
+        second = [s for s in cell.starts if s[0].startswith(submission + ".0.1.")]
+        turn = max(d[2] for d in done)  # when the tasks of the second step could start
+        idle_s = (min(s[3] for s in second) if second else now) - max(turn, changed + CALM_S)
+        if idle_s > STALL_S:
+            broken.append("LOST: %s had nothing running for %.1f s, calm and with its second step's turn come" % (submission, idle_s))
     if trouble:
-        link = (loopback(leader), loopback(EDGE))
-        cell.note("the open channel from core process %d, which leads, to entry process %d goes silent" % (leader, EDGE))
-        cell.faults.discard_open(lambda known: known == link)
-
-    def send(submission):
-        answers[submission] = cell.send("POST", submission, STEPS, edge=EDGE)[0]
-
-    changing = threading.Timer(CHANGE_AFTER_S, put, (cell, 2 + 2 * number, both[1:]))
-    changing.start()
-    threads = []
-    for i in range(SENT):
-        threads.append(threading.Thread(target=send, args=("%016x" % (0x1000 * (number + 1) + i),), daemon=True))
-        threads[-1].start()
-        time.sleep(GAP_S)
-    for thread in threads + [changing]:
-        thread.join()
+        wait_for(lambda: cell.put_configuration(3, [route(), kept]), 10)  # only to let the clients ask
+        time.sleep(0.5)
+    for submission in ACCEPTED:
+        cell.send("GET", submission)
+    return broken
 
 
-play(os.path.dirname(os.path.abspath(__file__)), scenario, proxied=(EDGE,))
+play(os.path.dirname(os.path.abspath(__file__)), scenario, run_seconds=RUN_S)
--- a/review/small_cell.py
+++ b/review/small_cell.py
@@ -24,6 +24,15 @@
           "finish_s": 14, "status_s": 120}
 
 
+def route(name="r", prefix=PREFIX, service="pool", timeout_ms=3000):
+    return {"name": name, "host": HOST, "path-prefix": prefix, "kind": "non_idempotent", "timeout-ms": timeout_ms,
+            "target-latency-ms": 500, "priority": 0, "service": service, "max-attempts": 2, "stretch": 2.0,
+            "advice": {"decision-ms": 5.0, "each-ms": 0.1, "validity-ms": 1500}}
+
+
+NOTED_REFUSALS = 40  # in record.txt; all are counted
+
+
 class SmallWorker(platform_cell.Worker):
     """Without `born`: after a crash the next life has another id."""
 
@@ -31,14 +40,20 @@
         status, document = super().handle(method, path, headers, body)
         if document:
             document.pop("born", None)
+        if path.endswith("/run-start") and status != 200:
+            self.cell.refused_starts += 1
+        if path.endswith("/run-start") and status != 200 and self.cell.refused_starts <= NOTED_REFUSALS:
+            self.cell.note("worker %s refuses the start of %s run %d, ticket %r: %s %s" % (
+                self.worker_id, body["task"], body["run-id"], body.get("ticket", ""), status, (document or {}).get("reason")))
         return status, document
 
     def report(self):
         """As the project's stand-in reports, without `born`, every heartbeat-ms."""
         self.sequence += 1
-        body = {"service": "pool", "machine": "m-%d" % self.number, "address": self.address, "zone": self.zone, "version": "v1",
+        body = {"service": self.cell.service_of(self.number), "machine": "m-%d" % self.number, "address": self.address,
+                "zone": self.zone, "version": "v1",
                 "slots": 8, "state": "draining" if self.draining else "ready", "cold-remaining-ms": 0,
-                "room": {"cpu": platform_cell.WORKER_CPU, "mem-mb": 65536, "gpu": 0}, "labels": ["a", "r1-%d" % (self.number % 2)],
+                "room": {"cpu": platform_cell.WORKER_CPU, "mem-mb": 65536, "gpu": 0}, "labels": ["a", self.cell.rack_of(self.number)],
                 "clock-ms": self.clock(), "sequence": self.sequence}
         body.update({"remaining-ms": 2000} if self.draining else {})
         for target in ([self.heartbeat_address] if self.heartbeat_address else []) + self.cell.operator_addresses():
@@ -58,14 +73,34 @@
 
 
 class SmallCell(PlatformCell):
-    def __init__(self, edges=2, workers=6, run_seconds=0.3, proxied=()):
-        """`proxied`: processes whose peer port has the project's proxy in front, by number."""
+    def __init__(self, edges=2, workers=6, run_seconds=0.3, proxied=(), services=()):
+        """`proxied`: processes whose peer port has the project's proxy in front, by number. `services`: of each worker."""
         self.began = time.monotonic()
-        self.proxied, self.proxies, self.faults, self.bind = proxied, {}, Faults(), {}
-        self.events, self.events_lock = [], threading.Lock()
+        self.proxied, self.proxies, self.faults, self.bind, self.services = proxied, {}, Faults(), {}, services
+        self.events, self.events_lock, self.refused_starts = [], threading.Lock(), 0
         super().__init__(os.path.join(ROOT, "target"), cores=5, edges=edges, workers=0, run_seconds=run_seconds)
         self.workers = [SmallWorker(self, n) for n in range(workers)]
 
+    def service_of(self, number):
+        """The service of the worker with this number."""
+        return self.services[number] if number < len(self.services) else "pool"
+
+    def rack_of(self, number):
+        return "r-%s-%d" % (self.service_of(number), number % 2 if not self.services else 0)
+
+    def put_configuration(self, version, routes, services=("pool",)):
+        """Sends a configuration to one core process after the other until one acknowledges it; returns whether one did."""
+        body = {"version": version, "routes": routes,
+                "services": [{"name": s, "rejects-overload": False, "spare": False} for s in services]}
+        for address in self.operator_addresses():
+            self.note("PUT configuration %d, routes %s -> %s" % (
+                version, ["%s at %s to %s" % (r["name"], r["path-prefix"], r["service"]) for r in routes], address))
+            status, _ = call(address, "PUT", "/walkthread/config", body, timeout=1.0)
+            self.note("PUT configuration %d <- %s" % (version, status))
+            if status == 200:
+                return True
+        return False
+
     def note(self, text):
         with self.events_lock:
             self.events.append("%8.3f s  %s" % (time.monotonic() - self.began, text))
@@ -126,7 +161,7 @@
     def write_record(self, folder, verdict):
         lines = sorted(self.events) + ["", "starts, from the workers' own records:"]
         lines += ["%8.3f s  %s run %d on %s" % (s[3] - self.began, s[0], s[1], s[2]) for s in self.starts]
-        lines += ["", "ends `done`, from the workers' own records:"]
+        lines += ["", "starts that workers refused: %d" % self.refused_starts, "", "ends `done`, from the workers' own records:"]
         lines += ["%8.3f s  %s run %d" % (d[2] - self.began, d[0], d[1]) for d in self.done]
         with open(os.path.join(folder, "record.txt"), "w") as f:
             f.write("\n".join(lines + ["", verdict]) + "\n")
