A reply ends a call only in the life of the process that made it

Cause: call_router numbered the calls of a process from 1 and matched a reply by its number alone. A leader without a quorum keeps its proposals and replies seconds later, to an address. By then a successor of the killed entry process waited there with calls of the same numbers, which had been sent to nobody; the late replies ended them as "done".

Ruled out: a leader that acknowledges lost proposals (the former process's submissions are stored), and answers mixed up on a kept HTTP connection (the test shows the fault without HTTP).

Fix: a call carries the life of its process, drawn at random at each start, and the reply returns it. A reply counts only in that life and only from a process that the call was sent to. The matching is a class of its own, outstanding_calls, without links or clocks, so that two lives under one address are tested in virtual time. Ignored replies are counted and, unless they are merely late, logged.

--- a/include/walkthread/fabric/call_router.hpp
+++ b/include/walkthread/fabric/call_router.hpp
@@ -6,7 +6,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -16,15 +15,13 @@
 
 #include <walkthread/fabric/leader_outage.hpp>
 #include <walkthread/fabric/mesh.hpp>
+#include <walkthread/fabric/outstanding_calls.hpp>
 #include <walkthread/observe/metrics_page.hpp>
 #include <walkthread/units/time.hpp>
 
 namespace walkthread
 {
 
-/// @brief Receives the reply to a call.
-using call_handler = std::function<void(service_reply)>;
-
 /// @brief Pending calls to the leader. To be used from the event loop's thread only.
 /// @since 0.2
 class call_router
@@ -44,8 +41,10 @@
     void call(service_call body, milliseconds timeout, call_handler handler);
     /// @brief Sends a call to one peer, without retries.
     void call_peer(const std::string& peer, service_call body, milliseconds timeout, call_handler handler);
-    /// @brief Handles a received reply.
-    void handle_reply(reply_message message);
+    /// @brief Handles a received reply. A reply that belongs to no pending call has no effect.
+    /// @param from address of the peer that replies
+    /// @return whether it belongs to a pending call, and if not, why
+    reply_match handle_reply(const std::string& from, reply_message message);
     /// @brief Sets the current leader or the process that relays calls to it, empty for unknown. Pending
     /// calls are sent to it at once.
     void set_leader(const std::string& leader);
@@ -64,7 +63,7 @@
     }
     [[nodiscard]] std::size_t waiting() const
     {
-        return m_calls.size();
+        return m_calls.all().size();
     }
     /// @brief How long no leader has been known; zero if one is known.
     [[nodiscard]] duration leaderless_for(monotonic_time now) const
@@ -78,23 +77,12 @@
     }
 
   private:
-    struct waiting_call
-    {
-        service_call body;
-        std::string encoded; ///< filled when the call is first sent to a peer
-        call_handler handler;
-        monotonic_time deadline{};
-        monotonic_time sent{};
-        bool ever_sent{};
-        bool from_caller{}; ///< rejected, if it was not sent, once an outage exceeds the hold time
-        bool to_leader{};
-    };
-
     [[nodiscard]] service_reply make_no_leader_reply(milliseconds timeout, monotonic_time now);
     void reject_unsent_calls(monotonic_time now);
     void end_calls_from_callers();
-    void send(std::uint64_t number, waiting_call& item, const std::string& to);
-    void finish(std::uint64_t number, service_reply reply);
+    void send(call_number number, const std::string& to);
+    void conclude(call_number number, service_reply reply);
+    void finish(call_number number, service_reply reply);
     void arm();
     void check_deadlines();
 
@@ -108,8 +96,7 @@
     time_histograms m_outages{
         "walkthread_leaderless_seconds", "How long no leader was known, by outage.", {}};
     std::minstd_rand m_random{std::random_device{}()};
-    std::uint64_t m_next = 1;
-    std::map<std::uint64_t, waiting_call> m_calls;
+    outstanding_calls m_calls = outstanding_calls::with_random_life();
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/include/walkthread/fabric/fabric_node.hpp
+++ b/include/walkthread/fabric/fabric_node.hpp
@@ -134,6 +134,7 @@
     void arm_path_check();
     void route_calls(const std::string& leader, monotonic_time now);
     void answer_probe(const std::string& from, monotonic_time now);
+    void record_ignored_reply(const std::string& from, reply_match match);
     void record_sender(const std::string& from, const mesh_message& message, monotonic_time now);
     leader_path m_path;
     boost::asio::steady_timer m_path_timer;
@@ -143,6 +144,8 @@
     std::string m_logged_leader;     ///< the leader in the last logged leader event
     std::uint64_t m_logged_term = 0; ///< the term in that event
     std::uint64_t m_leader_changes = 0;
+    std::uint64_t m_ignored_replies = 0; ///< replies that ended no call
+    std::uint64_t m_foreign_replies = 0; ///< of these, the ones that no call of this process can have caused
 };
 
 } // namespace walkthread
--- a/include/walkthread/fabric/messages.hpp
+++ b/include/walkthread/fabric/messages.hpp
@@ -12,6 +12,7 @@
 
 #include <walkthread/dispatch/orders.hpp>
 #include <walkthread/replication/messages.hpp>
+#include <walkthread/units/strong.hpp>
 #include <walkthread/workload/commands.hpp>
 #include <walkthread/workload/hall_cordons.hpp>
 
@@ -231,20 +232,27 @@
     MSGPACK_DEFINE(self)
 };
 
-/// @brief A reply with the number of its call.
+/// @brief One life of a process: a process that starts again at the same address has another one.
+using process_life_id = strong<struct process_life_id_tag, std::uint64_t>;
+/// @brief Number of a call, unique in the life of the process that makes it.
+using call_number = strong<struct call_number_tag, std::uint64_t>;
+
+/// @brief A reply with the number of its call and the life of the process that made the call.
 struct reply_message
 {
-    std::uint64_t number{};
-    service_reply reply;
-    MSGPACK_DEFINE(number, reply)
+    call_number number{};
+    service_reply reply{};
+    process_life_id caller{}; ///< as in the call; 0 from releases before 0.9
+    MSGPACK_DEFINE(number, reply, caller)
 };
 
 /// @brief A numbered call with an encoded body.
 struct call_message
 {
-    std::uint64_t number{};
-    std::string body;
-    MSGPACK_DEFINE(number, body)
+    call_number number{};
+    std::string body{};
+    process_life_id caller{}; ///< the life of the sender; 0 from releases before 0.9
+    MSGPACK_DEFINE(number, body, caller)
 };
 
 using mesh_message = std::variant<peer_greeting, encoded_replica_message, leader_query, leader_status,
--- a/src/fabric/call_router.cpp
+++ b/src/fabric/call_router.cpp
@@ -4,7 +4,6 @@
 #include <vector>
 
 #include <walkthread/node/clock.hpp>
-#include <walkthread/wire/codec.hpp>
 
 namespace walkthread
 {
@@ -54,15 +53,14 @@
         handler(make_no_leader_reply(timeout, now));
         return;
     }
-    const std::uint64_t number = m_next++;
-    waiting_call& item = m_calls[number];
+    outstanding_call item;
     item.body = std::move(body);
     item.handler = std::move(handler);
     item.deadline = now + timeout;
     item.from_caller = from_caller;
     item.to_leader = true;
     arm();
-    send(number, item, m_leader);
+    send(m_calls.add(std::move(item)), m_leader);
 }
 
 service_reply call_router::make_no_leader_reply(milliseconds timeout, monotonic_time now)
@@ -80,18 +78,21 @@
     {
         return;
     }
-    std::vector<std::uint64_t> numbers;
-    for (const auto& [number, item] : m_calls)
+    std::vector<call_number> numbers;
+    for (const auto& [number, item] : m_calls.all())
     {
-        if (item.from_caller && !item.ever_sent)
+        if (item.from_caller && !item.ever_sent())
         {
             numbers.push_back(number);
         }
     }
-    for (const std::uint64_t number : numbers)
+    for (const call_number number : numbers)
     {
-        const auto left = std::chrono::duration_cast<milliseconds>(m_calls.at(number).deadline - now);
-        finish(number, make_no_leader_reply(left, now));
+        if (const outstanding_call* const call = m_calls.find(number))
+        {
+            const auto left = std::chrono::duration_cast<milliseconds>(call->deadline - now);
+            finish(number, make_no_leader_reply(left, now));
+        }
     }
 }
 
@@ -109,10 +110,10 @@
 // its outcome is unknown; sending it again under the same id is safe.
 void call_router::end_calls_from_callers()
 {
-    std::vector<std::pair<std::uint64_t, reply_kind>> ending;
-    for (const auto& [number, item] : m_calls)
+    std::vector<std::pair<call_number, reply_kind>> ending;
+    for (const auto& [number, item] : m_calls.all())
     {
-        const bool no_effect = is_read(item.body) || !item.ever_sent;
+        const bool no_effect = is_read(item.body) || !item.ever_sent();
         if (item.from_caller)
         {
             ending.emplace_back(number, no_effect ? reply_kind::isolated : reply_kind::unknown);
@@ -127,69 +128,71 @@
 void call_router::call_peer(const std::string& peer, service_call body, milliseconds timeout,
                             call_handler handler)
 {
-    const std::uint64_t number = m_next++;
-    waiting_call& item = m_calls[number];
+    outstanding_call item;
     item.body = std::move(body);
     item.handler = std::move(handler);
     item.deadline = monotonic_now() + timeout;
     arm();
-    send(number, item, peer);
+    send(m_calls.add(std::move(item)), peer);
 }
 
-void call_router::send(std::uint64_t number, waiting_call& item, const std::string& to)
+void call_router::send(call_number number, const std::string& to)
 {
     if (to.empty())
     {
         return;
     }
-    item.sent = monotonic_now();
-    if (to == m_mesh.self())
+    m_calls.record_sent(number, to, monotonic_now());
+    if (to != m_mesh.self())
     {
-        item.ever_sent = true;
-        const service_call body = item.body;
-        const auto answer = [this, alive = m_alive, number](service_reply reply)
-        {
-            if (*alive)
-            {
-                handle_reply(reply_message{number, std::move(reply)});
-            }
-        };
-        m_local_handler(body, answer);
+        m_mesh.send(to, m_calls.make_message(number));
         return;
     }
-    if (item.encoded.empty())
+    const service_call body = m_calls.find(number)->body;
+    m_local_handler(body,
+                    [this, alive = m_alive, number](service_reply reply)
+                    {
+                        if (*alive)
+                        {
+                            conclude(number, std::move(reply));
+                        }
+                    });
+}
+
+reply_match call_router::handle_reply(const std::string& from, reply_message message)
+{
+    const reply_match match = m_calls.match(from, message);
+    if (match == reply_match::pending)
     {
-        item.encoded = encode(item.body);
+        conclude(message.number, std::move(message.reply));
     }
-    item.ever_sent = true;
-    m_mesh.send(to, call_message{number, item.encoded});
+    return match;
 }
 
-void call_router::handle_reply(reply_message message)
+void call_router::conclude(call_number number, service_reply reply)
 {
-    const auto found = m_calls.find(message.number);
-    if (found == m_calls.end())
+    const outstanding_call* const call = m_calls.find(number);
+    if (call == nullptr)
     {
-        return; // timed out meanwhile, or answered by an earlier leader
+        return; // timed out meanwhile
     }
-    if (found->second.to_leader && message.reply.what() == reply_kind::not_leading)
+    if (call->to_leader && reply.what() == reply_kind::not_leading)
     {
-        const std::string& hint = message.reply.leader;
-        if (!hint.empty() && hint == m_leader && monotonic_now() - found->second.sent > check_interval)
+        const std::string& hint = reply.leader;
+        if (!hint.empty() && hint == m_leader && monotonic_now() - call->last_sent > check_interval)
         {
-            send(message.number, found->second, m_leader);
+            send(number, m_leader);
         }
         return; // sent again when the leader changes or after `resend_interval`
     }
-    finish(message.number, std::move(message.reply));
+    finish(number, std::move(reply));
 }
 
-void call_router::finish(std::uint64_t number, service_reply reply)
+void call_router::finish(call_number number, service_reply reply)
 {
-    auto node = m_calls.extract(number);
-    if (!node.empty())
+    if (const std::optional<outstanding_call> call = m_calls.take(number))
     {
-        node.mapped().handler(std::move(reply));
+        call->handler(std::move(reply));
     }
 }
 
@@ -205,20 +208,19 @@
     {
         m_outages.observe({}, *outage_duration);
     }
-    std::vector<std::uint64_t> numbers;
-    for (const auto& [number, item] : m_calls)
+    std::vector<call_number> numbers;
+    for (const auto& [number, item] : m_calls.all())
     {
         if (item.to_leader)
         {
             numbers.push_back(number);
         }
     }
-    for (const std::uint64_t number : numbers)
+    for (const call_number number : numbers)
     {
-        const auto found = m_calls.find(number);
-        if (found != m_calls.end())
+        if (m_calls.find(number) != nullptr)
         {
-            send(number, found->second, m_leader);
+            send(number, m_leader);
         }
     }
 }
@@ -246,38 +248,36 @@
 {
     const monotonic_time now = monotonic_now();
     reject_unsent_calls(now);
-    std::vector<std::uint64_t> expired;
-    std::vector<std::uint64_t> to_resend;
-    for (const auto& [number, item] : m_calls)
+    std::vector<call_number> expired;
+    std::vector<call_number> to_resend;
+    for (const auto& [number, item] : m_calls.all())
     {
         if (now >= item.deadline)
         {
             expired.push_back(number);
         }
-        else if (item.to_leader && now - item.sent >= resend_interval)
+        else if (item.to_leader && now - item.last_sent >= resend_interval)
         {
             to_resend.push_back(number);
         }
     }
-    for (const std::uint64_t number : to_resend)
+    for (const call_number number : to_resend)
     {
-        const auto found = m_calls.find(number);
-        if (found != m_calls.end())
+        if (m_calls.find(number) != nullptr)
         {
-            send(number, found->second, m_leader);
+            send(number, m_leader);
         }
     }
-    for (const std::uint64_t number : expired)
+    for (const call_number number : expired)
     {
-        const auto found = m_calls.find(number);
-        if (found != m_calls.end())
+        if (const outstanding_call* const call = m_calls.find(number))
         {
-            const bool sent = found->second.ever_sent;
+            const bool sent = call->ever_sent();
             finish(number, make_reply(sent ? reply_kind::unknown : reply_kind::unavailable,
                                       "No leader answered in time."));
         }
     }
-    if (!m_calls.empty())
+    if (!m_calls.all().empty())
     {
         arm();
     }
--- a/src/fabric/fabric_node.cpp
+++ b/src/fabric/fabric_node.cpp
@@ -97,6 +97,11 @@
     page.add_count("walkthread_leader_changes_total", "Leaders and terms that this process came to follow.",
                    static_cast<double>(m_leader_changes));
     page.add_gauge("walkthread_leader_known", "1 if a leader is known and answers.", connected() ? 1 : 0);
+    page.add_count("walkthread_replies_ignored_total", "Replies that ended no call of this process.",
+                   static_cast<double>(m_ignored_replies));
+    page.add_count("walkthread_replies_foreign_total",
+                   "Ignored replies to a call of a former process, or from a process that was not called.",
+                   static_cast<double>(m_foreign_replies));
     page.add(m_router.outages().collect());
 }
 
@@ -268,7 +273,7 @@
     }
     else if (auto* reply = std::get_if<reply_message>(&message))
     {
-        m_router.handle_reply(std::move(*reply));
+        record_ignored_reply(from, m_router.handle_reply(from, std::move(*reply)));
     }
     else if (auto* call = std::get_if<call_message>(&message))
     {
@@ -276,14 +281,34 @@
     }
 }
 
+// Replies to calls that have timed out are ordinary and only counted. The others would end a call that they
+// do not answer.
+void fabric_node::record_ignored_reply(const std::string& from, reply_match match)
+{
+    if (match == reply_match::pending)
+    {
+        return;
+    }
+    ++m_ignored_replies;
+    if (match != reply_match::not_pending)
+    {
+        ++m_foreign_replies;
+        log_event("reply_ignored", {},
+                  {{"peer", from},
+                   {"reason", match == reply_match::former_process ? "call of a former process"
+                                                                   : "call not sent to this peer"}});
+    }
+}
+
 void fabric_node::answer_call(const std::string& from, const call_message& message)
 {
     auto body = decode<service_call>(message.body);
-    const auto answer = [this, alive = m_alive, from, number = message.number](service_reply reply)
+    const auto answer =
+        [this, alive = m_alive, from, number = message.number, caller = message.caller](service_reply reply)
     {
         if (*alive)
         {
-            m_mesh.send(from, reply_message{number, std::move(reply)});
+            m_mesh.send(from, reply_message{number, std::move(reply), caller});
         }
     };
     if (!ok(body))
--- a/tests/src/unit-fabric-messages.cpp
+++ b/tests/src/unit-fabric-messages.cpp
@@ -52,7 +52,7 @@
     {
         entry.send(address, leader_query{});
     }
-    entry.send(address, call_message{1, "body"});
+    entry.send(address, call_message{call_number{1}, "body"});
     replica.send(address, leader_query{});
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
     while (arrived < 5 && std::chrono::steady_clock::now() < end)
