What waits of a submission runs in the pool that its queue has now

Cause: accept_submission copies the queue's pool into the submission, and the dispatcher looked for hosts in the copied pool for ever.

Ruled out: lost workers that are never given up (their runs lapse and their tasks wait), and holds or tickets of the former pool as a cause of their own.

Fix: workload_state::pool_of looks the pool up in the current configuration. When a queue moves, the leader drops what its waiting steps hold in the former pool, with their back-off, and logs queue_moved; what runs goes on. The number of attempts stays that of the acceptance, as each replica applies the ends of runs.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -28,6 +28,7 @@
 #include <walkthread/dispatch/objective.hpp>
 #include <walkthread/dispatch/orders.hpp>
 #include <walkthread/dispatch/organisation_shares.hpp>
+#include <walkthread/dispatch/queue_pools.hpp>
 #include <walkthread/dispatch/suspect_isolation.hpp>
 #include <walkthread/dispatch/unconfirmed_submissions.hpp>
 #include <walkthread/dispatch/waiting_demand.hpp>
@@ -116,6 +117,7 @@
     void find_suspected_racks();
     void log_waiting_gang(monotonic_time now, wall_ms wall);
     void stop_unwanted_runs(monotonic_time now);
+    void follow_moved_queues(monotonic_time now);
     void propose_starts(const candidate& item, const std::vector<planned_start>& starts,
                         const std::vector<std::string>& tickets, monotonic_time now);
     void log_event(monotonic_time now, std::string_view event, std::string_view subject,
@@ -347,6 +349,7 @@
     contact_streak m_contact_history;
     monotonic_time m_review_due{};
     pass_schedule m_schedule;
+    queue_pools m_queue_pools;
     double m_poll_loss_rate = 0.0; ///< moving average of the share of polls that got no answer
     first_poll_queue m_first_polls;
     double m_typical_speed = 1.0; ///< median speed of the faster half of the hosts
--- a/include/walkthread/workload/submission.hpp
+++ b/include/walkthread/workload/submission.hpp
@@ -186,8 +186,8 @@
 {
     submission_id id{};
     std::string queue;
-    std::string pool; ///< host pool that runs it
-    std::uint32_t max_attempts{};
+    std::string pool;             ///< of its queue when it was accepted; see `workload_state::pool_of`
+    std::uint32_t max_attempts{}; ///< of its queue when it was accepted, and valid until it ends
     submission_spec spec;
     std::uint8_t phase{}; ///< a submission_phase
     wall_ms accepted{};
--- a/include/walkthread/workload/workload_state.hpp
+++ b/include/walkthread/workload/workload_state.hpp
@@ -97,6 +97,9 @@
     }
     /// @brief A queue of the current configuration, or null. Complexity: constant.
     [[nodiscard]] const queue_spec* find_queue(const std::string& name) const;
+    /// @brief The pool whose workers run what still waits of a submission: that of its queue in the current
+    /// configuration. Complexity: constant.
+    [[nodiscard]] const std::string& pool_of(const submission& owner) const;
     /// @brief A submission, or null.
     [[nodiscard]] const submission* find(submission_id id) const;
     [[nodiscard]] const std::unordered_map<submission_id, submission>& submissions() const
@@ -164,6 +167,8 @@
     }
     /// @brief Number of submissions of a queue that have not started any task.
     [[nodiscard]] std::uint32_t queued(const std::string& queue) const;
+    /// @brief Number of submissions of a queue that are not final, configured or not.
+    [[nodiscard]] std::uint32_t unfinished(const std::string& queue) const;
     /// @brief Whether a run is the active run of its task and its submission is not final.
     [[nodiscard]] bool needs_run(const run_ref& run) const;
     /// @brief The state of a task; null if there is none, also once its submission is final and has no active
@@ -260,6 +265,7 @@
     std::set<submission_id> m_closing;
     std::set<std::pair<wall_ms, submission_id>> m_ended;
     std::map<std::string, std::uint32_t> m_queued;
+    std::map<std::string, std::uint32_t> m_unfinished; ///< by queue; no entry for 0
 };
 
 /// @brief Resources that a task of a step reserves on its host: best-effort (`fills`) tasks reserve no
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -186,6 +186,7 @@
     }
     send_first_polls(now);
     stop_unwanted_runs(now);
+    follow_moved_queues(now);
     const bool all = m_schedule.is_full_pass_due(now);
     if (!all && !m_schedule.is_first_pass_due(now))
     {
@@ -306,7 +307,7 @@
     item.owner = m_state.find(ref.submission);
     item.step = &item.owner->spec.steps[ref.step];
     item.queue = m_state.find_queue(item.owner->queue);
-    item.pool = m_hosts.number_of(item.owner->pool);
+    item.pool = m_hosts.number_of(m_state.pool_of(*item.owner));
     return item;
 }
 
--- /dev/null
+++ b/src/dispatch/dispatcher_moved_queues.cpp
@@ -0,0 +1,49 @@
+// dispatcher: queues that the operators send to another pool.
+
+#include <walkthread/dispatch/dispatcher.hpp>
+
+#include <set>
+
+namespace walkthread
+{
+
+// Tasks that run in the former pool go on there; what waits is placed in the new one. Capacity that waiting
+// steps hold in the former pool would stay idle, and their back-off and scan times come from hosts that they
+// no longer use.
+void dispatcher::follow_moved_queues(monotonic_time now)
+{
+    if (!m_state.current_configuration())
+    {
+        return;
+    }
+    const std::vector<queue_move> moves = m_queue_pools.update(*m_state.current_configuration(),
+                                                               [this](const std::string& queue)
+                                                               {
+                                                                   return m_state.unfinished(queue) > 0;
+                                                               });
+    if (moves.empty())
+    {
+        return;
+    }
+    std::set<std::string> moved;
+    for (const queue_move& move : moves)
+    {
+        moved.insert(move.queue);
+        log_event(now, "queue_moved", move.queue,
+                  {{"from", move.from}, {"to", move.to}, {"unfinished", m_state.unfinished(move.queue)}});
+    }
+    for (const step_ref& ref : m_state.ready())
+    {
+        if (moved.contains(m_state.find(ref.submission)->queue))
+        {
+            drop_hold(ref);
+            m_hold_backoff_until.erase(ref);
+            m_gang_retry_at.erase(ref);
+            m_last_preemption.erase(ref);
+            m_waiting.erase(ref);
+        }
+    }
+    m_schedule.request_full_pass(m_state.ready().size(), now);
+}
+
+} // namespace walkthread
--- a/src/dispatch/dispatcher_waiting.cpp
+++ b/src/dispatch/dispatcher_waiting.cpp
@@ -117,7 +117,7 @@
 {
     const step_spec& step = owner.spec.steps[ref.step];
     const resources need = host_demand_of(step);
-    const pool_number pool = m_hosts.number_of(owner.pool);
+    const pool_number pool = m_hosts.number_of(m_state.pool_of(owner));
     std::array<std::int64_t, host_availability_names.size()> hosts{};
     std::int64_t without_room = 0;
     for (std::size_t place = 0; place < m_hosts.size(); ++place)
--- a/src/workload/workload_indexes.cpp
+++ b/src/workload/workload_indexes.cpp
@@ -21,6 +21,10 @@
 void workload_state::finish(wall_ms at, submission& owner, submission_phase phase)
 {
     set_phase(owner, phase);
+    if (const auto open = m_unfinished.find(owner.queue); open != m_unfinished.end() && --open->second == 0)
+    {
+        m_unfinished.erase(open);
+    }
     m_crashes.clear(owner.id);
     owner.ended = at;
     m_ended.insert({at, owner.id});
@@ -136,6 +140,7 @@
     m_closing.clear();
     m_ended.clear();
     m_queued.clear();
+    m_unfinished.clear();
     for (const auto& [id, worker] : m_workers)
     {
         m_by_incarnation[worker.description.incarnation()] = id;
@@ -156,6 +161,7 @@
             }
             continue;
         }
+        ++m_unfinished[owner.queue];
         for (std::uint32_t round = 0; round < owner.rounds.size(); ++round)
         {
             refresh_round(owner, round_id{round});
--- a/src/workload/workload_state.cpp
+++ b/src/workload/workload_state.cpp
@@ -84,6 +84,12 @@
     return found == m_queue_positions.end() ? nullptr : &m_configuration->queues[found->second];
 }
 
+const std::string& workload_state::pool_of(const submission& owner) const
+{
+    const queue_spec* queue = find_queue(owner.queue);
+    return queue == nullptr ? owner.pool : queue->pool;
+}
+
 const submission* workload_state::find(submission_id id) const
 {
     const auto found = m_submissions.find(id);
@@ -151,6 +157,12 @@
     return found == m_queued.end() ? 0 : found->second;
 }
 
+std::uint32_t workload_state::unfinished(const std::string& queue) const
+{
+    const auto found = m_unfinished.find(queue);
+    return found == m_unfinished.end() ? 0 : found->second;
+}
+
 bool workload_state::needs_run(const run_ref& run) const
 {
     const submission* owner = find(run.task.step.submission);
@@ -237,6 +249,7 @@
         }
     }
     ++m_queued[kept.queue];
+    ++m_unfinished[kept.queue];
     const submission& owner = m_submissions.emplace(command.id, std::move(kept)).first->second;
     for (std::uint32_t round = 0; round < owner.spec.rounds; ++round)
     {
--- a/tests/src/pool_settings.hpp
+++ b/tests/src/pool_settings.hpp
@@ -34,7 +34,8 @@
 struct pool_settings
 {
     std::size_t workers = 8;
-    std::size_t halls = 1; // workers are spread over them in turn: "hall0", "hall1", ...
+    std::size_t reserve_workers = 0; // the last of them are in the pool "reserve"
+    std::size_t halls = 1;           // workers are spread over them in turn: "hall0", "hall1", ...
     resources size{16000, 65536, 0, 0};
     duration commit = milliseconds(10);
     duration network_delay = milliseconds(1);
--- a/tests/src/simulated_pool.hpp
+++ b/tests/src/simulated_pool.hpp
@@ -31,6 +31,7 @@
         cluster_configuration held;
         held.version = 1;
         held.pools.push_back({"pool", false, false});
+        held.pools.push_back({"reserve", false, false});
         for (const auto& [name, priority, advised] :
              {std::tuple{"urgent", 0, true}, {"gangs", 1, true}, {"batch", 2, true}, {"plain", 1, false}})
         {
@@ -48,7 +49,7 @@
             queue.advice = {10.0, 0.2, 1500};
             held.queues.push_back(queue);
         }
-        commit(replace_cluster_configuration{held});
+        configure(held);
         limit_organisations(settings.organisation_limit);
         for (std::size_t i = 0; i < settings.workers; ++i)
         {
@@ -143,7 +144,7 @@
             m_settings.slow_worker_interval > 0 && m_workers.size() % m_settings.slow_worker_interval == 0;
         worker.slowness = slow ? 1.3 : 1.0;
         worker.description = {incarnation,     host,
-                              host + ":1",     "pool",
+                              host + ":1",     pool_of(host),
                               hall_of(host),   {"kind", "rack" + std::to_string(m_workers.size() / 8)},
                               m_settings.size, process_start_ms{1}};
         worker.faults.reports_lost = !reports;
--- a/tests/src/simulated_workers.hpp
+++ b/tests/src/simulated_workers.hpp
@@ -159,9 +159,8 @@
             m_violations.push_back("started after its submission ended: " + name_of(order.run));
             return order_outcome::rejected;
         }
-        const queue_spec* queue = find_queue_by_name(*m_state.current_configuration(), owner->queue);
         const auto ticket = m_tickets.find({order.run.task.step, order.to.id});
-        if (queue->advised && (ticket == m_tickets.end() || ticket->second < m_now))
+        if (m_queues.at(owner->queue).advised && (ticket == m_tickets.end() || ticket->second < m_now))
         {
             return order_outcome::ticket_rejected;
         }
@@ -175,6 +174,7 @@
         if (!late)
         {
             check_cordon(worker, order.run);
+            check_pool(worker, *owner, order.run);
             check_limit(*owner, owner->spec.steps[order.run.task.step.step], order.run);
         }
         return order_outcome::accepted;
--- a/tests/src/simulation_records.hpp
+++ b/tests/src/simulation_records.hpp
@@ -54,7 +54,7 @@
         {
             next.organisations.push_back({name, {std::string(name) + "-key"}, 0, 10.0, limit});
         }
-        commit(replace_cluster_configuration{next});
+        configure(next);
         m_former_limit = m_limit;
         m_limit = limit;
         m_limited = m_now;
@@ -76,6 +76,61 @@
         }
         return sum;
     }
+    // An operator sends a queue to another pool.
+    void send_queue(const std::string& queue, const std::string& pool)
+    {
+        change_configuration(
+            [&](cluster_configuration& next)
+            {
+                for (queue_spec& present : next.queues)
+                {
+                    present.pool = present.name == queue ? pool : present.pool;
+                }
+            });
+    }
+    // An operator removes a queue.
+    void remove_queue(const std::string& queue)
+    {
+        change_configuration(
+            [&](cluster_configuration& next)
+            {
+                std::erase_if(next.queues,
+                              [&queue](const queue_spec& present)
+                              {
+                                  return present.name == queue;
+                              });
+            });
+    }
+    // An operator adds a queue that was removed, with its former settings but the pool.
+    void restore_queue(const std::string& queue, const std::string& pool)
+    {
+        change_configuration(
+            [&](cluster_configuration& next)
+            {
+                next.queues.push_back(m_queues.at(queue));
+                next.queues.back().pool = pool;
+            });
+    }
+    // An operator removes a pool to which no queue is sent.
+    void remove_pool(const std::string& pool)
+    {
+        change_configuration(
+            [&](cluster_configuration& next)
+            {
+                std::erase_if(next.pools,
+                              [&pool](const pool_spec& present)
+                              {
+                                  return present.name == pool;
+                              });
+            });
+    }
+    void change_configuration(const std::function<void(cluster_configuration&)>& change)
+    {
+        cluster_configuration next = *m_state.current_configuration();
+        ++next.version;
+        change(next);
+        configure(next);
+    }
     [[nodiscard]] std::size_t starts_of(const task_ref& task) const
     {
         const auto found = m_starts.find(task);
@@ -211,6 +266,16 @@
     {
         return hall_name(m_host_places.emplace(host, m_host_places.size()).first->second);
     }
+    // Hosts are numbered "h0", "h1", ...; the last ones are in the second pool.
+    [[nodiscard]] std::string pool_of(const std::string& host) const
+    {
+        if (m_settings.reserve_workers == 0)
+        {
+            return "pool";
+        }
+        const bool second = std::stoul(host.substr(1)) + m_settings.reserve_workers >= m_settings.workers;
+        return second ? "reserve" : "pool";
+    }
     void check_cordon(const sim_worker& worker, const run_ref& run)
     {
         const auto since = m_cordoned_since.find(worker.description.hall);
@@ -220,6 +285,27 @@
                                    worker.description.id);
         }
     }
+    void configure(const cluster_configuration& next)
+    {
+        for (const queue_spec& queue : next.queues)
+        {
+            m_queues.insert_or_assign(queue.name, queue);
+            m_pools_of_queue[queue.name].insert(queue.pool);
+        }
+        if (commit(replace_cluster_configuration{next}).code != 0)
+        {
+            m_violations.push_back("a configuration of the test was refused");
+        }
+    }
+    // The platform allows a start only in a pool to which some configuration has sent the queue.
+    void check_pool(const sim_worker& worker, const submission& owner, const run_ref& run)
+    {
+        if (!m_pools_of_queue[owner.queue].contains(worker.description.pool))
+        {
+            m_violations.push_back("started in a pool to which its queue was never sent: " + name_of(run) +
+                                   " on " + worker.description.id);
+        }
+    }
     workload_result commit(const workload_command& command)
     {
         return m_state.apply(wall(), command);
@@ -290,6 +376,8 @@
     std::map<task_ref, std::size_t> m_crashes; // workers that crashed while running it
     std::map<submission_id, monotonic_time> m_cancelled;
     duration m_longest_after_cancel{};
+    std::map<std::string, queue_spec> m_queues;                    // as last configured
+    std::map<std::string, std::set<std::string>> m_pools_of_queue; // to which it was ever sent
     std::map<std::string, monotonic_time> m_cordoned_since; // when the operator had the acknowledgement
     std::set<std::string> m_maintained_hosts;               // hosts whose maintenance began
     std::set<std::string> m_hosts_in_maintenance;           // those of them that are down
