Accepted work keeps the settings of a queue that is removed

Cause: decisions looked the queue up in the current configuration and took "not found" for "needs no advice and has no priority".

Ruled out: steps that are not ready or hosts that are not eligible; the starts were planned, sent and refused.

Fix: the replicated state keeps the settings of a removed queue while submissions of it are unfinished. queue_of is what decisions about accepted work read; find_queue stays what callers and acceptance read.

--- a/include/walkthread/workload/workload_state.hpp
+++ b/include/walkthread/workload/workload_state.hpp
@@ -97,8 +97,12 @@
     }
     /// @brief A queue of the current configuration, or null. Complexity: constant.
     [[nodiscard]] const queue_spec* find_queue(const std::string& name) const;
-    /// @brief The pool whose workers run what still waits of a submission: that of its queue in the current
-    /// configuration. Complexity: constant.
+    /// @brief The queue of a submission as it is configured, or as it was last if it is no longer. Null only
+    /// for a submission from the snapshot of a release before 0.9 whose queue had been removed.
+    /// Complexity: constant.
+    [[nodiscard]] const queue_spec* queue_of(const submission& owner) const;
+    /// @brief The pool whose workers run what still waits of a submission: that of its queue.
+    /// Complexity: constant.
     [[nodiscard]] const std::string& pool_of(const submission& owner) const;
     /// @brief A submission, or null.
     [[nodiscard]] const submission* find(submission_id id) const;
@@ -191,8 +195,9 @@
         std::vector<worker_incarnation_ref> former;
         quota_usage quotas;
         hall_cordons cordons;
+        std::vector<queue_spec> removed_queues;
         MSGPACK_DEFINE(held, submissions, workers, waves, next_worker, former_ids, unheard, crashes, former,
-                       quotas, cordons)
+                       quotas, cordons, removed_queues)
     };
 
     workload_result handle(wall_ms at, const replace_cluster_configuration& command);
@@ -234,6 +239,7 @@
     void refresh_ready(const submission& owner, round_id round, std::uint32_t step);
     void refresh_round(const submission& owner, round_id round);
     void rebuild_indexes();
+    void keep_removed_queues(const cluster_configuration& next);
     void index_configuration();
     void index_ready_first();
     void index_usage();
@@ -251,6 +257,9 @@
     crash_evidence_table m_crashes;
     quota_usage m_quotas;
     hall_cordons m_cordons;
+    /// Queues that were removed while submissions of them were unfinished: these need the settings until
+    /// they end.
+    std::map<std::string, queue_spec> m_removed_queues;
 
     // Indexes derived from the above; not saved.
     api_key_index m_keys;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -306,7 +306,7 @@
     item.ref = ref;
     item.owner = m_state.find(ref.submission);
     item.step = &item.owner->spec.steps[ref.step];
-    item.queue = m_state.find_queue(item.owner->queue);
+    item.queue = m_state.queue_of(*item.owner);
     item.pool = m_hosts.number_of(m_state.pool_of(*item.owner));
     return item;
 }
--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -79,7 +79,7 @@
     order.checkpoint = task->checkpoint;
     order.ticket = known.ticket == "-" ? std::string{} : known.ticket;
     const step_spec* step = m_state.find(run.task.step);
-    const queue_spec* queue = m_state.find_queue(owner->queue);
+    const queue_spec* queue = m_state.queue_of(*owner);
     order.has_priority = (queue != nullptr && queue->priority == 0) || (step != nullptr && step->gang);
     order.until_ms = view.grant_lease(now, std::min(m_settings.start_window, m_settings.max_lease));
     note_start(view, run, now);
--- a/src/dispatch/dispatcher_waiting.cpp
+++ b/src/dispatch/dispatcher_waiting.cpp
@@ -129,7 +129,7 @@
             ++(room ? hosts.at(static_cast<std::size_t>(row.reason)) : without_room);
         }
     }
-    const queue_spec* queue = m_state.find_queue(owner.queue);
+    const queue_spec* queue = m_state.queue_of(owner);
     candidate waiting;
     waiting.ref = ref;
     waiting.owner = &owner;
--- a/src/workload/workload_indexes.cpp
+++ b/src/workload/workload_indexes.cpp
@@ -24,6 +24,7 @@
     if (const auto open = m_unfinished.find(owner.queue); open != m_unfinished.end() && --open->second == 0)
     {
         m_unfinished.erase(open);
+        m_removed_queues.erase(owner.queue);
     }
     m_crashes.clear(owner.id);
     owner.ended = at;
@@ -45,7 +46,7 @@
 
 bool workload_state::goes_first(const submission& owner, const step_spec& step) const
 {
-    const queue_spec* queue = find_queue(owner.queue);
+    const queue_spec* queue = queue_of(owner);
     return step.long_running || (queue != nullptr && queue->priority == 0);
 }
 
@@ -101,6 +102,25 @@
     }
 }
 
+// Called before the configuration is replaced.
+void workload_state::keep_removed_queues(const cluster_configuration& next)
+{
+    if (m_configuration)
+    {
+        for (const queue_spec& queue : m_configuration->queues)
+        {
+            if (m_unfinished.contains(queue.name))
+            {
+                m_removed_queues.insert_or_assign(queue.name, queue);
+            }
+        }
+    }
+    for (const queue_spec& queue : next.queues)
+    {
+        m_removed_queues.erase(queue.name);
+    }
+}
+
 void workload_state::index_configuration()
 {
     m_keys = m_configuration ? api_key_index(m_configuration->organisations) : api_key_index{};
@@ -179,6 +199,10 @@
     out.crashes = m_crashes;
     out.quotas = m_quotas;
     out.cordons = m_cordons;
+    for (const auto& [name, queue] : m_removed_queues)
+    {
+        out.removed_queues.push_back(queue);
+    }
     for (const auto& [id, owner] : m_submissions)
     {
         out.submissions.push_back(owner);
@@ -213,6 +237,12 @@
     m_crashes = std::move(in.crashes);
     m_quotas = std::move(in.quotas);
     m_cordons = std::move(in.cordons);
+    m_removed_queues.clear();
+    for (queue_spec& queue : in.removed_queues)
+    {
+        const std::string name = queue.name;
+        m_removed_queues.emplace(name, std::move(queue));
+    }
     m_submissions.clear();
     m_workers.clear();
     m_waves.clear();
--- a/src/workload/workload_state.cpp
+++ b/src/workload/workload_state.cpp
@@ -84,9 +84,19 @@
     return found == m_queue_positions.end() ? nullptr : &m_configuration->queues[found->second];
 }
 
+const queue_spec* workload_state::queue_of(const submission& owner) const
+{
+    if (const queue_spec* queue = find_queue(owner.queue))
+    {
+        return queue;
+    }
+    const auto removed = m_removed_queues.find(owner.queue);
+    return removed == m_removed_queues.end() ? nullptr : &removed->second;
+}
+
 const std::string& workload_state::pool_of(const submission& owner) const
 {
-    const queue_spec* queue = find_queue(owner.queue);
+    const queue_spec* queue = queue_of(owner);
     return queue == nullptr ? owner.pool : queue->pool;
 }
 
@@ -202,6 +212,7 @@
     }
     if (!m_configuration || command.next.version > m_configuration->version)
     {
+        keep_removed_queues(command.next);
         m_configuration = command.next;
         index_configuration();
         m_quotas.set_limits(m_configuration->organisations);
--- a/tests/src/unit-queue-changes.cpp
+++ b/tests/src/unit-queue-changes.cpp
@@ -209,6 +209,107 @@
     check_invariants(pool);
 }
 
+// ---------------------------------------------------------------------------------------------------------
+// A queue is removed
+// ---------------------------------------------------------------------------------------------------------
+
+// Guards against starts without tickets, which workers refuse for ever: an accepted submission needs what its
+// queue said of the advisor, its priority and its pool until it ends.
+BOOST_FIXTURE_TEST_CASE(work_of_a_removed_queue_completes, cell)
+{
+    step_spec second = make_step(2, 4000, 500);
+    second.after = {0};
+    const submission_id steps = pool.submit("batch", {make_step(2, 4000, 1000), second});
+    const submission_id gang = pool.submit("gangs", {make_step(2, 4000, 1000, true), second});
+    pool.run(milliseconds(500));
+    pool.remove_queue("batch");
+    pool.remove_queue("gangs");
+    pool.run(seconds(4));
+    check_completed(steps);
+    check_completed(gang);
+    check_invariants(pool);
+}
+
+// Guards against the same where a task has to start again, under the next leader and from a snapshot.
+BOOST_FIXTURE_TEST_CASE(lost_runs_of_a_removed_queue_start_again, cell)
+{
+    const submission_id id = pool.submit("batch", {make_step(8, 4000, 2000)});
+    pool.run(milliseconds(500));
+    pool.remove_queue("batch");
+    for (const char* worker : {"w0", "w1"})
+    {
+        pool.remove_worker(worker, true);
+    }
+    pool.run(milliseconds(500));
+    pool.stop_leader();
+    BOOST_REQUIRE(pool.state().load(pool.state().save()));
+    pool.start_leader();
+    pool.run(seconds(20));
+    check_completed(id);
+    check_invariants(pool);
+}
+
+// Guards against a gang that has gathered part of its hosts and then never gets tickets for them.
+BOOST_FIXTURE_TEST_CASE(a_gang_that_gathers_starts_after_its_queue_is_removed, cell)
+{
+    pool.submit("plain", {make_step(2, whole_host, 2000)});
+    pool.run(milliseconds(300));
+    const submission_id gang = pool.submit("gangs", {make_step(4, whole_host, 500, true)});
+    pool.run(milliseconds(500));
+    pool.remove_queue("gangs");
+    pool.run(seconds(4));
+    check_completed(gang);
+    check_invariants(pool);
+}
+
+// Guards against former settings that outlive a queue's return, or the last submission that needs them.
+BOOST_FIXTURE_TEST_CASE(a_queue_that_returns_has_its_new_settings, cell)
+{
+    const submission_id id = pool.submit("batch", {make_step(5, whole_host, 1000)});
+    pool.run(milliseconds(500));
+    pool.remove_queue("batch");
+    const submission& owner = *pool.state().find(id);
+    BOOST_REQUIRE(pool.state().queue_of(owner) != nullptr);
+    BOOST_TEST(pool.state().find_queue("batch") == nullptr);
+    accept_submission late;
+    late.id = submission_id{7};
+    late.queue = "batch";
+    late.spec.steps = {make_step(1, 1000, 100)};
+    BOOST_TEST(pool.state().apply(0, late).code == static_cast<std::int32_t>(workload_code::unknown_queue));
+    pool.restore_queue("batch", "reserve");
+    BOOST_TEST(pool.state().pool_of(owner) == "reserve");
+    pool.run(milliseconds(300));
+    BOOST_TEST(starts_in("reserve") == 1U);
+    pool.remove_queue("batch");
+    pool.run(seconds(3));
+    check_completed(id);
+    BOOST_TEST(pool.state().queue_of(owner) == nullptr);
+    check_invariants(pool);
+}
+
+// Guards against a snapshot that cannot be read: one of an earlier release has no removed queues. What waits
+// then goes by the pool of the acceptance.
+BOOST_FIXTURE_TEST_CASE(a_snapshot_without_removed_queues_is_read, cell)
+{
+    const submission_id id = pool.submit("batch", {make_step(5, whole_host, 1000)});
+    pool.run(milliseconds(500));
+    pool.remove_queue("batch");
+    const std::string saved = pool.state().save();
+    const msgpack::object_handle whole = msgpack::unpack(saved.data(), saved.size());
+    msgpack::sbuffer earlier;
+    msgpack::packer<msgpack::sbuffer> packer(earlier);
+    const std::uint32_t fields = whole.get().via.array.size - 1;
+    packer.pack_array(fields);
+    for (std::uint32_t i = 0; i < fields; ++i)
+    {
+        packer.pack(whole.get().via.array.ptr[i]);
+    }
+    BOOST_REQUIRE(pool.state().load({earlier.data(), earlier.size()}));
+    const submission& owner = *pool.state().find(id);
+    BOOST_TEST(pool.state().queue_of(owner) == nullptr);
+    BOOST_TEST(pool.state().pool_of(owner) == "pool");
+}
+
 // Guards against a move that is missed because the queue was absent from one version in between.
 BOOST_AUTO_TEST_CASE(a_queue_that_comes_back_elsewhere_has_moved)
 {
@@ -252,7 +353,8 @@
 class random_queue_day
 {
   public:
-    explicit random_queue_day(std::uint64_t seed) : m_pool(two_pools(12, seed)), m_random(seed * 104'729)
+    random_queue_day(std::uint64_t seed, bool removes)
+        : m_pool(two_pools(12, seed)), m_random(seed * 104'729), m_removes(removes)
     {
         m_pool.start_leader();
         m_pool.run(seconds(1));
@@ -321,11 +423,27 @@
     }
     void change_queue()
     {
-        m_pool.send_queue(draw_queue(), draw_pool());
+        const std::string queue = draw_queue();
+        if (!m_pool.state().find_queue(queue))
+        {
+            m_pool.restore_queue(queue, draw_pool());
+        }
+        else if (m_removes && draw(2) == 0)
+        {
+            m_pool.remove_queue(queue);
+        }
+        else
+        {
+            m_pool.send_queue(queue, draw_pool());
+        }
     }
     void submit()
     {
         const std::string queue = draw_queue();
+        if (!m_pool.state().find_queue(queue))
+        {
+            return;
+        }
         step_spec first = make_step(2 + static_cast<std::uint32_t>(draw(4)), 3000, 600, queue == "gangs");
         step_spec second = make_step(2, 6000, 400);
         second.after = {0};
@@ -335,32 +453,55 @@
     {
         for (const char* queue : {"plain", "batch", "urgent", "gangs"})
         {
-            m_pool.send_queue(queue, draw_pool()); // at most four workers of twelve are gone
+            if (m_pool.state().find_queue(queue))
+            {
+                m_pool.send_queue(queue, draw_pool()); // at most four workers of twelve are gone
+            }
         }
         m_pool.run(seconds(60));
     }
 
     faulty_leader_pool m_pool;
     std::mt19937_64 m_random;
+    bool m_removes;
     std::vector<submission_id> m_submissions;
     std::set<std::string> m_removed;
 };
 } // namespace
 
-// Guards against work that stands still or starts in the wrong pool when moves meet other faults.
-BOOST_AUTO_TEST_CASE(random_moves_lose_no_work)
+namespace
+{
+void check_days(std::uint64_t first, std::uint64_t count, bool removes)
 {
-    for (std::uint64_t seed = first_seed(); seed < first_seed() + seed_count(150, 40); ++seed)
+    for (std::uint64_t seed = first; seed < first + count; ++seed)
     {
-        const random_queue_day day(seed);
+        const random_queue_day day(seed, removes);
         BOOST_TEST_CONTEXT("seed " << seed)
         {
             check_invariants(day.pool());
             for (const submission_id id : day.submissions())
             {
+                if (removes && day.pool().state().find(id) == nullptr)
+                {
+                    continue; // refused: its queue was removed while it was being accepted
+                }
                 BOOST_TEST((day.pool().phase(id) == submission_phase::completed), name_of(id)
                                                                                       << " is unfinished");
             }
         }
     }
 }
+} // namespace
+
+// Guards against work that stands still or starts in the wrong pool when moves meet other faults.
+BOOST_AUTO_TEST_CASE(random_moves_lose_no_work)
+{
+    check_days(first_seed(), seed_count(150, 40), false);
+}
+
+// Guards against the same where queues are removed, stay away or come back elsewhere while work of them
+// waits.
+BOOST_AUTO_TEST_CASE(random_removals_lose_no_work)
+{
+    check_days(first_seed(), seed_count(150, 40), true);
+}
