A lost worker is dropped also where its polls fail most often

What was seen: random_moves_lose_no_work left submissions unfinished on 2 of 4,000 seeds (3495, 4740): a worker that was gone for good kept its runs for 60 s. No user has reported it.

Cause: a drop needs a failed poll between two answers of other workers, and only the newest failed poll was compared. A host that refuses connections fails one every 200 ms; where all others are idle and answer together once a second, the check every 50 ms never fell between their answer and the next failure. Evidence: the log of seed 4740, 305 refused connections and "no other worker answers" beside workers that answer. Ruled out: moves of queues, none of which happened in that time.

Fix: the first failed poll that lacks only an answer of others is kept until one comes. The condition for a drop is unchanged.

--- a/include/walkthread/dispatch/worker_contact.hpp
+++ b/include/walkthread/dispatch/worker_contact.hpp
@@ -43,6 +43,7 @@
         m_heard = now;
         m_doubted = false;
         m_last_failed_poll.reset();
+        m_kept_failed_poll.reset();
         m_refused_since.reset();
         m_failed = {};
     }
@@ -69,6 +70,15 @@
             m_last_failed_poll = std::max(m_last_failed_poll.value_or(sent), sent);
         }
     }
+    /// @brief Keeps the newest failed poll as evidence, also after later ones have failed.
+    /// @param not_before an older kept poll counts no longer and is replaced
+    void keep_failed_poll(monotonic_time not_before)
+    {
+        if (!m_kept_failed_poll || *m_kept_failed_poll < not_before)
+        {
+            m_kept_failed_poll = m_last_failed_poll;
+        }
+    }
     /// @brief Records that its host refused a connection or broke one, so that its process has ended.
     void record_refusal(monotonic_time now)
     {
@@ -121,6 +131,11 @@
     {
         return m_last_failed_poll;
     }
+    /// @brief When the poll that was kept as evidence was sent.
+    [[nodiscard]] std::optional<monotonic_time> kept_failed_poll() const
+    {
+        return m_kept_failed_poll;
+    }
     /// @brief Calls that failed since its last answer.
     [[nodiscard]] const failed_calls& failed() const
     {
@@ -132,6 +147,7 @@
     monotonic_time m_polled_rarely_until{};
     monotonic_time m_doubted_since{};
     std::optional<monotonic_time> m_last_failed_poll;
+    std::optional<monotonic_time> m_kept_failed_poll;
     std::optional<monotonic_time> m_refused_since;
     bool m_doubted = false;
     failed_calls m_failed;
--- a/src/dispatch/dispatcher_polling.cpp
+++ b/src/dispatch/dispatcher_polling.cpp
@@ -438,7 +438,11 @@
     for (auto& [id, view] : m_views)
     {
         const drop_blocker kept = find_drop_blocker(view, m_contact_history, now, m_settings);
-        leader_may_be_partitioned = leader_may_be_partitioned || kept == drop_blocker::leader_may_be_isolated;
+        if (kept == drop_blocker::leader_may_be_isolated)
+        {
+            leader_may_be_partitioned = true;
+            view.contact.keep_failed_poll(m_contact_history.since());
+        }
         if (kept == drop_blocker::none)
         {
             drop_incarnation(view, "lease expired without an answer", false, now);
--- a/src/dispatch/drop_blocker.cpp
+++ b/src/dispatch/drop_blocker.cpp
@@ -34,8 +34,16 @@
     {
         return drop_blocker::lease_may_be_valid;
     }
-    const bool others_heard = *asked >= hearing.since() && hearing.last() > *asked;
-    return others_heard ? drop_blocker::none : drop_blocker::leader_may_be_isolated;
+    // An earlier poll counts as well: polls to a host that refuses connections fail so often that the newest
+    // one may always be newer than the last answer of the other workers.
+    const auto others_heard = [&](std::optional<monotonic_time> poll)
+    {
+        return poll && *poll >= hearing.since() && hearing.last() > *poll &&
+               view.lease_surely_expired(*poll, settings.clock_drift);
+    };
+    return others_heard(asked) || others_heard(view.contact.kept_failed_poll())
+               ? drop_blocker::none
+               : drop_blocker::leader_may_be_isolated;
 }
 
 } // namespace walkthread
--- a/tests/src/unit-queue-changes.cpp
+++ b/tests/src/unit-queue-changes.cpp
@@ -505,3 +505,11 @@
 {
     check_days(first_seed(), seed_count(150, 40), true);
 }
+
+// Guards against a lost worker that is never dropped. Its host refuses connections, so that its polls fail
+// every 200 ms, while the polls of the others, all idle, are answered once a second and at the same moment.
+BOOST_AUTO_TEST_CASE(a_worker_lost_while_all_others_are_idle_is_dropped)
+{
+    check_days(3495, 1, false);
+    check_days(4740, 1, false);
+}
