--- a/tests/fakes/platform_cell.py
+++ b/tests/fakes/platform_cell.py
@@ -266,7 +266,7 @@
     def report(self):
         self.sequence += 1
         draining = self.draining
-        body = {"service": "pool", "machine": "m-%d" % self.number, "address": self.address, "zone": self.zone,
+        body = {"service": self.cell.pool_of(self.number), "machine": "m-%d" % self.number, "address": self.address, "zone": self.zone,
                 "version": "v1", "slots": 8, "state": "draining" if draining else "ready", "room": {"cpu": WORKER_CPU, "mem-mb": 65536, "gpu": 0},
                 "labels": ["a", "r1-%d" % (self.number % 2)], "clock-ms": self.clock(), "sequence": self.sequence,
                 "born": self.process_start_ms}
@@ -286,6 +286,8 @@
 class PlatformCell:
     """Core and edge processes with their settings, workers and a placement advisor."""
 
+    pools, queue_pool = ("pool",), "pool"  # the services of the workers, and the one that the route is sent to
+
     def __init__(self, build, cores=3, edges=2, workers=4, run_seconds=0.3, zones=("a",)):
         self.program = os.path.join(build, "walkthread-platformd")
         self.folder = tempfile.mkdtemp(prefix="walkthread-platform-")
@@ -396,11 +398,16 @@
         # Match the value's line; the metric's help line contains the same name.
         return next((n for n in self.cores if "\nwalkthread_leads 1\n" in self.metrics(n)), None)
 
+    def pool_of(self, number):
+        """The service of the worker with this number."""
+        return self.pools[number % len(self.pools)]
+
     def configure(self, version=1, prefix=PREFIX):
+        """Sends a configuration in which the route goes to `queue_pool`. Returns whether a process acknowledged it."""
         route = {"name": "r", "host": HOST, "path-prefix": prefix, "kind": "non_idempotent", "timeout-ms": 3000,
-                 "target-latency-ms": 500, "priority": 0, "service": "pool", "max-attempts": 2, "stretch": 2.0,
+                 "target-latency-ms": 500, "priority": 0, "service": self.queue_pool, "max-attempts": 2, "stretch": 2.0,
                  "advice": {"decision-ms": 5.0, "each-ms": 0.1, "validity-ms": 1500}}
-        body = {"version": version, "routes": [route], "services": [{"name": "pool", "rejects-overload": False, "spare": False}]}
+        body = {"version": version, "routes": [route], "services": [{"name": p, "rejects-overload": False, "spare": False} for p in self.pools]}
         for address in self.operator_addresses():
             status, _ = call(address, "PUT", "/walkthread/config", body)
             if status == 200:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,7 +1,8 @@
 """A randomized soak test: runs the real processes under injected faults and checks the guarantees that callers, operators and
 workers observe.
 
-Usage: soak.py BUILD [--seed N] [--seconds S] [--cores N] [--edges N] [--workers N] [--calm] [--poison] [--gone] [--evacuate] [--keep FOLDER]
+Usage: soak.py BUILD [--seed N] [--seconds S] [--cores N] [--edges N] [--workers N] [--calm] [--poison] [--gone] [--evacuate] [--moves]
+       [--keep FOLDER]
 
 With --calm, one fault at a time hits the leader right after an acknowledgement and is followed by a fault-free period. Rules
 with a time limit are checked only in such periods, which overlapping faults do not leave.
@@ -11,6 +12,8 @@
 
 With --evacuate, workers are in two zones, of which an operator evacuates one at a time and takes it back.
 
+With --moves, workers are in two pools, and each change of the configuration sends the queue to either.
+
 With --poison, some submissions have a task that crashes each worker that starts it; they end as failed.
 
 The seed selects the faults, their order and their targets. Timing still differs between runs, as these are real processes.
@@ -47,7 +50,7 @@
 CANCEL_SHARE = 0.1
 REPORTS_PAUSED_S = 5.0            # time for which a worker's reports are lost after its leaving was acknowledged
 CALM_AFTER_FAULT_S = 6.0             # fault-free time after a single fault; above CALM_S
-EXTRA_WORKERS = 8                # with --gone: additional workers that may be lost
+EXTRA_WORKERS = 8                # with --gone: additional workers that may be lost; with --moves: half of all are in each pool
 LEADER_POLL_S = 0.3
 EVACUATED_S = (4.0, 10.0)        # with --evacuate: how long a zone stays evacuated
 ACKNOWLEDGED_S = 30              # time limit for an operator's order, sent again until it is acknowledged
@@ -59,7 +62,8 @@
 class SoakCell(PlatformCell):
     """A cell whose processes and workers are reached through proxies."""
 
-    def __init__(self, build, cores, edges, workers, run_seconds, zones=("a",)):
+    def __init__(self, build, cores, edges, workers, run_seconds, zones=("a",), pools=("pool",)):
+        self.pools = pools
         self.faults, self.proxies, self.bind, self.sizes, self.poison = Faults(), {}, {}, {}, set()
         super().__init__(build, cores, edges, workers, run_seconds, zones)
 
@@ -169,7 +173,8 @@
 
 
 class Operator(threading.Thread):
-    """Increases the configuration's version and reads it back. In a cell of several zones it evacuates one at a time."""
+    """Increases the configuration's version and reads it back. In a cell of several zones it evacuates one at a time,
+    in a cell of several pools it sends the queue to either."""
 
     def __init__(self, cell, checker, seed):
         super().__init__(daemon=True)
@@ -177,12 +182,14 @@
         self.stopping, self.version = threading.Event(), 1
         # A separate generator, so that --evacuate does not change other random choices.
         self.evacuations, self.evacuated, self.next_change = random.Random(seed * 11 + 5), None, 0.0
+        self.moves = random.Random(seed * 13 + 7)  # the same for --moves
 
     def run(self):
         while not self.stopping.is_set():
             time.sleep(self.random.uniform(0.2, 1.0))
             if len(self.cell.zones) > 1 and time.monotonic() >= self.next_change:
                 self.change_evacuation()
+            self.cell.queue_pool = self.moves.choice(self.cell.pools)
             self.version += self.random.randint(1, 3)
             if self.cell.configure(self.version):
                 self.checker.versions_acked = self.version
@@ -344,11 +351,13 @@
     options.add_argument("--poison", action="store_true")
     options.add_argument("--gone", action="store_true")
     options.add_argument("--evacuate", action="store_true")
+    options.add_argument("--moves", action="store_true")
     options.add_argument("--keep")
     chosen = options.parse_args()
-    workers = chosen.workers + (EXTRA_WORKERS if chosen.gone else 0)
+    workers = chosen.workers + (EXTRA_WORKERS if chosen.gone or chosen.moves else 0)
     cell = SoakCell(chosen.build, chosen.cores, chosen.edges, workers, run_seconds=0.3,
-                    zones=("a", "b") if chosen.evacuate else ("a",))
+                    zones=("a", "b") if chosen.evacuate else ("a",),
+                    pools=("pool", "reserve") if chosen.moves else ("pool",))
     checker, log = GuaranteeChecker(cell), []
     checker.stall_limit_s = STALL_LIMIT_S if chosen.gone else checker.stall_limit_s
     try:
