--- a/include/walkthread/fabric/replica_host.hpp
+++ b/include/walkthread/fabric/replica_host.hpp
@@ -15,8 +15,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <walkthread/replication/replicated_group.hpp>
-#include <walkthread/storage/data_folder.hpp>
+#include <walkthread/fabric/replica_storage.hpp>
 
 namespace walkthread
 {
@@ -57,30 +56,25 @@
     }
     [[nodiscard]] std::uint64_t syncs() const
     {
-        return m_folder->syncs();
+        return m_storage.folder().syncs();
     }
 
   private:
     struct disk;
 
     void tick();
-    void write(const replica_output& output);
-    void handle_write_result(const result<done, storage_error>& outcome);
-    void store_snapshot_if_due();
-    void run_on_disk(std::function<result<done, storage_error>()> job,
-                     std::function<void(const result<done, storage_error>&)> then);
+    void start_disk_task(monotonic_time now);
+    void finish_disk_task(const result<done, storage_error>& outcome, monotonic_time now);
 
     boost::asio::io_context& m_loop;
-    std::unique_ptr<data_folder> m_folder;
     std::unique_ptr<replicated_group> m_group;
+    replica_storage m_storage;
     replica_host_hooks m_hooks;
     milliseconds m_tick;
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_retry;
     std::unique_ptr<disk> m_disk;
     std::vector<replica_envelope> m_held_messages; ///< sent once the write in progress is durable
-    bool m_writing = false;
-    bool m_write_refused = false; ///< the last write was rejected; cleared and reported by the next success
     bool m_pumping = false;
     bool m_pump_again = false;
     bool m_failed = false;
--- /dev/null
+++ b/include/walkthread/fabric/replica_storage.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+/// @file
+/// @brief Decides what a replica's disk does next: write the log, store a snapshot, or rewrite the log.
+///
+/// Runs no thread and reads no clock: the owner runs one task at a time and reports its outcome.
+/// @since 0.6
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include <walkthread/replication/replicated_group.hpp>
+#include <walkthread/storage/data_folder.hpp>
+
+namespace walkthread
+{
+
+/// @brief The kinds of work of a replica's disk.
+enum class disk_work : std::uint8_t
+{
+    log_write,
+    snapshot,
+    rewrite
+};
+
+/// @brief One piece of work for the disk. `run` may block and may run on another thread.
+struct disk_task
+{
+    disk_work kind{};
+    std::function<result<done, storage_error>()> run;
+};
+
+/// @brief What the outcome of a task means for the replica.
+struct disk_report
+{
+    bool failed{};      ///< permanent failure: the process has to stop
+    bool log_durable{}; ///< all output added so far is durable
+    bool refuses{};     ///< the log write was refused and will be tried again
+    bool accepts{};     ///< the first log write that succeeded after a refusal
+};
+
+/// @brief The data folder of one replica and the order of its work. Used by the thread that runs the replica.
+/// @since 0.6
+class replica_storage
+{
+  public:
+    /// @param folder the replica's data folder
+    /// @param group the replica; it must outlive this object
+    replica_storage(std::unique_ptr<data_folder> folder, replicated_group& group);
+
+    /// @brief Adds a replica's output to the next log write. Must not be called while `busy()`.
+    void add(const replica_output& output);
+    /// @brief Whether output added earlier is not durable yet or a task is in progress.
+    [[nodiscard]] bool busy() const
+    {
+        return m_in_progress || m_log_refused;
+    }
+    /// @brief The next task, which the caller must run and then report by `finish`; no value if there is
+    /// nothing to do at `now` or a task is in progress.
+    [[nodiscard]] std::optional<disk_task> next_task(monotonic_time now);
+    /// @brief Reports the outcome of the task in progress.
+    disk_report finish(const result<done, storage_error>& outcome, monotonic_time now);
+    /// @brief When a refused log write is to be tried again; no value if none was refused.
+    [[nodiscard]] std::optional<monotonic_time> retry_at() const;
+
+    [[nodiscard]] const data_folder& folder() const
+    {
+        return *m_folder;
+    }
+
+  private:
+    disk_task begin(disk_work kind, std::function<result<done, storage_error>()> run);
+    [[nodiscard]] std::optional<disk_task> maintenance_task();
+
+    std::unique_ptr<data_folder> m_folder;
+    replicated_group& m_group;
+    std::optional<disk_work> m_in_progress;
+    bool m_has_output = false;  ///< output was added that is not durable yet
+    bool m_log_written = false; ///< the last task was a log write: maintenance has its turn
+    bool m_log_refused = false;
+    monotonic_time m_retry_at{};
+};
+
+} // namespace walkthread
--- a/include/walkthread/storage/data_folder.hpp
+++ b/include/walkthread/storage/data_folder.hpp
@@ -8,6 +8,7 @@
 /// @since 0.1
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -72,6 +73,15 @@
 
 using log_record = std::variant<entry_record, state_record, snapshot_record>;
 
+/// @brief The calls that use space on the disk or make it durable; tests replace them to limit or fail a
+/// disk. They return what `write` and `fdatasync` return and set errno.
+/// @since 0.6
+struct file_operations
+{
+    std::function<std::ptrdiff_t(int file, const char* bytes, std::size_t count)> write;
+    std::function<int(int file)> sync;
+};
+
 /// @brief The data folder of one process. Not thread-safe.
 /// @since 0.1
 class data_folder
@@ -80,7 +90,11 @@
     /// @brief Opens a folder and recovers its content; creates and initializes it if it is missing or empty.
     /// @param path the folder
     /// @param new_identity the identity for an empty folder; its node must match that of an existing folder
+    /// @param files how files are written and synced
     /// @return the folder, or cannot_open, damaged, foreign_folder
+    static result<std::unique_ptr<data_folder>, storage_error>
+    open(const std::string& path, const folder_identity& new_identity, const file_operations& files);
+    /// @brief As above, with the system's own file operations.
     static result<std::unique_ptr<data_folder>, storage_error> open(const std::string& path,
                                                                     const folder_identity& new_identity);
     ~data_folder();
@@ -123,7 +137,7 @@
     }
 
   private:
-    data_folder(std::string path, folder_identity identity);
+    data_folder(std::string path, folder_identity identity, file_operations files);
     result<done, storage_error> load();
     result<done, storage_error> load_file(std::uint64_t number, bool last);
     void apply_record(log_record record);
@@ -132,6 +146,7 @@
 
     std::string m_path;
     folder_identity m_identity;
+    file_operations m_files;
     std::map<group_id, replica_start> m_recovered;
     int m_log_fd = -1;
     std::uint64_t m_log_number = 0;
--- a/src/fabric/replica_host.cpp
+++ b/src/fabric/replica_host.cpp
@@ -2,6 +2,7 @@
 
 #include <condition_variable>
 #include <mutex>
+#include <thread>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -11,11 +12,6 @@
 namespace walkthread
 {
 
-namespace
-{
-constexpr milliseconds write_retry_delay{200}; // after a transient failure, such as a full disk
-}
-
 /// The disk thread: runs one job at a time.
 struct replica_host::disk
 {
@@ -80,8 +76,8 @@
 replica_host::replica_host(boost::asio::io_context& loop, std::unique_ptr<data_folder> folder,
                            std::unique_ptr<replicated_group> group, replica_host_hooks hooks,
                            milliseconds tick)
-    : m_loop(loop), m_folder(std::move(folder)), m_group(std::move(group)), m_hooks(std::move(hooks)),
-      m_tick(tick), m_timer(loop), m_retry(loop), m_disk(std::make_unique<disk>())
+    : m_loop(loop), m_group(std::move(group)), m_storage(std::move(folder), *m_group),
+      m_hooks(std::move(hooks)), m_tick(tick), m_timer(loop), m_retry(loop), m_disk(std::make_unique<disk>())
 {
 }
 
@@ -136,8 +132,8 @@
     {
         m_pump_again = false;
         const monotonic_time now = monotonic_now();
-        replica_output output =
-            m_writing ? m_group->core().take_unsynced(now) : m_group->core().take_output(now);
+        const bool busy = m_storage.busy();
+        replica_output output = busy ? m_group->core().take_unsynced(now) : m_group->core().take_output(now);
         const bool sync = output.needs_sync();
         std::vector<replica_envelope> messages = std::exchange(output.messages, {});
         for (replica_envelope& envelope : messages)
@@ -158,13 +154,13 @@
         applied += m_group->apply(output) + (output.install ? 1 : 0);
         if (sync)
         {
-            write(output);
+            m_storage.add(output);
         }
-        else if (!m_writing)
+        else if (!busy)
         {
             m_group->core().synced(now);
-            store_snapshot_if_due();
         }
+        start_disk_task(now);
         m_pump_again = m_pump_again || m_group->core().commit_index() > m_group->applied();
     } while (m_pump_again);
     m_pumping = false;
@@ -174,109 +170,67 @@
     }
 }
 
-void replica_host::write(const replica_output& output)
+void replica_host::start_disk_task(monotonic_time now)
 {
-    m_folder->add(m_group->id(), output);
-    run_on_disk(
-        [this]
-        {
-            return m_folder->sync();
-        },
-        [this](const result<done, storage_error>& outcome)
+    std::optional<disk_task> task = m_storage.next_task(now);
+    if (!task)
+    {
+        return;
+    }
+    m_disk->post(
+        [this, alive = m_alive, run = std::move(task->run)]
         {
-            handle_write_result(outcome);
+            result<done, storage_error> outcome = run();
+            boost::asio::post(m_loop,
+                              [this, alive, outcome = std::move(outcome)]
+                              {
+                                  if (*alive)
+                                  {
+                                      finish_disk_task(outcome, monotonic_now());
+                                  }
+                              });
         });
 }
 
-void replica_host::handle_write_result(const result<done, storage_error>& outcome)
+void replica_host::finish_disk_task(const result<done, storage_error>& outcome, monotonic_time now)
 {
-    if (!ok(outcome) && error_of(outcome).code != storage_code::cannot_write)
+    const disk_report report = m_storage.finish(outcome, now);
+    if (report.failed)
     {
         m_failed = true;
         m_hooks.disk_failed(error_of(outcome));
         return;
     }
-    if (!ok(outcome))
+    if (report.refuses)
     {
-        m_write_refused = true;
         m_hooks.disk_refuses(error_of(outcome));
-        m_writing = true;
-        m_retry.expires_after(write_retry_delay);
-        m_retry.async_wait(
-            [this, alive = m_alive](boost::system::error_code cancelled)
-            {
-                if (*alive && !cancelled)
-                {
-                    write(replica_output{});
-                }
-            });
-        return;
     }
-    if (std::exchange(m_write_refused, false))
+    if (report.accepts)
     {
         m_hooks.disk_accepts();
     }
-    for (const replica_envelope& envelope : std::exchange(m_held_messages, {}))
-    {
-        m_hooks.send(envelope);
-    }
-    m_group->core().synced(monotonic_now());
-    store_snapshot_if_due(); // before the next write, as under load a write is always pending
-    pump();
-}
-
-void replica_host::store_snapshot_if_due()
-{
-    if (m_writing)
+    if (report.log_durable)
     {
-        return;
-    }
-    if (std::optional<snapshot> made = m_group->compact_if_due())
-    {
-        run_on_disk(
-            [this, content = std::move(*made)]
-            {
-                return m_folder->store_snapshot(m_group->id(), content);
-            },
-            [this](const result<done, storage_error>& outcome)
-            {
-                handle_write_result(outcome);
-            });
+        for (const replica_envelope& envelope : std::exchange(m_held_messages, {}))
+        {
+            m_hooks.send(envelope);
+        }
+        m_group->core().synced(now);
     }
-    else if (m_folder->rewrite_due())
+    start_disk_task(now); // before more output is taken, as under load there always is some
+    if (const std::optional<monotonic_time> retry_at = m_storage.retry_at())
     {
-        std::map<group_id, replica_start> live;
-        live[m_group->id()] = m_group->retained_state();
-        run_on_disk(
-            [this, content = std::move(live)]
-            {
-                return m_folder->rewrite(content);
-            },
-            [this](const result<done, storage_error>& outcome)
+        m_retry.expires_after(*retry_at - now);
+        m_retry.async_wait(
+            [this, alive = m_alive](boost::system::error_code cancelled)
             {
-                handle_write_result(outcome);
+                if (*alive && !cancelled)
+                {
+                    start_disk_task(monotonic_now());
+                }
             });
     }
-}
-
-void replica_host::run_on_disk(std::function<result<done, storage_error>()> job,
-                               std::function<void(const result<done, storage_error>&)> then)
-{
-    m_writing = true;
-    m_disk->post(
-        [this, alive = m_alive, job = std::move(job), then = std::move(then)]
-        {
-            result<done, storage_error> outcome = job();
-            boost::asio::post(m_loop,
-                              [this, alive, then, outcome = std::move(outcome)]
-                              {
-                                  if (*alive)
-                                  {
-                                      m_writing = false;
-                                      then(outcome);
-                                  }
-                              });
-        });
+    pump();
 }
 
 } // namespace walkthread
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -49,8 +49,8 @@
 }
 
 /// Reads the identity of a folder, or stores the new one if the folder is empty.
-result<folder_identity, storage_error> find_identity(const std::string& path,
-                                                     const folder_identity& new_identity)
+result<folder_identity, storage_error>
+find_identity(const std::string& path, const folder_identity& new_identity, const file_operations& files)
 {
     if (!std::filesystem::exists(path + '/' + identity_name))
     {
@@ -58,7 +58,7 @@
         {
             return storage_error{storage_code::damaged, "The folder has a log but no identity file."};
         }
-        const auto stored = detail::replace_file(path, identity_name, encode(new_identity));
+        const auto stored = detail::replace_file(files, path, identity_name, encode(new_identity));
         if (!ok(stored))
         {
             return error_of(stored);
@@ -85,8 +85,9 @@
 }
 } // namespace
 
-data_folder::data_folder(std::string path, folder_identity identity)
-    : m_path(std::move(path)), m_identity(std::move(identity)), m_rewrite_at(min_rewrite_bytes)
+data_folder::data_folder(std::string path, folder_identity identity, file_operations files)
+    : m_path(std::move(path)), m_identity(std::move(identity)), m_files(std::move(files)),
+      m_rewrite_at(min_rewrite_bytes)
 {
 }
 
@@ -100,6 +101,12 @@
 
 result<std::unique_ptr<data_folder>, storage_error> data_folder::open(const std::string& path,
                                                                       const folder_identity& new_identity)
+{
+    return open(path, new_identity, detail::system_file_operations());
+}
+
+result<std::unique_ptr<data_folder>, storage_error>
+data_folder::open(const std::string& path, const folder_identity& new_identity, const file_operations& files)
 {
     std::error_code failure;
     std::filesystem::create_directories(path, failure);
@@ -107,12 +114,12 @@
     {
         return storage_error{storage_code::cannot_open, path + ": " + failure.message()};
     }
-    auto identity = find_identity(path, new_identity);
+    auto identity = find_identity(path, new_identity, files);
     if (!ok(identity))
     {
         return error_of(identity);
     }
-    std::unique_ptr<data_folder> folder(new data_folder(path, value_of(identity)));
+    std::unique_ptr<data_folder> folder(new data_folder(path, value_of(identity), files));
     auto loaded = folder->load();
     if (!ok(loaded))
     {
@@ -274,7 +281,7 @@
 {
     for (const auto& [group, content] : m_snapshots)
     {
-        const auto stored = detail::replace_file(m_path, snapshot_name(group), encode(content));
+        const auto stored = detail::replace_file(m_files, m_path, snapshot_name(group), encode(content));
         if (!ok(stored))
         {
             return stored;
@@ -295,14 +302,14 @@
 
 result<done, storage_error> data_folder::flush(std::string_view bytes)
 {
-    const auto written = detail::write_all(m_log_fd, bytes);
+    const auto written = detail::write_all(m_files, m_log_fd, bytes);
     if (!ok(written))
     {
         // Remove a partial write, so that the batch can be written again once the disk accepts writes.
         const bool cut = ::ftruncate(m_log_fd, static_cast<off_t>(m_log_bytes)) == 0;
         return cut ? written : detail::last_error(storage_code::cannot_sync, log_name(m_log_number));
     }
-    if (::fdatasync(m_log_fd) != 0)
+    if (m_files.sync(m_log_fd) != 0)
     {
         return detail::last_error(storage_code::cannot_sync, log_name(m_log_number));
     }
@@ -314,7 +321,7 @@
 
 result<done, storage_error> data_folder::store_snapshot(group_id group, const snapshot& content)
 {
-    const auto stored = detail::replace_file(m_path, snapshot_name(group), encode(content));
+    const auto stored = detail::replace_file(m_files, m_path, snapshot_name(group), encode(content));
     if (!ok(stored))
     {
         return stored;
@@ -336,7 +343,7 @@
         }
     }
     const std::uint64_t old = m_log_number;
-    const auto stored = detail::replace_file(m_path, log_name(old + 1), bytes);
+    const auto stored = detail::replace_file(m_files, m_path, log_name(old + 1), bytes);
     if (!ok(stored) && !std::filesystem::exists(m_path + '/' + log_name(old + 1)))
     {
         return stored;
--- a/src/storage/files.cpp
+++ b/src/storage/files.cpp
@@ -15,6 +15,18 @@
     return storage_error{code, what + ": " + std::strerror(errno)};
 }
 
+file_operations system_file_operations()
+{
+    return {[](int file, const char* bytes, std::size_t count)
+            {
+                return ::write(file, bytes, count);
+            },
+            [](int file)
+            {
+                return ::fdatasync(file);
+            }};
+}
+
 // A lack of descriptors, memory or disk space is transient, and files that are already open remain usable.
 storage_error open_error(const std::string& what)
 {
@@ -35,11 +47,11 @@
     return bytes.str();
 }
 
-result<done, storage_error> write_all(int file, std::string_view bytes)
+result<done, storage_error> write_all(const file_operations& files, int file, std::string_view bytes)
 {
     while (!bytes.empty())
     {
-        const ssize_t written = ::write(file, bytes.data(), bytes.size());
+        const ssize_t written = files.write(file, bytes.data(), bytes.size());
         if (written < 0 && errno == EINTR)
         {
             continue;
@@ -69,8 +81,8 @@
     return done{};
 }
 
-result<done, storage_error> replace_file(const std::string& folder, const std::string& name,
-                                         std::string_view bytes)
+result<done, storage_error> replace_file(const file_operations& files, const std::string& folder,
+                                         const std::string& name, std::string_view bytes)
 {
     constexpr int mode = 0600;
     const std::string temporary_path = folder + '/' + name + ".new";
@@ -79,8 +91,8 @@
     {
         return open_error(temporary_path);
     }
-    const auto written = write_all(handle, bytes);
-    const bool synced = ok(written) && ::fsync(handle) == 0;
+    const auto written = write_all(files, handle, bytes);
+    const bool synced = ok(written) && files.sync(handle) == 0;
     ::close(handle);
     if (!ok(written))
     {
