--- a/include/walkthread/fabric/fabric_node.hpp
+++ b/include/walkthread/fabric/fabric_node.hpp
@@ -19,6 +19,7 @@
 #include <walkthread/fabric/leader_watch.hpp>
 #include <walkthread/observe/decision_log.hpp>
 #include <walkthread/observe/metrics_page.hpp>
+#include <walkthread/storage/storage_limits.hpp>
 
 namespace walkthread
 {
@@ -34,6 +35,7 @@
     std::string bind_address;         ///< address to listen on, if peers connect through a proxy or NAT
     std::vector<std::string> seeds;   ///< peer addresses of some processes with replicas; may be stale
     std::string data_folder;          ///< empty for a process without a replica
+    storage_limits storage{};         ///< what the data folder and the replica's log may take
     bool founding{};                  ///< this is the first start of the whole cluster
     std::uint32_t max_disk_losses{2}; ///< number of disks that may be lost at the same time
     std::string report_address;       ///< address for worker reports; empty if this process takes none
--- a/include/walkthread/replication/log.hpp
+++ b/include/walkthread/replication/log.hpp
@@ -81,6 +81,12 @@
     MSGPACK_DEFINE(index, term, members, data)
 };
 
+/// @brief Size of an entry in memory and, within a few bytes, in the stored log.
+[[nodiscard]] inline std::uint64_t size_of(const log_entry& entry)
+{
+    return sizeof(log_entry) + entry.data.size();
+}
+
 /// @brief The in-memory log entries that follow a snapshot.
 /// @since 0.1
 class log_tail
--- a/include/walkthread/replication/replica.hpp
+++ b/include/walkthread/replication/replica.hpp
@@ -62,6 +62,8 @@
     std::size_t max_uncommitted = 100'000;  ///< limit on entries that wait for a quorum
     std::uint64_t snapshot_interval = 4096; ///< applied entries between snapshots
     std::uint64_t keep_entries = 1024;      ///< entries kept in memory before a snapshot for slow followers
+    std::uint64_t snapshot_bytes = 16U << 20U; ///< size of the applied entries that makes a snapshot due, and
+                                               ///< limit on the size of the entries kept before it
 };
 
 /// @brief Work for the owner, in this order: make durable, send, apply.
@@ -142,7 +144,8 @@
     /// @brief Compacts the log, given the state machine's serialized state at `index`.
     /// @return the snapshot to store
     [[nodiscard]] snapshot compact(log_index index, std::string data);
-    /// @brief Whether enough entries have been applied since the last snapshot to take another one.
+    /// @brief Whether entries of enough number or size have been applied since the last snapshot to take
+    /// another one.
     [[nodiscard]] bool snapshot_due() const;
 
     [[nodiscard]] replica_role role() const
@@ -252,6 +255,7 @@
     [[nodiscard]] duration requested_lease_at(monotonic_time sent) const;
     [[nodiscard]] std::size_t election_rank() const;
     [[nodiscard]] log_index find_conflict_hint(log_index previous) const;
+    [[nodiscard]] log_index first_index_to_keep(log_index snapshot_index) const;
 
     group_id m_group;
     replica_id m_self;
@@ -271,6 +275,7 @@
     std::string m_snapshot_data;
     term_id m_snapshot_term{};
     membership m_snapshot_members;
+    std::uint64_t m_bytes_since_snapshot = 0; ///< size of the entries applied since the last snapshot
 
     replica_role m_role = replica_role::follower;
     replica_id m_leader{};
--- a/include/walkthread/storage/data_folder.hpp
+++ b/include/walkthread/storage/data_folder.hpp
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include <walkthread/replication/replica.hpp>
+#include <walkthread/storage/storage_limits.hpp>
 #include <walkthread/units/ids.hpp>
 #include <walkthread/units/result.hpp>
 
@@ -116,6 +117,9 @@
     [[nodiscard]] result<done, storage_error> sync();
     /// @brief Stores a snapshot that the replica took of its own state.
     [[nodiscard]] result<done, storage_error> store_snapshot(group_id group, const snapshot& content);
+    /// @brief Sets the size above which the log is rewritten, even if it has not grown much since the last
+    /// time.
+    void limit_log(std::uint64_t bytes);
     /// @brief Whether the log has grown enough to be rewritten.
     [[nodiscard]] bool rewrite_due() const
     {
@@ -143,6 +147,7 @@
     void apply_record(log_record record);
     result<done, storage_error> open_log(std::uint64_t number);
     result<done, storage_error> flush(std::string_view bytes);
+    void schedule_rewrite();
 
     std::string m_path;
     folder_identity m_identity;
@@ -151,6 +156,8 @@
     int m_log_fd = -1;
     std::uint64_t m_log_number = 0;
     std::uint64_t m_log_bytes = 0;
+    std::uint64_t m_rewritten_bytes = 0; ///< size of the log after it was last rewritten
+    std::uint64_t m_log_limit;
     std::uint64_t m_rewrite_at = 0;
     std::string m_batch;
     std::vector<std::pair<group_id, snapshot>> m_snapshots;
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -125,6 +125,8 @@
     {
         m_state.load(start.base.data);
     }
+    folder->limit_log(m_settings.storage.log_bytes);
+    m_core_settings.replication.snapshot_bytes = m_settings.storage.snapshot_bytes;
     const replica_id self{folder->identity().node, folder->identity().incarnation};
     log_event("replica_opened", {},
               {{"incarnation", self.incarnation.value()},
--- a/src/replication/log.cpp
+++ b/src/replication/log.cpp
@@ -79,7 +79,7 @@
     for (log_index i = first; i <= last_index() && bytes < max_bytes; i = log_index{i.value() + 1})
     {
         out.push_back(at(i));
-        bytes += out.back().data.size() + sizeof(log_entry);
+        bytes += size_of(out.back());
     }
     return out;
 }
--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -237,10 +237,10 @@
     m_snapshot_term = out.term;
     m_snapshot_data = out.data;
     m_snapshot_members = out.members;
-    const std::uint64_t keep = m_settings.keep_entries;
-    if (index.value() > keep)
+    m_bytes_since_snapshot = 0;
+    const log_index cut{first_index_to_keep(index).value() - 1};
+    if (cut > m_log.base_index())
     {
-        const log_index cut{index.value() - keep};
         for (log_index i = after(m_log.base_index()); i <= cut; i = after(i))
         {
             if (m_log.at(i).type() == entry_kind::members)
@@ -253,9 +253,28 @@
     return out;
 }
 
+// Entries are kept for followers that are behind, so that they need not load the snapshot.
+log_index replica::first_index_to_keep(log_index snapshot_index) const
+{
+    log_index first = after(snapshot_index);
+    std::uint64_t bytes = 0;
+    while (first > after(m_log.base_index()) &&
+           snapshot_index.value() - first.value() + 1 < m_settings.keep_entries)
+    {
+        bytes += size_of(m_log.at(log_index{first.value() - 1}));
+        if (bytes > m_settings.snapshot_bytes)
+        {
+            break;
+        }
+        first = log_index{first.value() - 1};
+    }
+    return first;
+}
+
 bool replica::snapshot_due() const
 {
-    return m_applied.value() >= m_snapshot_index.value() + m_settings.snapshot_interval;
+    return m_applied.value() >= m_snapshot_index.value() + m_settings.snapshot_interval ||
+           m_bytes_since_snapshot >= m_settings.snapshot_bytes;
 }
 
 bool replica::holds_lease(monotonic_time now) const
--- a/src/replication/replica_log.cpp
+++ b/src/replication/replica_log.cpp
@@ -164,6 +164,7 @@
         m_snapshot_term = m.content.term;
         m_snapshot_data = m.content.data;
         m_snapshot_members = m.content.members;
+        m_bytes_since_snapshot = 0;
         m_output.install = m.content;
         m_output.append.clear();
         m_output.apply.clear();
@@ -289,6 +290,7 @@
     {
         m_applied = after(m_applied);
         m_output.apply.push_back(m_log.at(m_applied));
+        m_bytes_since_snapshot += size_of(m_output.apply.back());
     }
 }
 
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -17,8 +17,9 @@
 namespace
 {
 // The log is rewritten once it has grown to this multiple of its size after the last rewrite, but not below
-// the minimum size.
+// the minimum size, nor above the limit unless that would rewrite it after little growth.
 constexpr std::uint64_t min_rewrite_bytes = 8U << 20U;
+constexpr std::uint64_t min_growth_share = 4; // of the limit
 constexpr std::uint64_t rewrite_factor = 4;
 const std::string identity_name = "identity";
 const std::string log_prefix = "wal-";
@@ -87,8 +88,9 @@
 
 data_folder::data_folder(std::string path, folder_identity identity, file_operations files)
     : m_path(std::move(path)), m_identity(std::move(identity)), m_files(std::move(files)),
-      m_rewrite_at(min_rewrite_bytes)
+      m_log_limit(storage_limits{}.log_bytes)
 {
+    schedule_rewrite();
 }
 
 data_folder::~data_folder()
@@ -330,6 +332,18 @@
     return sync();
 }
 
+void data_folder::limit_log(std::uint64_t bytes)
+{
+    m_log_limit = bytes;
+    schedule_rewrite();
+}
+
+void data_folder::schedule_rewrite()
+{
+    const std::uint64_t grown = std::max(min_rewrite_bytes, rewrite_factor * m_rewritten_bytes);
+    m_rewrite_at = std::max(std::min(grown, m_log_limit), m_rewritten_bytes + m_log_limit / min_growth_share);
+}
+
 result<done, storage_error> data_folder::rewrite(const std::map<group_id, replica_start>& live)
 {
     std::string bytes;
@@ -356,7 +370,8 @@
         return storage_error{storage_code::cannot_sync, error_of(opened).detail};
     }
     m_log_bytes = bytes.size();
-    m_rewrite_at = std::max(min_rewrite_bytes, rewrite_factor * m_log_bytes);
+    m_rewritten_bytes = m_log_bytes;
+    schedule_rewrite();
     std::filesystem::remove(m_path + '/' + log_name(old));
     return detail::sync_folder(m_path);
 }
--- a/tests/src/limited_disk.hpp
+++ b/tests/src/limited_disk.hpp
@@ -96,8 +96,9 @@
   public:
     replicas_on_disks(std::size_t count, std::uint64_t disk_bytes, replica_settings settings)
         : m_root(std::filesystem::temp_directory_path() / ("walkthread-disks-" + std::to_string(::getpid()))),
-          m_settings(settings)
+          m_settings(settings), m_limits(make_storage_limits(disk_bytes, 0))
     {
+        m_settings.snapshot_bytes = m_limits.snapshot_bytes;
         std::filesystem::remove_all(m_root);
         for (std::uint16_t n = 1; n <= count; ++n)
         {
@@ -131,6 +132,7 @@
             m_error = error_of(folder).detail;
             return false;
         }
+        value_of(folder)->limit_log(m_limits.log_bytes);
         replica_start found = value_of(folder)->recovered_state(group);
         m.machine = std::make_unique<key_values>();
         if (!found.base.data.empty())
@@ -357,6 +359,7 @@
 
     std::filesystem::path m_root;
     replica_settings m_settings;
+    storage_limits m_limits;
     membership m_founders;
     std::map<replica_id, member> m_members;
     std::vector<replica_envelope> m_sent;
