--- a/include/walkthread/fabric/replica_storage.hpp
+++ b/include/walkthread/fabric/replica_storage.hpp
@@ -72,11 +72,13 @@
   private:
     disk_task begin(disk_work kind, std::function<result<done, storage_error>()> run);
     [[nodiscard]] std::optional<disk_task> maintenance_task();
+    disk_task snapshot_task();
 
     std::unique_ptr<data_folder> m_folder;
     replicated_group& m_group;
     std::optional<disk_work> m_in_progress;
-    bool m_has_output = false;  ///< output was added that is not durable yet
+    std::shared_ptr<const snapshot> m_unstored_snapshot; ///< being stored
+    bool m_has_output = false;                           ///< output was added that is not durable yet
     bool m_log_written = false; ///< the last task was a log write: maintenance has its turn
     bool m_log_refused = false;
     monotonic_time m_retry_at{};
--- a/include/walkthread/replication/replica.hpp
+++ b/include/walkthread/replication/replica.hpp
@@ -141,9 +141,11 @@
     /// @brief Reports that all output taken so far is durable; a leader then counts its own copy for the
     /// quorum.
     void synced(monotonic_time now);
-    /// @brief Compacts the log, given the state machine's serialized state at `index`.
-    /// @return the snapshot to store
-    [[nodiscard]] snapshot compact(log_index index, std::string data);
+    /// @brief The snapshot to store, given the state machine's serialized state at `index`. The log is kept
+    /// until `compact`, as the snapshot may not be stored.
+    [[nodiscard]] snapshot make_snapshot(log_index index, std::string data) const;
+    /// @brief Compacts the log once a snapshot is stored; without effect if a later one has been installed.
+    void compact(const snapshot& stored);
     /// @brief Whether entries of enough number or size have been applied since the last snapshot to take
     /// another one.
     [[nodiscard]] bool snapshot_due() const;
@@ -256,6 +258,7 @@
     [[nodiscard]] std::size_t election_rank() const;
     [[nodiscard]] log_index find_conflict_hint(log_index previous) const;
     [[nodiscard]] log_index first_index_to_keep(log_index snapshot_index) const;
+    [[nodiscard]] membership members_at(log_index index) const;
 
     group_id m_group;
     replica_id m_self;
--- a/include/walkthread/replication/replicated_group.hpp
+++ b/include/walkthread/replication/replicated_group.hpp
@@ -48,8 +48,8 @@
     void propose(wall_ms at, std::string command, result_handler handler, monotonic_time now);
     /// @brief Applies committed entries. @return number of entries applied
     std::size_t apply(const replica_output& output);
-    /// @brief Takes a snapshot and compacts the log if that is due. @return the snapshot to store, if any
-    [[nodiscard]] std::optional<snapshot> compact_if_due();
+    /// @brief A snapshot of what has been applied, to be stored and then passed to `replica::compact`.
+    [[nodiscard]] snapshot make_snapshot() const;
 
     [[nodiscard]] replica& core()
     {
@@ -74,7 +74,10 @@
         return m_applied;
     }
     /// @brief The state of this group that a rewritten log file must contain.
-    [[nodiscard]] replica_start retained_state() const;
+    /// @param stored index of the newest snapshot on the disk
+    /// @return the state; no value if entries after `stored` are no longer in the log, because a snapshot
+    ///         that replaces them has been received but not stored
+    [[nodiscard]] std::optional<replica_start> retained_state(log_index stored) const;
 
   private:
     struct pending_proposal
@@ -89,7 +92,6 @@
     replica m_core;
     state_machine_hooks m_hooks;
     log_index m_applied{};
-    log_index m_stored_snapshot{};
     std::map<log_index, pending_proposal> m_pending_proposals;
 };
 
--- a/include/walkthread/storage/data_folder.hpp
+++ b/include/walkthread/storage/data_folder.hpp
@@ -115,8 +115,11 @@
     /// @return success; cannot_write, after which the batch is kept and the call may be repeated; or
     ///         cannot_sync, after which the process must stop
     [[nodiscard]] result<done, storage_error> sync();
-    /// @brief Stores a snapshot that the replica took of its own state.
+    /// @brief Stores a snapshot that the replica took of its own state, and makes the batch durable. If it
+    /// fails, `stored_snapshot` tells whether the snapshot was stored before.
     [[nodiscard]] result<done, storage_error> store_snapshot(group_id group, const snapshot& content);
+    /// @brief Index of the newest snapshot of a group that is on the disk; 0 for none.
+    [[nodiscard]] log_index stored_snapshot(group_id group) const;
     /// @brief Sets the size above which the log is rewritten, even if it has not grown much since the last
     /// time.
     void limit_log(std::uint64_t bytes);
@@ -147,6 +150,7 @@
     void apply_record(log_record record);
     result<done, storage_error> open_log(std::uint64_t number);
     result<done, storage_error> flush(std::string_view bytes);
+    result<done, storage_error> write_snapshot(group_id group, const snapshot& content);
     void schedule_rewrite();
 
     std::string m_path;
@@ -161,6 +165,7 @@
     std::uint64_t m_rewrite_at = 0;
     std::string m_batch;
     std::vector<std::pair<group_id, snapshot>> m_snapshots;
+    std::map<group_id, log_index> m_stored_snapshots;
     std::uint64_t m_bytes_written = 0;
     std::uint64_t m_syncs = 0;
 };
--- a/src/fabric/replica_storage.cpp
+++ b/src/fabric/replica_storage.cpp
@@ -50,25 +50,36 @@
 
 std::optional<disk_task> replica_storage::maintenance_task()
 {
-    if (std::optional<snapshot> made = m_group.compact_if_due())
+    if (m_group.core().snapshot_due())
     {
-        return begin(disk_work::snapshot,
-                     [this, content = std::move(*made)]
-                     {
-                         return m_folder->store_snapshot(m_group.id(), content);
-                     });
+        return snapshot_task();
     }
-    if (m_folder->rewrite_due())
+    if (!m_folder->rewrite_due())
     {
-        std::map<group_id, replica_start> live;
-        live[m_group.id()] = m_group.retained_state();
-        return begin(disk_work::rewrite,
-                     [this, content = std::move(live)]
-                     {
-                         return m_folder->rewrite(content);
-                     });
+        return std::nullopt;
+    }
+    auto retained = m_group.retained_state(m_folder->stored_snapshot(m_group.id()));
+    if (!retained)
+    {
+        return std::nullopt;
     }
-    return std::nullopt;
+    std::map<group_id, replica_start> live;
+    live[m_group.id()] = std::move(*retained);
+    return begin(disk_work::rewrite,
+                 [this, content = std::move(live)]
+                 {
+                     return m_folder->rewrite(content);
+                 });
+}
+
+disk_task replica_storage::snapshot_task()
+{
+    m_unstored_snapshot = std::make_shared<const snapshot>(m_group.make_snapshot());
+    return begin(disk_work::snapshot,
+                 [this, content = m_unstored_snapshot]
+                 {
+                     return m_folder->store_snapshot(m_group.id(), *content);
+                 });
 }
 
 disk_task replica_storage::begin(disk_work kind, std::function<result<done, storage_error>()> run)
@@ -81,6 +92,12 @@
 {
     disk_report report;
     const bool log_write = std::exchange(m_in_progress, std::nullopt) == disk_work::log_write;
+    // The entries that a snapshot covers are dropped only now, as the disk may have refused it.
+    if (const auto made = std::exchange(m_unstored_snapshot, nullptr);
+        made && m_folder->stored_snapshot(m_group.id()) == made->index)
+    {
+        m_group.core().compact(*made);
+    }
     if (!ok(outcome))
     {
         report.failed = error_of(outcome).code != storage_code::cannot_write;
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -259,16 +259,18 @@
 {
     for (auto& [id, owned] : m_groups)
     {
-        const std::optional<snapshot> made = m_failed ? std::nullopt : owned.group->compact_if_due();
-        if (!made)
+        if (m_failed || !owned.group->core().snapshot_due())
         {
             continue;
         }
-        const auto stored = m_folder->store_snapshot(id, *made);
+        const snapshot made = owned.group->make_snapshot();
+        const auto stored = m_folder->store_snapshot(id, made);
         if (!ok(stored))
         {
             fail(error_of(stored));
+            continue;
         }
+        owned.group->core().compact(made);
     }
     if (m_failed || m_folder == nullptr || !m_folder->rewrite_due())
     {
@@ -277,7 +279,12 @@
     std::map<group_id, replica_start> live;
     for (auto& [id, owned] : m_groups)
     {
-        live[id] = owned.group->retained_state();
+        auto retained = owned.group->retained_state(m_folder->stored_snapshot(id));
+        if (!retained)
+        {
+            return;
+        }
+        live[id] = std::move(*retained);
     }
     const auto rewritten = m_folder->rewrite(live);
     if (!ok(rewritten))
--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -223,32 +223,42 @@
     advance_commit(now);
 }
 
-snapshot replica::compact(log_index index, std::string data)
+snapshot replica::make_snapshot(log_index index, std::string data) const
 {
-    snapshot out{index, m_log.term_at(index).value_or(m_snapshot_term), m_base_members, std::move(data)};
-    for (log_index i = after(m_log.base_index()); i <= index; i = after(i))
+    snapshot out{index, m_log.term_at(index).value_or(m_snapshot_term), members_at(index), std::move(data)};
+    return out;
+}
+
+void replica::compact(const snapshot& stored)
+{
+    if (stored.index <= m_snapshot_index)
     {
-        if (m_log.at(i).type() == entry_kind::members)
-        {
-            out.members = std::get<0>(decode<membership>(m_log.at(i).data));
-        }
+        return;
     }
-    m_snapshot_index = index;
-    m_snapshot_term = out.term;
-    m_snapshot_data = out.data;
-    m_snapshot_members = out.members;
+    m_snapshot_index = stored.index;
+    m_snapshot_term = stored.term;
+    m_snapshot_data = stored.data;
+    m_snapshot_members = stored.members;
     m_bytes_since_snapshot = 0;
-    const log_index cut{first_index_to_keep(index).value() - 1};
-    if (cut > m_log.base_index())
+    for (log_index i = after(stored.index); i <= m_applied; i = after(i))
+    {
+        m_bytes_since_snapshot += size_of(m_log.at(i));
+    }
+    const log_index cut{first_index_to_keep(stored.index).value() - 1};
+    m_base_members = members_at(cut);
+    m_log.discard_to(cut);
+}
+
+// The membership that the entries up to `index` result in.
+membership replica::members_at(log_index index) const
+{
+    membership out = m_base_members;
+    for (log_index i = after(m_log.base_index()); i <= index; i = after(i))
     {
-        for (log_index i = after(m_log.base_index()); i <= cut; i = after(i))
+        if (m_log.at(i).type() == entry_kind::members)
         {
-            if (m_log.at(i).type() == entry_kind::members)
-            {
-                m_base_members = std::get<0>(decode<membership>(m_log.at(i).data));
-            }
+            out = std::get<0>(decode<membership>(m_log.at(i).data));
         }
-        m_log.discard_to(cut);
     }
     return out;
 }
--- a/src/replication/replicated_group.cpp
+++ b/src/replication/replicated_group.cpp
@@ -6,8 +6,7 @@
 {
 
 replicated_group::replicated_group(group_id id, replica core, state_machine_hooks hooks)
-    : m_id(id), m_core(std::move(core)), m_hooks(std::move(hooks)), m_applied(m_core.commit_index()),
-      m_stored_snapshot(m_core.commit_index())
+    : m_id(id), m_core(std::move(core)), m_hooks(std::move(hooks)), m_applied(m_core.commit_index())
 {
 }
 
@@ -29,7 +28,6 @@
     {
         m_hooks.load(output.install->data);
         m_applied = output.install->index;
-        m_stored_snapshot = output.install->index;
     }
     for (const log_entry& entry : output.apply)
     {
@@ -58,23 +56,22 @@
     }
 }
 
-std::optional<snapshot> replicated_group::compact_if_due()
+snapshot replicated_group::make_snapshot() const
 {
-    if (!m_core.snapshot_due())
-    {
-        return std::nullopt;
-    }
-    m_stored_snapshot = m_applied;
-    return m_core.compact(m_applied, m_hooks.save());
+    return m_core.make_snapshot(m_applied, m_hooks.save());
 }
 
-replica_start replicated_group::retained_state() const
+std::optional<replica_start> replicated_group::retained_state(log_index stored) const
 {
+    const log_tail& log = m_core.log();
+    if (stored < log.base_index())
+    {
+        return std::nullopt;
+    }
     replica_start part;
     part.state = m_core.persistent_state();
-    part.base.index = m_stored_snapshot;
-    const log_tail& log = m_core.log();
-    for (log_index i{m_stored_snapshot.value() + 1}; i <= log.last_index(); i = log_index{i.value() + 1})
+    part.base.index = stored;
+    for (log_index i{stored.value() + 1}; i <= log.last_index(); i = log_index{i.value() + 1})
     {
         part.entries.push_back(log.at(i));
     }
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -187,6 +187,7 @@
                                  snapshot_name(group) + " is missing, unreadable or outdated."};
         }
         start.base = value_of(content);
+        m_stored_snapshots[group] = start.base.index;
         const log_index covered = start.base.index;
         std::erase_if(start.entries,
                       [covered](const log_entry& e)
@@ -283,7 +284,7 @@
 {
     for (const auto& [group, content] : m_snapshots)
     {
-        const auto stored = detail::replace_file(m_files, m_path, snapshot_name(group), encode(content));
+        const auto stored = write_snapshot(group, content);
         if (!ok(stored))
         {
             return stored;
@@ -321,9 +322,25 @@
     return done{};
 }
 
-result<done, storage_error> data_folder::store_snapshot(group_id group, const snapshot& content)
+result<done, storage_error> data_folder::write_snapshot(group_id group, const snapshot& content)
 {
     const auto stored = detail::replace_file(m_files, m_path, snapshot_name(group), encode(content));
+    if (ok(stored))
+    {
+        m_stored_snapshots[group] = content.index;
+    }
+    return stored;
+}
+
+log_index data_folder::stored_snapshot(group_id group) const
+{
+    const auto found = m_stored_snapshots.find(group);
+    return found == m_stored_snapshots.end() ? log_index{} : found->second;
+}
+
+result<done, storage_error> data_folder::store_snapshot(group_id group, const snapshot& content)
+{
+    const auto stored = write_snapshot(group, content);
     if (!ok(stored))
     {
         return stored;
