--- a/include/walkthread/fabric/core_node.hpp
+++ b/include/walkthread/fabric/core_node.hpp
@@ -82,6 +82,7 @@
     void end_leading(std::string_view reason);
     void handle_disk_refusal(const storage_error& error);
     void handle_disk_recovery();
+    void log_maintenance(const disk_report& report, const result<done, storage_error>& outcome);
     void handle_join(const join_request& request, monotonic_time now);
     void request_join(monotonic_time now);
     void review_members(monotonic_time now);
--- a/include/walkthread/fabric/replica_host.hpp
+++ b/include/walkthread/fabric/replica_host.hpp
@@ -28,6 +28,8 @@
     std::function<void(const storage_error&)> disk_failed;  ///< permanent failure: the process has to stop
     std::function<void(const storage_error&)> disk_refuses; ///< transient failure: the write is retried
     std::function<void()> disk_accepts; ///< the first successful write after a transient failure
+    /// A snapshot or a rewriting of the log ended, with success or not.
+    std::function<void(const disk_report&, const result<done, storage_error>&)> maintenance_ended;
 };
 
 /// @brief One replica with its data folder. To be used from the event loop's thread only.
--- a/include/walkthread/fabric/replica_storage.hpp
+++ b/include/walkthread/fabric/replica_storage.hpp
@@ -34,10 +34,14 @@
 /// @brief What the outcome of a task means for the replica.
 struct disk_report
 {
-    bool failed{};      ///< permanent failure: the process has to stop
-    bool log_durable{}; ///< all output added so far is durable
-    bool refuses{};     ///< the log write was refused and will be tried again
-    bool accepts{};     ///< the first log write that succeeded after a refusal
+    disk_work kind{};               ///< of the task
+    bool failed{};                  ///< permanent failure: the process has to stop
+    bool log_durable{};             ///< all output added so far is durable
+    bool refuses{};                 ///< the log write was refused and will be tried again
+    bool accepts{};                 ///< the first log write that succeeded after a refusal
+    bool refuses_maintenance{};     ///< a snapshot or a rewriting was refused, which leaves the log usable
+    std::uint64_t log_bytes{};      ///< size of the log file
+    std::uint64_t snapshot_bytes{}; ///< size of the state in a snapshot that was stored
 };
 
 /// @brief The data folder of one replica and the order of its work. Used by the thread that runs the replica.
@@ -54,7 +58,7 @@
     /// @brief Whether output added earlier is not durable yet or a task is in progress.
     [[nodiscard]] bool busy() const
     {
-        return m_in_progress || m_log_refused;
+        return m_in_progress || m_has_output;
     }
     /// @brief The next task, which the caller must run and then report by `finish`; no value if there is
     /// nothing to do at `now` or a task is in progress.
@@ -70,9 +74,12 @@
     }
 
   private:
+    void retry_log_write(monotonic_time now);
+    void delay_maintenance(disk_work refused, monotonic_time now);
     disk_task begin(disk_work kind, std::function<result<done, storage_error>()> run);
     [[nodiscard]] std::optional<disk_task> maintenance_task();
     disk_task snapshot_task();
+    [[nodiscard]] std::optional<disk_task> rewrite_task();
 
     std::unique_ptr<data_folder> m_folder;
     replicated_group& m_group;
@@ -82,6 +89,9 @@
     bool m_log_written = false; ///< the last task was a log write: maintenance has its turn
     bool m_log_refused = false;
     monotonic_time m_retry_at{};
+    std::optional<disk_work> m_refused_maintenance;
+    milliseconds m_maintenance_delay{}; ///< after the last refusal of a snapshot or rewriting; 0 for none
+    monotonic_time m_maintenance_at{};  ///< neither of both is tried before
 };
 
 } // namespace walkthread
--- a/include/walkthread/storage/data_folder.hpp
+++ b/include/walkthread/storage/data_folder.hpp
@@ -132,6 +132,11 @@
     /// @param live each group's current hard state, snapshot index and log tail
     [[nodiscard]] result<done, storage_error> rewrite(const std::map<group_id, replica_start>& live);
 
+    /// @brief Size of the log file.
+    [[nodiscard]] std::uint64_t log_bytes() const
+    {
+        return m_log_bytes;
+    }
     /// @brief Bytes written since the folder was opened.
     [[nodiscard]] std::uint64_t bytes_written() const
     {
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -160,6 +160,11 @@
     {
         handle_disk_recovery();
     };
+    replica_hooks.maintenance_ended =
+        [this](const disk_report& report, const result<done, storage_error>& outcome)
+    {
+        log_maintenance(report, outcome);
+    };
     m_replica = std::make_unique<replica_host>(m_loop, std::move(folder), std::move(group),
                                                std::move(replica_hooks), m_core_settings.tick);
 }
@@ -291,6 +296,23 @@
                       });
 }
 
+// A refusal here leaves the log usable, so this process may go on leading.
+void core_node::log_maintenance(const disk_report& report, const result<done, storage_error>& outcome)
+{
+    const char* work = report.kind == disk_work::snapshot ? "snapshot" : "rewrite";
+    if (!ok(outcome))
+    {
+        log_event("disk_maintenance_refused", {},
+                  {{"work", work},
+                   {"error", error_of(outcome).number()},
+                   {"detail", error_of(outcome).detail},
+                   {"log_bytes", report.log_bytes}});
+        return;
+    }
+    log_event("disk_maintained", {},
+              {{"work", work}, {"log_bytes", report.log_bytes}, {"state_bytes", report.snapshot_bytes}});
+}
+
 void core_node::handle_disk_recovery()
 {
     m_disk_refuses = false;
--- a/src/fabric/replica_host.cpp
+++ b/src/fabric/replica_host.cpp
@@ -205,6 +205,10 @@
     {
         m_hooks.disk_refuses(error_of(outcome));
     }
+    if (report.kind != disk_work::log_write)
+    {
+        m_hooks.maintenance_ended(report, outcome);
+    }
     if (report.accepts)
     {
         m_hooks.disk_accepts();
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint64_t rewrite_factor = 4;
 const std::string identity_name = "identity";
 const std::string log_prefix = "wal-";
+const std::string temporary_suffix = ".new";
 
 std::string log_name(std::uint64_t number)
 {
@@ -40,7 +41,7 @@
     for (const auto& item : std::filesystem::directory_iterator(path))
     {
         const std::string name = item.path().filename().string();
-        if (name.starts_with(log_prefix) && !name.ends_with(".new"))
+        if (name.starts_with(log_prefix) && !name.ends_with(temporary_suffix))
         {
             numbers.push_back(std::stoull(name.substr(log_prefix.size())));
         }
@@ -49,6 +50,19 @@
     return numbers;
 }
 
+/// Removes what a process left behind that ended while it replaced a file.
+void remove_temporary_files(const std::string& path)
+{
+    std::error_code ignored; // such a file takes space, but nothing reads it
+    for (const auto& item : std::filesystem::directory_iterator(path))
+    {
+        if (item.path().filename().string().ends_with(temporary_suffix))
+        {
+            std::filesystem::remove(item.path(), ignored);
+        }
+    }
+}
+
 /// Reads the identity of a folder, or stores the new one if the folder is empty.
 result<folder_identity, storage_error>
 find_identity(const std::string& path, const folder_identity& new_identity, const file_operations& files)
@@ -116,6 +130,7 @@
     {
         return storage_error{storage_code::cannot_open, path + ": " + failure.message()};
     }
+    remove_temporary_files(path);
     auto identity = find_identity(path, new_identity, files);
     if (!ok(identity))
     {
@@ -145,6 +160,13 @@
             return loaded;
         }
     }
+    // A log file is complete once it exists, so that older ones were only left by a process that ended before
+    // it removed them.
+    std::error_code ignored;
+    for (std::size_t i = 0; i + 1 < numbers.size(); ++i)
+    {
+        std::filesystem::remove(m_path + '/' + log_name(numbers[i]), ignored);
+    }
     return open_log(numbers.empty() ? 1 : numbers.back());
 }
 
@@ -389,7 +411,8 @@
     m_log_bytes = bytes.size();
     m_rewritten_bytes = m_log_bytes;
     schedule_rewrite();
-    std::filesystem::remove(m_path + '/' + log_name(old));
+    std::error_code ignored; // the file would be removed at the next start
+    std::filesystem::remove(m_path + '/' + log_name(old), ignored);
     return detail::sync_folder(m_path);
 }
 
--- a/src/storage/files.cpp
+++ b/src/storage/files.cpp
@@ -91,20 +91,20 @@
     {
         return open_error(temporary_path);
     }
-    const auto written = write_all(files, handle, bytes);
-    const bool synced = ok(written) && files.sync(handle) == 0;
-    ::close(handle);
-    if (!ok(written))
+    result<done, storage_error> outcome = write_all(files, handle, bytes);
+    if (ok(outcome) && files.sync(handle) != 0)
     {
-        return written;
+        outcome = last_error(storage_code::cannot_sync, temporary_path);
     }
-    if (!synced)
+    ::close(handle);
+    if (ok(outcome) && ::rename(temporary_path.c_str(), (folder + '/' + name).c_str()) != 0)
     {
-        return last_error(storage_code::cannot_sync, temporary_path);
+        outcome = last_error(storage_code::cannot_write, name);
     }
-    if (::rename(temporary_path.c_str(), (folder + '/' + name).c_str()) != 0)
+    if (!ok(outcome))
     {
-        return last_error(storage_code::cannot_write, name);
+        ::unlink(temporary_path.c_str()); // on a full disk its space is needed
+        return outcome;
     }
     return sync_folder(folder);
 }
