A restarting replica holds its recovered log once

The data folder read the log file through a stream, which doubles it, and kept the recovered entries for its lifetime beside those of the replica: four copies of the log while a process starts, two afterwards. With a log of up to a quarter of the disk (32 MB of 128) this is half of the 256 MB of a core process. It is read in one piece now, and the recovered state is handed over.

--- a/include/walkthread/storage/data_folder.hpp
+++ b/include/walkthread/storage/data_folder.hpp
@@ -106,8 +106,9 @@
     {
         return m_identity;
     }
-    /// @brief The recovered state of a group; empty for a group without records.
-    [[nodiscard]] replica_start recovered_state(group_id group) const;
+    /// @brief Hands over the recovered state of a group, which this object does not keep; empty for a group
+    /// without records and for a second call.
+    [[nodiscard]] replica_start take_recovered_state(group_id group);
 
     /// @brief Adds a replica's output to the batch. Nothing is durable before `sync`.
     void add(group_id group, const replica_output& output);
@@ -123,6 +124,10 @@
     /// @brief Sets the size above which the log is rewritten, even if it has not grown much since the last
     /// time.
     void limit_log(std::uint64_t bytes);
+    [[nodiscard]] std::uint64_t log_limit() const
+    {
+        return m_log_limit;
+    }
     /// @brief Whether the log has grown enough to be rewritten.
     [[nodiscard]] bool rewrite_due() const
     {
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -120,7 +120,7 @@
     {
         return m_state.load(bytes);
     };
-    replica_start start = folder->recovered_state(workload_group);
+    replica_start start = folder->take_recovered_state(workload_group);
     if (!start.base.data.empty())
     {
         m_state.load(start.base.data);
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -39,7 +39,7 @@
     timing.election_timeout = m_settings.timing.election;
     timing.max_election_timeout = m_settings.timing.election;
     timing.vote_timeout = m_settings.timing.election;
-    replica_start start = m_folder->recovered_state(id);
+    replica_start start = m_folder->take_recovered_state(id);
     if (!start.base.data.empty() && !hooks.load(start.base.data))
     {
         fail({storage_code::damaged, "A stored snapshot could not be loaded."});
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -251,10 +251,13 @@
     }
 }
 
-replica_start data_folder::recovered_state(group_id group) const
+replica_start data_folder::take_recovered_state(group_id group)
 {
-    const auto found = m_recovered.find(group);
-    replica_start start = found == m_recovered.end() ? replica_start{} : found->second;
+    replica_start start;
+    if (auto found = m_recovered.extract(group))
+    {
+        start = std::move(found.mapped());
+    }
     const auto founding = m_identity.founding.find(group);
     if (start.base.index.value() == 0 && founding != m_identity.founding.end())
     {
--- a/src/storage/files.cpp
+++ b/src/storage/files.cpp
@@ -4,7 +4,6 @@
 #include <cstring>
 #include <fcntl.h>
 #include <fstream>
-#include <sstream>
 #include <unistd.h>
 
 namespace walkthread::detail
@@ -37,14 +36,19 @@
 
 result<std::string, storage_error> read_file(const std::string& path)
 {
-    std::ifstream file(path, std::ios::binary);
+    std::ifstream file(path, std::ios::binary | std::ios::ate);
     if (!file)
     {
         return last_error(storage_code::cannot_open, path);
     }
-    std::ostringstream bytes;
-    bytes << file.rdbuf();
-    return bytes.str();
+    std::string bytes(static_cast<std::size_t>(file.tellg()), '\0');
+    file.seekg(0);
+    file.read(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+    if (!file)
+    {
+        return last_error(storage_code::cannot_open, path);
+    }
+    return bytes;
 }
 
 result<done, storage_error> write_all(const file_operations& files, int file, std::string_view bytes)
--- a/tests/src/limited_disk.hpp
+++ b/tests/src/limited_disk.hpp
@@ -138,7 +138,7 @@
             return false;
         }
         value_of(folder)->limit_log(m_limits.log_bytes);
-        replica_start found = value_of(folder)->recovered_state(group);
+        replica_start found = value_of(folder)->take_recovered_state(group);
         m.machine = std::make_unique<key_values>();
         if (!found.base.data.empty())
         {
--- a/tests/src/unit-storage.cpp
+++ b/tests/src/unit-storage.cpp
@@ -86,7 +86,7 @@
 {
     const temporary_folder scratch;
     write(*open_valid(scratch.path), entries(1, 5, 2));
-    const replica_start found = open_valid(scratch.path)->recovered_state(group);
+    const replica_start found = open_valid(scratch.path)->take_recovered_state(group);
     BOOST_TEST(found.entries.size() == 5U);
     BOOST_TEST(found.state.term.value() == 2U);
 }
@@ -97,7 +97,7 @@
     const auto folder = open_valid(scratch.path);
     write(*folder, entries(1, 5, 1));
     write(*folder, entries(3, 3, 2));
-    const replica_start found = open_valid(scratch.path)->recovered_state(group);
+    const replica_start found = open_valid(scratch.path)->take_recovered_state(group);
     BOOST_REQUIRE_EQUAL(found.entries.size(), 3U);
     BOOST_TEST(found.entries.back().term.value() == 2U);
 }
@@ -113,7 +113,7 @@
     for (std::size_t size = synced; size < whole.size(); ++size)
     {
         write_all(log_path(scratch), whole.substr(0, size));
-        BOOST_REQUIRE_EQUAL(open_valid(scratch.path)->recovered_state(group).entries.size(), 2U);
+        BOOST_REQUIRE_EQUAL(open_valid(scratch.path)->take_recovered_state(group).entries.size(), 2U);
         BOOST_REQUIRE_LE(read_all(log_path(scratch)).size(), size);
     }
 }
@@ -155,7 +155,7 @@
     const auto folder = open_valid(scratch.path);
     write(*folder, entries(1, 10, 1));
     BOOST_REQUIRE(ok(folder->store_snapshot(group, snapshot{log_index{8}, term_id{1}, {}, "state"})));
-    const replica_start found = open_valid(scratch.path)->recovered_state(group);
+    const replica_start found = open_valid(scratch.path)->take_recovered_state(group);
     BOOST_TEST(found.base.data == "state");
     BOOST_TEST(found.entries.size() == 2U);
 }
@@ -172,7 +172,7 @@
     live.entries = entries(991, 1000, 1).append;
     BOOST_REQUIRE(ok(folder->rewrite({{group, live}})));
     write(*folder, entries(1001, 1001, 1));
-    const replica_start found = open_valid(scratch.path)->recovered_state(group);
+    const replica_start found = open_valid(scratch.path)->take_recovered_state(group);
     BOOST_TEST(found.base.index.value() == 990U);
     BOOST_TEST(found.entries.size() == 11U);
     BOOST_TEST(!std::filesystem::exists(log_path(scratch)));
@@ -194,7 +194,7 @@
     ::setrlimit(RLIMIT_FSIZE, &before);
     BOOST_REQUIRE(!ok(synced));
     BOOST_TEST((error_of(synced).code == storage_code::cannot_write));
-    BOOST_TEST(open_valid(scratch.path)->recovered_state(group).entries.size() == 100U);
+    BOOST_TEST(open_valid(scratch.path)->take_recovered_state(group).entries.size() == 100U);
 }
 
 // A leader of 1,100 workers had no file descriptor left for its snapshot and terminated, because every failed
@@ -226,7 +226,7 @@
         BOOST_TEST(ok(synced));
         BOOST_TEST(ok(folder->store_snapshot(group, content)));
     }
-    const replica_start found = open_valid(scratch.path)->recovered_state(group);
+    const replica_start found = open_valid(scratch.path)->take_recovered_state(group);
     BOOST_TEST(found.base.index.value() == 5U);
     BOOST_TEST(found.entries.size() == 3U);
 }
