--- a/include/walkthread/fabric/replica_storage.hpp
+++ b/include/walkthread/fabric/replica_storage.hpp
@@ -85,6 +85,7 @@
     replicated_group& m_group;
     std::optional<disk_work> m_in_progress;
     std::shared_ptr<const snapshot> m_unstored_snapshot; ///< being stored
+    std::uint64_t m_state_bytes = 0; ///< size of the last snapshot; 0 if none was stored since the start
     bool m_has_output = false;                           ///< output was added that is not durable yet
     bool m_log_written = false; ///< the last task was a log write: maintenance has its turn
     bool m_log_refused = false;
--- a/include/walkthread/replication/replica.hpp
+++ b/include/walkthread/replication/replica.hpp
@@ -150,6 +150,12 @@
     /// another one.
     [[nodiscard]] bool snapshot_due() const;
 
+    /// @brief Size of the entries applied since the last snapshot.
+    [[nodiscard]] std::uint64_t bytes_since_snapshot() const
+    {
+        return m_bytes_since_snapshot;
+    }
+
     [[nodiscard]] replica_role role() const
     {
         return m_role;
--- a/src/fabric/replica_storage.cpp
+++ b/src/fabric/replica_storage.cpp
@@ -55,15 +55,17 @@
 std::optional<disk_task> replica_storage::maintenance_task()
 {
     const bool rewrite_due = m_folder->rewrite_due();
-    const bool snapshot_due = m_group.core().snapshot_due();
-    // If one of both does not fit on the disk, the other may, and makes it smaller.
-    if (rewrite_due && (!snapshot_due || m_refused_maintenance == disk_work::snapshot) &&
-        m_refused_maintenance != disk_work::rewrite)
+    // A rewriting copies all entries since the snapshot, so a new snapshot comes first if it is smaller. If
+    // one of both does not fit on the disk, the other may, and makes it smaller.
+    const std::uint64_t copied = m_group.core().bytes_since_snapshot();
+    const bool snapshot_saves = copied > m_state_bytes || m_refused_maintenance == disk_work::rewrite;
+    const bool has_news = m_group.applied() > m_folder->stored_snapshot(m_group.id());
+    const bool snapshot_due = has_news && (m_group.core().snapshot_due() || (rewrite_due && snapshot_saves));
+    if (rewrite_due && (!snapshot_due || m_refused_maintenance == disk_work::snapshot))
     {
         return rewrite_task();
     }
-    const bool has_news = m_group.applied() > m_folder->stored_snapshot(m_group.id());
-    return snapshot_due || (rewrite_due && has_news) ? std::optional(snapshot_task()) : std::nullopt;
+    return snapshot_due ? std::optional(snapshot_task()) : std::nullopt;
 }
 
 std::optional<disk_task> replica_storage::rewrite_task()
@@ -109,7 +111,8 @@
     if (stored)
     {
         m_group.core().compact(*made);
-        report.snapshot_bytes = made->data.size();
+        m_state_bytes = made->data.size();
+        report.snapshot_bytes = m_state_bytes;
     }
     if (!ok(outcome))
     {
