A configuration that the log has no room for is refused at once

Above twice the limit a leader answers a new configuration with 503, which the operator sends again elsewhere and later; submissions and ends of runs go on. The log has the figures (`configuration_refused`), the metrics the size of the log and its limit. A file size limit of the process acts like a full disk instead of ending the process.

--- a/include/walkthread/fabric/replica_host.hpp
+++ b/include/walkthread/fabric/replica_host.hpp
@@ -56,6 +56,10 @@
     {
         return *m_group;
     }
+    [[nodiscard]] const replica_storage& storage() const
+    {
+        return m_storage;
+    }
     [[nodiscard]] std::uint64_t syncs() const
     {
         return m_storage.folder().syncs();
--- a/include/walkthread/fabric/replica_storage.hpp
+++ b/include/walkthread/fabric/replica_storage.hpp
@@ -68,6 +68,17 @@
     /// @brief When a refused log write is to be tried again; no value if none was refused.
     [[nodiscard]] std::optional<monotonic_time> retry_at() const;
 
+    /// @brief Whether the log is within twice its limit. It grows past that only while the disk refuses
+    /// snapshots or rewritings, and large changes that can be sent again later should then be refused.
+    [[nodiscard]] bool has_room() const
+    {
+        return m_log_bytes <= 2 * m_folder->log_limit();
+    }
+    /// @brief Size of the log file after the last task.
+    [[nodiscard]] std::uint64_t log_bytes() const
+    {
+        return m_log_bytes;
+    }
     [[nodiscard]] const data_folder& folder() const
     {
         return *m_folder;
@@ -86,8 +97,9 @@
     std::optional<disk_work> m_in_progress;
     std::shared_ptr<const snapshot> m_unstored_snapshot; ///< being stored
     std::uint64_t m_state_bytes = 0; ///< size of the last snapshot; 0 if none was stored since the start
-    bool m_has_output = false;                           ///< output was added that is not durable yet
-    bool m_log_written = false; ///< the last task was a log write: maintenance has its turn
+    std::uint64_t m_log_bytes;       ///< copied, as the folder belongs to the disk's thread during a task
+    bool m_has_output = false;       ///< output was added that is not durable yet
+    bool m_log_written = false;      ///< the last task was a log write: maintenance has its turn
     bool m_log_refused = false;
     monotonic_time m_retry_at{};
     std::optional<disk_work> m_refused_maintenance;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -141,6 +141,7 @@
         std::signal(SIGTERM, on_signal);
         std::signal(SIGINT, on_signal);
         std::signal(SIGPIPE, SIG_IGN);
+        std::signal(SIGXFSZ, SIG_IGN); // a write above the file size limit fails like one on a full disk
         return run(value_of(config), given.init_cell);
     }
     catch (const std::exception& failure)
--- a/src/fabric/core_calls.cpp
+++ b/src/fabric/core_calls.cpp
@@ -258,6 +258,16 @@
         handler(make_reply(reply_kind::done));
         return;
     }
+    if (!m_replica->storage().has_room())
+    {
+        log_event("configuration_refused", {},
+                  {{"version", call.next.version},
+                   {"reason", "no room in the log"},
+                   {"log_bytes", m_replica->storage().log_bytes()},
+                   {"limit", m_settings.storage.log_bytes}});
+        handler(make_reply(reply_kind::unavailable, "The log has no room for a configuration."));
+        return;
+    }
     propose_and_reply(replace_cluster_configuration{call.next}, handler);
 }
 
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -457,6 +457,9 @@
     gauge("walkthread_halls_cordoned", "Halls in which nothing new starts.", m_state.cordons().all().size());
     page.add_count("walkthread_log_syncs_total", "Syncs of the log.",
                    static_cast<double>(m_replica->syncs()));
+    gauge("walkthread_log_bytes", "Size of the log on the disk.", m_replica->storage().log_bytes());
+    gauge("walkthread_log_limit_bytes", "Size at which the log is rewritten at the latest.",
+          m_settings.storage.log_bytes);
     page.add(m_commit_times.collect());
     fill_leading(page);
 }
--- a/src/fabric/replica_storage.cpp
+++ b/src/fabric/replica_storage.cpp
@@ -15,7 +15,7 @@
 } // namespace
 
 replica_storage::replica_storage(std::unique_ptr<data_folder> folder, replicated_group& group)
-    : m_folder(std::move(folder)), m_group(group)
+    : m_folder(std::move(folder)), m_group(group), m_log_bytes(m_folder->log_bytes())
 {
 }
 
@@ -104,7 +104,8 @@
 {
     disk_report report;
     report.kind = std::exchange(m_in_progress, std::nullopt).value_or(disk_work::log_write);
-    report.log_bytes = m_folder->log_bytes();
+    m_log_bytes = m_folder->log_bytes();
+    report.log_bytes = m_log_bytes;
     // The entries that a snapshot covers are dropped only now, as the disk may have refused it.
     const auto made = std::exchange(m_unstored_snapshot, nullptr);
     const bool stored = made && m_folder->stored_snapshot(m_group.id()) == made->index;
