--- a/tests/fakes/platform_cell.py
+++ b/tests/fakes/platform_cell.py
@@ -287,6 +287,7 @@
     """Core and edge processes with their settings, workers and a placement advisor."""
 
     pools, queue_pool = ("pool",), "pool"  # the services of the workers, and the one that the route is sent to
+    unused_routes = 0  # number of further routes in each configuration, which nobody calls
 
     def __init__(self, build, cores=3, edges=2, workers=4, run_seconds=0.3, zones=("a",)):
         self.program = os.path.join(build, "walkthread-platformd")
@@ -407,7 +408,8 @@
         route = {"name": "r", "host": HOST, "path-prefix": prefix, "kind": "non_idempotent", "timeout-ms": 3000,
                  "target-latency-ms": 500, "priority": 0, "service": self.queue_pool, "max-attempts": 2, "stretch": 2.0,
                  "advice": {"decision-ms": 5.0, "each-ms": 0.1, "validity-ms": 1500}}
-        body = {"version": version, "routes": [route], "services": [{"name": p, "rejects-overload": False, "spare": False} for p in self.pools]}
+        unused = [dict(route, name="unused-%d" % n, **{"path-prefix": "/unused-%d/" % n}) for n in range(self.unused_routes)]
+        body = {"version": version, "routes": [route] + unused, "services": [{"name": p, "rejects-overload": False, "spare": False} for p in self.pools]}
         for address in self.operator_addresses():
             status, _ = call(address, "PUT", "/walkthread/config", body)
             if status == 200:
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -16,6 +16,7 @@
          (801, 3, 25, [], "completed tasks ran again: workers that kept their ids took acknowledgements for the former incarnation"),
          (42, 3, 25, ["--evacuate"], "work stalled permanently: a replaced worker that ran on kept its successor from being polled"),
          (51, 3, 15, ["--moves"], "none: a queue that is sent to another pool while work waits and runs"),
+         (61, 3, 15, ["--large"], "none: large configurations in quick succession on small disks"),
          (2, 3, 40, ["--calm"], "an older configuration was read: a partitioned leader counted leases that no follower had granted")]
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,7 @@
 import os
 import random
 import re
+import resource
 import shutil
 import signal
 import sys
@@ -57,13 +58,18 @@
 TERM = re.compile(r"\nwalkthread_term (\d+)")
 COMPLETION_TIMEOUT_S = 60            # time limit for accepted work to finish after the last fault
 CLIENTS = 4
+LARGE_ROUTES = 1440               # with --large: routes of each configuration, as many as a large deployment has
+LARGE_PAUSE_S = (0.02, 0.1)       # with --large: pause between configurations
+DISK_MB = 16                      # with --large: size of each disk; no file may take more than FILE_SHARE of it
+FILE_SHARE = 0.75
 
 
 class SoakCell(PlatformCell):
     """A cell whose processes and workers are reached through proxies."""
 
-    def __init__(self, build, cores, edges, workers, run_seconds, zones=("a",), pools=("pool",)):
-        self.pools = pools
+    def __init__(self, build, cores, edges, workers, run_seconds, zones=("a",), pools=("pool",), large=False):
+        self.pools, self.large = pools, large
+        self.unused_routes = LARGE_ROUTES if large else 0
         self.faults, self.proxies, self.bind, self.sizes, self.poison = Faults(), {}, {}, {}, set()
         super().__init__(build, cores, edges, workers, run_seconds, zones)
 
@@ -72,7 +78,23 @@
             self.bind[number] = free_port()
             ip = loopback(number)
             self.proxies[number] = PeerProxy(ip, (ip, self.peer), (ip, self.bind[number]), self.faults)
-        return ['peer-bind = "%s:%d"' % (loopback(number), self.bind[number])]
+        return ['peer-bind = "%s:%d"' % (loopback(number), self.bind[number])] + (
+            ["limits.disk-mb = %d" % DISK_MB] if self.large else [])
+
+    def limit_process(self):
+        if self.large:
+            limit = int(FILE_SHARE * DISK_MB * 2**20)
+            resource.setrlimit(resource.RLIMIT_FSIZE, (limit, limit))
+
+    def disk_bytes(self, number):
+        """Bytes of the files in a core process's data folder."""
+        total = 0
+        for entry in os.scandir(os.path.join(self.folder, "disk-%d" % number)):
+            try:
+                total += entry.stat().st_size
+            except FileNotFoundError:
+                pass  # replaced meanwhile
+        return total
 
     def reachable(self, address):
         """Puts a proxy in front of a worker."""
@@ -186,7 +208,9 @@
 
     def run(self):
         while not self.stopping.is_set():
-            time.sleep(self.random.uniform(0.2, 1.0))
+            time.sleep(self.random.uniform(*(LARGE_PAUSE_S if self.cell.large else (0.2, 1.0))))
+            if self.cell.large:
+                self.check_disks()
             if len(self.cell.zones) > 1 and time.monotonic() >= self.next_change:
                 self.change_evacuation()
             self.cell.queue_pool = self.moves.choice(self.cell.pools)
@@ -215,6 +239,15 @@
         if status == 200 and zone not in held["evacuations"]:
             self.checker.fail("the acknowledged evacuation of %s is not listed: %s" % (zone, held))
 
+    def check_disks(self):
+        for number in self.cell.cores:
+            try:
+                used = self.cell.disk_bytes(number)
+            except FileNotFoundError:
+                continue  # its disk is being replaced
+            if used > DISK_MB * 2**20:
+                self.checker.fail("the data folder of process %d takes %d bytes on a disk of %d MB" % (number, used, DISK_MB))
+
     def read(self):
         acked = self.checker.versions_acked
         status, held = call(self.random.choice(self.cell.operator_addresses()), "GET", "/walkthread/config", timeout=1.5)
@@ -352,12 +385,13 @@
     options.add_argument("--gone", action="store_true")
     options.add_argument("--evacuate", action="store_true")
     options.add_argument("--moves", action="store_true")
+    options.add_argument("--large", action="store_true")
     options.add_argument("--keep")
     chosen = options.parse_args()
     workers = chosen.workers + (EXTRA_WORKERS if chosen.gone or chosen.moves else 0)
     cell = SoakCell(chosen.build, chosen.cores, chosen.edges, workers, run_seconds=0.3,
                     zones=("a", "b") if chosen.evacuate else ("a",),
-                    pools=("pool", "reserve") if chosen.moves else ("pool",))
+                    pools=("pool", "reserve") if chosen.moves else ("pool",), large=chosen.large)
     checker, log = GuaranteeChecker(cell), []
     checker.stall_limit_s = STALL_LIMIT_S if chosen.gone else checker.stall_limit_s
     try:
