--- a/include/walkthread/fabric/core_node.hpp
+++ b/include/walkthread/fabric/core_node.hpp
@@ -75,7 +75,7 @@
     }
 
   private:
-    // core_node.cpp: the replica, leadership; core_members.cpp: peers, membership
+    // core_node.cpp: the replica, leadership; core_members.cpp: peers, membership; core_metrics.cpp: metrics
     void open_group(std::unique_ptr<data_folder> folder);
     void changed();
     void begin_leading(monotonic_time now);
--- a/include/walkthread/storage/storage_limits.hpp
+++ b/include/walkthread/storage/storage_limits.hpp
@@ -18,10 +18,11 @@
 /// @since 0.6
 struct storage_limits
 {
-    std::uint64_t snapshot_bytes = 16U
-                                   << 20U; ///< a snapshot is due once entries of this size were applied
-                                           ///< since the last; also the size of the entries kept before it
-    std::uint64_t log_bytes = 32U << 20U;  ///< the log is rewritten once it is larger
+    /// A snapshot is due once entries of this size were applied since the last one. Entries kept in memory
+    /// before a snapshot, for replicas that are behind, have the same limit.
+    std::uint64_t snapshot_bytes = 16U << 20U;
+    /// The log is rewritten once it is larger.
+    std::uint64_t log_bytes = 32U << 20U;
 };
 
 /// @brief The limits for a process.
