--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,7 +2,7 @@
 workers observe.
 
 Usage: soak.py BUILD [--seed N] [--seconds S] [--cores N] [--edges N] [--workers N] [--calm] [--poison] [--gone] [--evacuate] [--moves]
-       [--keep FOLDER]
+       [--large] [--keep FOLDER]
 
 With --calm, one fault at a time hits the leader right after an acknowledgement and is followed by a fault-free period. Rules
 with a time limit are checked only in such periods, which overlapping faults do not leave.
@@ -14,6 +14,8 @@
 
 With --moves, workers are in two pools, and each change of the configuration sends the queue to either.
 
+With --large, configurations of 1,440 routes come in quick succession and disks are small.
+
 With --poison, some submissions have a task that crashes each worker that starts it; they end as failed.
 
 The seed selects the faults, their order and their targets. Timing still differs between runs, as these are real processes.
