The soak's torn writes reach the log

The fault looked for files with "log" in their names; a replica's log is wal-N, so that no byte was ever added and the fault was a plain kill.

--- a/tests/soak/trouble.py
+++ b/tests/soak/trouble.py
@@ -90,7 +90,7 @@
         def act(number):
             self.cell.kill(number)
             folder = os.path.join(self.cell.folder, "disk-%d" % number)
-            logs = [os.path.join(folder, f) for f in os.listdir(folder) if "log" in f] if os.path.isdir(folder) else []
+            logs = [os.path.join(folder, f) for f in os.listdir(folder) if f.startswith("wal-")] if os.path.isdir(folder) else []
             for path in sorted(logs, key=os.path.getmtime)[-1:]:
                 with open(path, "ab") as log:
                     log.write(os.urandom(37))
