A queue's path prefix need not end with a slash

What callers saw: a queue with the prefix "/plain" is acknowledged, and all its submissions are answered 400.

Cause: the entry process looked for the id behind the last slash of the path, while a submission is addressed by the prefix and the id, one behind the other.

The id is now the last 16 characters, and the leader takes a submission only if nothing stands between prefix and id.

Before: process-platform with the former line in handle_caller fails in prefix_without_slash (no 200 in 20 s). After: it passes, and unit-workload covers prefixes with and without a slash.

--- a/include/walkthread/workload/cluster_configuration.hpp
+++ b/include/walkthread/workload/cluster_configuration.hpp
@@ -79,6 +79,10 @@
 [[nodiscard]] const queue_spec* find_queue(const cluster_configuration& held, std::string_view host,
                                            std::string_view path);
 
+/// @brief Whether a path is the queue's prefix and the name of this submission, with nothing between.
+[[nodiscard]] bool addresses_submission(const queue_spec& queue, std::string_view path,
+                                        std::string_view name);
+
 /// @brief The queue with this name; null if there is none.
 [[nodiscard]] const queue_spec* find_queue_by_name(const cluster_configuration& held, std::string_view name);
 
--- a/include/walkthread/workload/names.hpp
+++ b/include/walkthread/workload/names.hpp
@@ -23,6 +23,9 @@
 [[nodiscard]] std::string name_of(const run_ref& run);
 /// @brief Parses 16 hexadecimal digits. @return no value for any other text
 [[nodiscard]] std::optional<submission_id> parse_submission_id(std::string_view text);
+/// @brief The id that a path ends with, whatever comes before its last 16 characters.
+/// @return no value if these are not hexadecimal digits
+[[nodiscard]] std::optional<submission_id> parse_last_submission_id(std::string_view path);
 /// @brief Parses the output of `name_of(task_ref)`. @return no value for any other text
 [[nodiscard]] std::optional<task_ref> parse_task_name(std::string_view text);
 /// @brief Name of a phase in the interface for callers.
--- a/src/fabric/core_calls.cpp
+++ b/src/fabric/core_calls.cpp
@@ -139,12 +139,18 @@
         handler(make_reply(reply_kind::done));
         return;
     }
+    const std::string name = name_of(call.id);
+    if (!addresses_submission(*queue, call.path, name))
+    {
+        handler(refuse(workload_code::bad_submission,
+                       "The path is not the queue's prefix followed by 16 hexadecimal digits."));
+        return;
+    }
     if (std::string fault = find_fault(call.spec); !fault.empty())
     {
         handler(refuse(workload_code::bad_submission, std::move(fault)));
         return;
     }
-    const std::string name = name_of(call.id);
     log_event("submission_taken", name,
               {{"queue", queue->name},
                {"organisation", caller.organisation},
--- a/src/workload/cluster_configuration.cpp
+++ b/src/workload/cluster_configuration.cpp
@@ -79,6 +79,11 @@
     return best;
 }
 
+bool addresses_submission(const queue_spec& queue, std::string_view path, std::string_view name)
+{
+    return path.size() == queue.path_prefix.size() + name.size() && path.starts_with(queue.path_prefix);
+}
+
 const queue_spec* find_queue_by_name(const cluster_configuration& held, std::string_view name)
 {
     const auto found = std::find_if(held.queues.begin(), held.queues.end(),
--- a/src/workload/names.cpp
+++ b/src/workload/names.cpp
@@ -1,5 +1,6 @@
 #include <walkthread/workload/names.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace walkthread
@@ -69,6 +70,11 @@
     return submission_id{value};
 }
 
+std::optional<submission_id> parse_last_submission_id(std::string_view path)
+{
+    return parse_submission_id(path.substr(path.size() - std::min(path.size(), id_digits)));
+}
+
 std::optional<task_ref> parse_task_name(std::string_view text)
 {
     const auto id = parse_submission_id(text.substr(0, id_digits));
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -45,6 +45,17 @@
     assert call(operator, "GET", "/walkthread/evacuations") == (200, {"evacuations": {}})
 
 
+def prefix_without_slash(cell):
+    """Guards against a queue that is acknowledged and refuses all its submissions, as its path prefix does not end with a slash."""
+    assert cell.configure(version=2, prefix="/plain")
+    edge = "%s:%d" % (loopback(cell.edges[0]), cell.front)
+    headers, body = {"Host": HOST}, {"steps": [dict(SMALL, count=1)]}
+    wait_for(lambda: call(edge, "POST", "/plain" + submission(60), body, headers)[0] == 200, 20)
+    wait_for(lambda: call(edge, "GET", "/plain" + submission(60), None, headers)[1] == {"state": "completed"}, 30)
+    assert call(edge, "POST", "/plain/" + submission(61), body, headers)[0] == 400
+    assert call(edge, "DELETE", "/plain" + submission(62), None, headers)[0] == 410
+
+
 def run(cell):
     wait_for(lambda: cell.configure(), 30)
     wait_for(lambda: cell.ask("GET")[0] == 200, 30)
@@ -81,6 +92,7 @@
     cell.submit(submission(50), KINDS[0])
     wait_for(lambda: cell.state(submission(50)) == "completed", 60)
     assert cell.state(ids[1]) == "completed"
+    prefix_without_slash(cell)
     assert not cell.overlaps(), cell.overlaps()
 
 
--- a/tests/src/unit-workload.cpp
+++ b/tests/src/unit-workload.cpp
@@ -349,6 +349,24 @@
     BOOST_TEST(!parse_submission_id("5c0e7a21d94b36fg").has_value());
 }
 
+// Guards against submissions that are refused, or taken under a path that is not theirs, as the queue's
+// path prefix does not end with a slash.
+BOOST_AUTO_TEST_CASE(a_path_prefix_needs_no_slash_at_its_end)
+{
+    const std::string name = "5c0e7a21d94b36f8";
+    for (const std::string prefix : {"/q/", "/q", "/"})
+    {
+        queue_spec queue;
+        queue.path_prefix = prefix;
+        BOOST_TEST((parse_last_submission_id(prefix + name) == parse_submission_id(name)));
+        BOOST_TEST(addresses_submission(queue, prefix + name, name));
+        BOOST_TEST(!addresses_submission(queue, prefix + "0" + name, name));
+        BOOST_TEST(!parse_last_submission_id(prefix).has_value());
+        BOOST_TEST(!parse_last_submission_id(prefix + name + "/").has_value());
+    }
+    BOOST_TEST(!parse_last_submission_id("").has_value());
+}
+
 // Random commands: after each, the usage of a worker equals the sum over its runs and fits its size. A state
 // loaded from a snapshot has the same indexes.
 BOOST_AUTO_TEST_CASE(random_commands_keep_usage_consistent_and_survive_a_snapshot)
