A path that no queue's prefix and an id make up is answered 404, as any refusal that depends on the configuration

Found on reading the diff: the refusal of such a path had the code of an invalid submission, which counts as certain beside an unanswered copy of the call. It depends on the configuration, so an earlier copy may have met another one.

reads_only() now serves both places that tell reads from orders; holding a rejection is a free function.

--- a/include/walkthread/fabric/call_router.hpp
+++ b/include/walkthread/fabric/call_router.hpp
@@ -90,7 +90,6 @@
     void send(call_number number, const std::string& to);
     void conclude(call_number number, const std::string& from, service_reply reply);
     void retry_at_leader(call_number number, const std::string& hint);
-    void hold_rejection(outstanding_call& call, service_reply reply, monotonic_time now);
     [[nodiscard]] service_reply make_expired_reply(const outstanding_call& call);
     void finish(call_number number, service_reply reply);
     void arm();
--- a/include/walkthread/fabric/outstanding_calls.hpp
+++ b/include/walkthread/fabric/outstanding_calls.hpp
@@ -52,6 +52,9 @@
     not_sent,       ///< the call was not sent to the process that replies
 };
 
+/// @brief Whether a call changes nothing, whoever handles it.
+[[nodiscard]] bool reads_only(const service_call& body);
+
 /// @brief Whether a reply rejects one copy of a call while another copy may have taken effect.
 ///
 /// A call is sent again if no reply comes, so a later copy may be rejected after an earlier one was accepted
--- a/src/fabric/call_router.cpp
+++ b/src/fabric/call_router.cpp
@@ -24,9 +24,14 @@
            std::holds_alternative<cancel_call>(body) || std::holds_alternative<pending_call>(body);
 }
 
-bool is_read(const service_call& body)
+// The replies of the other copies decide: one of them may be an acceptance, or all are rejections.
+void hold_rejection(outstanding_call& call, service_reply reply, monotonic_time now)
 {
-    return std::holds_alternative<state_call>(body) || std::holds_alternative<pending_call>(body);
+    if (!call.held_rejection)
+    {
+        call.held_since = now;
+    }
+    call.held_rejection = std::move(reply);
 }
 } // namespace
 
@@ -115,7 +120,7 @@
     std::vector<std::pair<call_number, reply_kind>> ending;
     for (const auto& [number, item] : m_calls.all())
     {
-        const bool no_effect = is_read(item.body) || !item.ever_sent();
+        const bool no_effect = reads_only(item.body) || !item.ever_sent();
         if (item.from_caller)
         {
             ending.emplace_back(number, no_effect ? reply_kind::isolated : reply_kind::unknown);
@@ -192,7 +197,8 @@
     finish(number, std::move(reply));
 }
 
-// Otherwise the call is sent again when the leader changes or after `resend_interval`.
+// A reply "not leading". Without a hint at the present leader, the call is sent again when the leader changes
+// or after `resend_interval`.
 void call_router::retry_at_leader(call_number number, const std::string& hint)
 {
     const outstanding_call& call = *m_calls.find(number);
@@ -209,16 +215,6 @@
     }
 }
 
-// The replies of the other copies decide: one of them may be an acceptance, or all are rejections.
-void call_router::hold_rejection(outstanding_call& call, service_reply reply, monotonic_time now)
-{
-    if (!call.held_rejection)
-    {
-        call.held_since = now;
-    }
-    call.held_rejection = std::move(reply);
-}
-
 void call_router::finish(call_number number, service_reply reply)
 {
     if (const std::optional<outstanding_call> call = m_calls.take(number))
--- a/src/fabric/core_calls.cpp
+++ b/src/fabric/core_calls.cpp
@@ -142,8 +142,7 @@
     const std::string name = name_of(call.id);
     if (!addresses_submission(*queue, call.path, name))
     {
-        handler(refuse(workload_code::bad_submission,
-                       "The path is not the queue's prefix followed by 16 hexadecimal digits."));
+        handler(refuse(workload_code::unknown_queue, "No queue has the path without the submission's id."));
         return;
     }
     if (std::string fault = find_fault(call.spec); !fault.empty())
--- a/src/fabric/outstanding_calls.cpp
+++ b/src/fabric/outstanding_calls.cpp
@@ -27,12 +27,6 @@
     return (std::holds_alternative<Kinds>(body) || ...);
 }
 
-bool reads_only(const service_call& body)
-{
-    return holds_any<state_call, pending_call, get_configuration_call, wave_state_call, advise_call,
-                     explain_call, list_cordons_call>(body);
-}
-
 // Rejections that follow from the call alone, so that every copy of it gets them.
 bool rejects_content(const service_reply& reply)
 {
@@ -43,6 +37,12 @@
 }
 } // namespace
 
+bool reads_only(const service_call& body)
+{
+    return holds_any<state_call, pending_call, get_configuration_call, wave_state_call, advise_call,
+                     explain_call, list_cordons_call>(body);
+}
+
 bool outstanding_call::has_unanswered_copy() const
 {
     return std::any_of(unanswered_copies.begin(), unanswered_copies.end(),
