--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -135,6 +135,7 @@
 
     // dispatcher_place.cpp: choice of workers
     [[nodiscard]] std::uint32_t permitted_tasks(const candidate& item) const;
+    [[nodiscard]] std::uint32_t tasks_within_memory(const candidate& item) const;
     bool place(const candidate& item, monotonic_time now);
     bool place_individually(const candidate& item, monotonic_time now);
     void update_typical_speed();
@@ -355,8 +356,9 @@
     double m_typical_speed = 1.0; ///< median speed of the faster half of the hosts
     turnover_time m_turnover;
     organisation_shares m_shares;
-    backlog_windows m_windows;                                  ///< of this pass
-    std::map<task_ref, worker_incarnation_id> m_planned;        ///< starts that are being committed
+    backlog_windows m_windows;                           ///< of this pass
+    std::map<task_ref, worker_incarnation_id> m_planned; ///< starts that are being committed
+    std::uint64_t m_planned_bytes = 0;                   ///< size that these starts add to the state, at most
     std::map<std::string, resources> m_planned_by_organisation; ///< resources of these starts by organisation
     unconfirmed_submissions m_unconfirmed;
     advice_cache m_advice;
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -27,7 +27,8 @@
 /// @since 0.2
 struct dispatch_settings
 {
-    mechanism_set mechanisms;     ///< which policies are on
+    mechanism_set mechanisms;                  ///< which policies are on
+    state_limits state = make_state_limits(0); ///< on the size of the replicated state
     milliseconds lease{4500};     ///< longer than an election, so that a new leader renews leases in time
     milliseconds max_lease{6000}; ///< workers cut longer leases to this; from the platform's settings
     milliseconds late_order_limit{
--- a/include/walkthread/fabric/core_node.hpp
+++ b/include/walkthread/fabric/core_node.hpp
@@ -6,12 +6,14 @@
 
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 
 #include <walkthread/dispatch/dispatcher.hpp>
 #include <walkthread/fabric/advisor_query_queue.hpp>
 #include <walkthread/fabric/fabric_node.hpp>
 #include <walkthread/fabric/replica_host.hpp>
+#include <walkthread/fabric/state_admission.hpp>
 #include <walkthread/replication/join_policy.hpp>
 #include <walkthread/workload/caller_access.hpp>
 
@@ -106,7 +108,7 @@
     void schedule_pass(monotonic_time when);
     void run_pass();
 
-    // core_calls.cpp: calls handled by the leader
+    // core_calls.cpp: calls handled by the leader; core_caller_calls.cpp: those of callers
     void propose(const workload_command& command,
                  std::function<void(std::optional<workload_result>)> handler);
     void propose_and_reply(const workload_command& command, const call_handler& handler);
@@ -115,6 +117,8 @@
     void reply_with_state(const state_call& call, const call_handler& handler);
     void handle(const cancel_call& call, const call_handler& handler);
     void handle(const pending_call& call, const call_handler& handler);
+    [[nodiscard]] std::optional<service_reply> check_room(const submit_call& call, std::uint64_t bytes);
+    [[nodiscard]] std::string describe_round(const submission& owner, round_id round) const;
     void handle(const put_configuration_call& call, const call_handler& handler);
     void handle(const get_configuration_call& call, const call_handler& handler);
     void handle(const report_call& call, const call_handler& handler);
@@ -156,6 +160,9 @@
     };
     std::map<std::string, leader_client> m_leader_clients;  ///< by address; notified of a new leader
     std::map<replica_id, monotonic_time> m_lagging_members; ///< when lagging members were last reported
+    state_admission m_admission;
+    std::uint64_t m_state_refusals = 0;
+    std::minstd_rand m_random{std::random_device{}()};
     boost::asio::steady_timer m_pass_timer;
     bool m_pass_due = false;
     bool m_stopping = false;
--- a/include/walkthread/fabric/fabric_node.hpp
+++ b/include/walkthread/fabric/fabric_node.hpp
@@ -20,6 +20,7 @@
 #include <walkthread/observe/decision_log.hpp>
 #include <walkthread/observe/metrics_page.hpp>
 #include <walkthread/storage/storage_limits.hpp>
+#include <walkthread/workload/state_size.hpp>
 
 namespace walkthread
 {
@@ -30,15 +31,16 @@
 {
     std::string name;
     std::string hall;
-    std::vector<std::string> halls;   ///< all halls of the deployment, as far as the settings name them
-    std::string peer_address;         ///< address that peers connect to, `IP:PORT`
-    std::string bind_address;         ///< address to listen on, if peers connect through a proxy or NAT
-    std::vector<std::string> seeds;   ///< peer addresses of some processes with replicas; may be stale
-    std::string data_folder;          ///< empty for a process without a replica
-    storage_limits storage{};         ///< what the data folder and the replica's log may take
-    bool founding{};                  ///< this is the first start of the whole cluster
-    std::uint32_t max_disk_losses{2}; ///< number of disks that may be lost at the same time
-    std::string report_address;       ///< address for worker reports; empty if this process takes none
+    std::vector<std::string> halls; ///< all halls of the deployment, as far as the settings name them
+    std::string peer_address;       ///< address that peers connect to, `IP:PORT`
+    std::string bind_address;       ///< address to listen on, if peers connect through a proxy or NAT
+    std::vector<std::string> seeds; ///< peer addresses of some processes with replicas; may be stale
+    std::string data_folder;        ///< empty for a process without a replica
+    storage_limits storage{};       ///< what the data folder and the replica's log may take
+    state_limits state = make_state_limits(0); ///< what the replicated state may take
+    bool founding{};                           ///< this is the first start of the whole cluster
+    std::uint32_t max_disk_losses{2};          ///< number of disks that may be lost at the same time
+    std::string report_address; ///< address for worker reports; empty if this process takes none
     milliseconds max_lease{6000};
     std::size_t max_links = 1000; ///< links to other processes, for each direction
 };
--- a/include/walkthread/fabric/messages.hpp
+++ b/include/walkthread/fabric/messages.hpp
@@ -158,8 +158,9 @@
 {
     std::uint8_t kind{};    ///< a reply_kind
     std::int32_t code{};    ///< a workload_code where refused
-    std::uint64_t number{}; ///< a count, a version or a submission_phase; if unavailable, the seconds
-                            ///< after which the caller should retry, 0 for the default
+    std::uint64_t number{}; ///< a count, a version or a submission_phase; if refused for now or
+                            ///< unavailable, the seconds after which the caller should retry, 0 for the
+                            ///< default
     std::string text;       ///< a document or a reason
     std::string leader;     ///< if not leading, the address of the leader if known
     std::string redirect;   ///< for reports: the address for later reports; empty for any
@@ -182,6 +183,14 @@
     return reply;
 }
 
+/// @brief A reply of kind `refused`.
+[[nodiscard]] inline service_reply make_refusal(workload_code code, std::string text)
+{
+    service_reply reply = make_reply(reply_kind::refused, std::move(text));
+    reply.code = static_cast<std::int32_t>(code);
+    return reply;
+}
+
 // ---------------------------------------------------------------------------------------------------------
 // Frames between processes
 // ---------------------------------------------------------------------------------------------------------
--- a/include/walkthread/replication/replica.hpp
+++ b/include/walkthread/replication/replica.hpp
@@ -244,6 +244,7 @@
     void become_leader(monotonic_time now);
     void step_down_without_quorum(monotonic_time now);
     void advance_members(monotonic_time now);
+    [[nodiscard]] bool may_send_snapshot(const replica_id& to, monotonic_time now) const;
     void send_append(const replica_id& to, monotonic_time now);
     void send_heartbeat(const replica_id& to, progress& p, monotonic_time now);
     void send_to_all(bool heartbeat, monotonic_time now);
--- a/include/walkthread/wire/codec.hpp
+++ b/include/walkthread/wire/codec.hpp
@@ -34,6 +34,27 @@
 inline constexpr std::size_t max_bytes = 64U << 20U;
 inline constexpr std::size_t max_depth = 16;
 
+/// Takes the bytes of a packer.
+struct string_sink
+{
+    std::string bytes;
+    void write(const char* data, std::size_t size)
+    {
+        bytes.append(data, size);
+    }
+};
+
+/// Decodes one value and moves `at` behind it. Texts refer to `bytes`, which must outlive the handle.
+inline msgpack::object_handle unpack(std::string_view bytes, std::size_t& at)
+{
+    const msgpack::unpack_limit limit(max_elements, max_elements, max_bytes, max_bytes, max_bytes, max_depth);
+    const auto refers = [](msgpack::type::object_type /*type*/, std::size_t /*size*/, void* /*user*/)
+    {
+        return true;
+    };
+    return msgpack::unpack(bytes.data(), bytes.size(), at, refers, nullptr, limit);
+}
+
 template <typename T>
 struct is_variant : std::false_type
 {
@@ -51,11 +72,12 @@
 } // namespace detail
 
 /// @brief Encodes a value. A variant becomes `[index, value]`. Complexity: linear in the value.
+/// @param prefix bytes to put before the value
 template <typename T>
-[[nodiscard]] std::string encode(const T& value)
+[[nodiscard]] std::string encode(const T& value, std::string prefix = {})
 {
-    msgpack::sbuffer buffer;
-    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    detail::string_sink sink{std::move(prefix)};
+    msgpack::packer<detail::string_sink> packer(sink);
     if constexpr (detail::is_variant<T>::value)
     {
         packer.pack_array(2);
@@ -71,7 +93,7 @@
     {
         packer.pack(value);
     }
-    return {buffer.data(), buffer.size()};
+    return std::move(sink.bytes);
 }
 
 /// @brief Decodes bytes into a value of type `T`.
@@ -81,10 +103,8 @@
 {
     try
     {
-        const msgpack::unpack_limit limit(detail::max_elements, detail::max_elements, detail::max_bytes,
-                                          detail::max_bytes, detail::max_bytes, detail::max_depth);
-        const msgpack::object_handle handle =
-            msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit);
+        std::size_t at = 0;
+        const msgpack::object_handle handle = detail::unpack(bytes, at);
         const msgpack::object& object = handle.get();
         T out{};
         if constexpr (detail::is_variant<T>::value)
--- a/include/walkthread/wire/frame.hpp
+++ b/include/walkthread/wire/frame.hpp
@@ -24,6 +24,9 @@
 
 /// @brief Builds a frame from a body. Complexity: linear in the body.
 [[nodiscard]] std::string make_frame(std::string_view body);
+/// @brief Builds a frame from an encoded message without another copy of it.
+/// @param frame `frame_header_size` bytes, which are overwritten, and the body
+[[nodiscard]] std::string make_frame_in_place(std::string frame);
 
 /// @brief Splits a byte stream into frames. A frame above the size limit is rejected once its header
 /// has been read.
--- a/include/walkthread/workload/commands.hpp
+++ b/include/walkthread/workload/commands.hpp
@@ -33,6 +33,7 @@
     unknown_key = 429,        ///< the API key belongs to no organisation
     unknown_hall = 430,       ///< no setting and no worker names this hall
     last_hall = 431,          ///< cordoning this hall would leave none that accepts work
+    state_full = 432,         ///< the state has no room for a submission; callers may come back later
 };
 using workload_error = layer_error<workload_code>;
 
--- a/include/walkthread/workload/submission.hpp
+++ b/include/walkthread/workload/submission.hpp
@@ -6,20 +6,20 @@
 
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
 #include <walkthread/units/amounts.hpp>
 #include <walkthread/units/strong.hpp>
 #include <walkthread/units/time.hpp>
+#include <walkthread/workload/task_table.hpp>
 
 namespace walkthread
 {
 
 /// @brief Id of a submission, chosen by its caller; unique over all queues.
 using submission_id = strong<struct submission_id_tag, std::uint64_t>;
-/// @brief Number of a worker's incarnation, assigned by the replicated state; 0 for none.
-using worker_incarnation_id = strong<struct worker_incarnation_id_tag, std::uint32_t>;
 /// @brief Index of a repetition of a submission, from 0.
 using round_id = strong<struct round_id_tag, std::uint32_t>;
 
@@ -62,11 +62,9 @@
     std::int64_t period_ms{}; ///< from one round to the next
     MSGPACK_DEFINE(payload, steps, rounds, first_due, period_ms)
 
-    /// @brief When a round is due, in wall time; 0 for immediately.
-    [[nodiscard]] wall_ms due_at(round_id round) const
-    {
-        return first_due == 0 ? 0 : first_due + static_cast<wall_ms>(round.value()) * period_ms;
-    }
+    /// @brief When a round is due, in wall time; 0 for immediately. Times that the type cannot hold become
+    /// its highest value.
+    [[nodiscard]] wall_ms due_at(round_id round) const;
 };
 
 /// @brief Identifies one step in one round of a submission.
@@ -97,55 +95,6 @@
     MSGPACK_DEFINE(task, run)
 };
 
-/// @brief How a run ended.
-enum class run_end : std::uint8_t
-{
-    completed,   ///< the task succeeded
-    failed,      ///< counts as an attempt
-    stopped,     ///< by an order of the leader
-    lapsed,      ///< the worker's lease expired
-    broken,      ///< another member of its gang ended
-    lonely,      ///< the other members of its gang did not start in time
-    never_began, ///< the worker did not start it and never will
-};
-
-/// @brief Current phase of a task.
-enum class work_phase : std::uint8_t
-{
-    waiting,
-    active, ///< a run of it may exist at `worker`
-    completed,
-};
-
-/// @brief Stored state of one task.
-struct work_task
-{
-    std::uint8_t phase{};              ///< a work_phase
-    std::uint32_t run{};               ///< number of the last run; 0 before the first
-    std::uint32_t failures{};          ///< runs that ended as failed
-    worker_incarnation_id worker{};    ///< worker of the active run
-    worker_incarnation_id failed_on{}; ///< worker of the last failed run
-    std::string checkpoint;            ///< the last known one; empty for none
-    std::uint8_t last_end{};           ///< a run_end: how the last run ended, if the task is waiting again
-    MSGPACK_DEFINE(phase, run, failures, worker, failed_on, checkpoint, last_end)
-
-    [[nodiscard]] work_phase state() const
-    {
-        return static_cast<work_phase>(phase);
-    }
-    /// @brief Whether this run may exist.
-    [[nodiscard]] bool is_active(std::uint32_t in_run) const
-    {
-        return state() == work_phase::active && run == in_run;
-    }
-    /// @brief Whether this run ended because another member of its gang ended.
-    [[nodiscard]] bool broke(std::uint32_t in_run) const
-    {
-        return state() == work_phase::waiting && run == in_run &&
-               last_end == static_cast<std::uint8_t>(run_end::broken);
-    }
-};
-
 /// @brief Current phase of a submission.
 enum class submission_phase : std::uint8_t
 {
@@ -156,23 +105,20 @@
     cancelled,
 };
 
+/// @brief How many rounds of a submission that have not begun are ready at the same time: it bounds the index
+/// of ready steps after an outage, and a round for which no worker is allowed does not delay those behind it.
+inline constexpr std::uint32_t max_ready_rounds = 8;
+
 /// @brief Progress of one step in one round.
 struct step_progress
 {
-    std::vector<work_task> tasks;
-    std::uint32_t completed{};
+    task_table tasks;
     std::uint32_t gang_failures{};   ///< runs of the whole gang that ended as failed
     std::uint32_t gang_failed_run{}; ///< highest run number counted in `gang_failures`
-    MSGPACK_DEFINE(tasks, completed, gang_failures, gang_failed_run)
-
-    /// @brief Whether every task is completed.
-    [[nodiscard]] bool complete() const
-    {
-        return completed == tasks.size();
-    }
+    MSGPACK_DEFINE(tasks, gang_failures, gang_failed_run)
 };
 
-/// @brief Progress of one round.
+/// @brief Progress of one round that has begun.
 struct round_progress
 {
     std::vector<step_progress> steps;
@@ -180,7 +126,25 @@
     MSGPACK_DEFINE(steps, completed_steps)
 };
 
-/// @brief Stored state of a submission.
+/// @brief Progress of a step as the releases before 0.10 stored it.
+struct former_step_progress
+{
+    std::vector<work_task> tasks;
+    std::uint32_t completed{};
+    std::uint32_t gang_failures{};
+    std::uint32_t gang_failed_run{};
+    MSGPACK_DEFINE(tasks, completed, gang_failures, gang_failed_run)
+};
+
+/// @brief Progress of a round as the releases before 0.10 stored it, also for rounds that had not begun.
+struct former_round_progress
+{
+    std::vector<former_step_progress> steps;
+    std::uint32_t completed_steps{};
+    MSGPACK_DEFINE(steps, completed_steps)
+};
+
+/// @brief Stored state of a submission. Its size follows its description and the work in progress.
 /// @since 0.2
 struct submission
 {
@@ -191,13 +155,21 @@
     submission_spec spec;
     std::uint8_t phase{}; ///< a submission_phase
     wall_ms accepted{};
-    wall_ms ended{}; ///< when it became final; 0 until then
-    std::vector<round_progress> rounds;
-    std::uint32_t completed_rounds{};
-    std::uint32_t active{};   ///< tasks in phase active
-    std::string organisation; ///< owner; empty for none
-    MSGPACK_DEFINE(id, queue, pool, max_attempts, spec, phase, accepted, ended, rounds, completed_rounds,
-                   active, organisation)
+    wall_ms ended{};                                     ///< when it became final; 0 until then
+    std::vector<former_round_progress> former_rounds;    ///< only in snapshots of releases before 0.10
+    std::uint32_t former_completed_rounds{};             ///< likewise
+    std::uint32_t active{};                              ///< tasks in phase active
+    std::string organisation;                            ///< owner; empty for none
+    std::uint32_t next_round{};                          ///< the first round that has not begun
+    std::map<std::uint32_t, round_progress> open_rounds; ///< rounds that have begun and not completed
+    MSGPACK_DEFINE(id, queue, pool, max_attempts, spec, phase, accepted, ended, former_rounds,
+                   former_completed_rounds, active, organisation, next_round, open_rounds)
+
+    std::uint64_t description_bytes{}; ///< derived, see `state_size.hpp`
+    std::uint64_t charged_bytes{};     ///< derived: its part of `workload_state::bytes`
+    /// Derived: the first round whose steps are not indexed yet. Follows the time, see
+    /// `workload_state::release_due`.
+    mutable std::uint32_t indexed_end{};
 
     [[nodiscard]] submission_phase state() const
     {
@@ -208,6 +180,58 @@
     {
         return phase >= static_cast<std::uint8_t>(submission_phase::completed);
     }
+    /// @brief Whether a round has completed.
+    [[nodiscard]] bool round_completed(std::uint32_t round) const
+    {
+        return round < next_round && !open_rounds.contains(round);
+    }
+    /// @brief Begins all rounds up to and including this one.
+    void begin_rounds(std::uint32_t last);
+    /// @brief Takes over rounds stored by a release before 0.10.
+    void convert_former_rounds();
+};
+
+/// @brief The tasks of one step in one round, whether the round has begun or not.
+/// @since 0.10
+class step_tasks
+{
+  public:
+    /// @param owner must have this step and outlive the object
+    step_tasks(const submission& owner, round_id round, std::uint32_t step);
+    step_tasks(const submission& owner, const step_ref& ref) : step_tasks(owner, ref.round, ref.step)
+    {
+    }
+
+    [[nodiscard]] std::uint32_t size() const
+    {
+        return m_count;
+    }
+    /// @brief State of a task. Complexity: logarithmic in the tasks in progress.
+    [[nodiscard]] const work_task& operator[](std::uint32_t index) const;
+    [[nodiscard]] std::uint32_t completed() const
+    {
+        return m_table != nullptr ? m_table->completed() : m_completed ? m_count : 0;
+    }
+    [[nodiscard]] std::uint32_t waiting() const
+    {
+        return m_table != nullptr ? m_table->waiting() : m_completed ? 0 : m_count;
+    }
+    [[nodiscard]] bool complete() const
+    {
+        return completed() == m_count;
+    }
+    /// @brief Number of waiting tasks that have begun before.
+    [[nodiscard]] std::uint32_t waiting_again() const
+    {
+        return m_table == nullptr ? 0 : static_cast<std::uint32_t>(records().size()) - m_table->active();
+    }
+    /// @brief The tasks that have begun and not completed, by index.
+    [[nodiscard]] const std::map<std::uint32_t, work_task>& records() const;
+
+  private:
+    std::uint32_t m_count{};
+    const task_table* m_table{}; ///< null if the round has not begun or has completed
+    bool m_completed{};
 };
 
 } // namespace walkthread
--- a/include/walkthread/workload/workload_state.hpp
+++ b/include/walkthread/workload/workload_state.hpp
@@ -16,6 +16,7 @@
 
 #include <walkthread/workload/commands.hpp>
 #include <walkthread/workload/hall_cordons.hpp>
+#include <walkthread/workload/state_size.hpp>
 #include <walkthread/workload/worker_changes.hpp>
 
 namespace walkthread
@@ -135,7 +136,16 @@
     {
         return m_worker_changes;
     }
-    /// @brief Steps with waiting tasks whose dependencies have completed, not ordered by urgency.
+    /// @brief Moves steps whose round is due into the index of ready steps; the replicated content stays.
+    /// Complexity: logarithmic for each step that is moved, constant if none is.
+    void release_due(wall_ms now) const;
+    /// @brief When the next round becomes due that is not ready yet; no value if none lies ahead.
+    [[nodiscard]] std::optional<wall_ms> next_due() const;
+    /// @brief Memory that the state takes up, in bytes. Complexity: constant.
+    [[nodiscard]] std::uint64_t bytes() const;
+    /// @brief Steps with waiting tasks whose dependencies have completed and whose round was due at the last
+    /// `release_due`, not ordered by urgency. Of the rounds of one submission that have not begun, the first
+    /// `max_ready_rounds` can be ready.
     [[nodiscard]] const std::set<step_ref>& ready() const
     {
         return m_ready;
@@ -182,24 +192,6 @@
     [[nodiscard]] const step_spec* find(const step_ref& ref) const;
 
   private:
-    struct snapshot_content
-    {
-        std::optional<cluster_configuration> held;
-        std::vector<submission> submissions;
-        std::vector<worker_incarnation> workers;
-        std::vector<maintenance_wave> waves;
-        std::uint32_t next_worker{};
-        std::vector<std::string> former_ids; ///< from older snapshots without process start times
-        std::vector<unresponsive_incarnation> unheard;
-        crash_evidence_table crashes;
-        std::vector<worker_incarnation_ref> former;
-        quota_usage quotas;
-        hall_cordons cordons;
-        std::vector<queue_spec> removed_queues;
-        MSGPACK_DEFINE(held, submissions, workers, waves, next_worker, former_ids, unheard, crashes, former,
-                       quotas, cordons, removed_queues)
-    };
-
     workload_result handle(wall_ms at, const replace_cluster_configuration& command);
     workload_result handle(wall_ms at, const accept_submission& command);
     workload_result handle(wall_ms at, const cancel_submission& command);
@@ -222,6 +214,7 @@
     void complete_gang(wall_ms at, submission& owner, const run_ref& run);
     void fail_task(wall_ms at, submission& owner, const run_ref& run, worker_incarnation_id worker);
     void release(worker_incarnation& worker, const run_ref& run);
+    void begin_rounds(submission& owner, round_id last);
     void drop(wall_ms at, worker_incarnation_id id, const std::vector<lost_run>& lost);
     void add_crash_evidence(wall_ms at, const std::string& host, const std::vector<lost_run>& lost);
     [[nodiscard]] bool may_be_given_up(const run_ref& run) const;
@@ -233,17 +226,23 @@
     void save_leaving_state(const worker_incarnation& worker);
     void restore_leaving_state(worker_incarnation& worker);
     void finish(wall_ms at, submission& owner, submission_phase phase);
-    static void drop_details(submission& owner);
+    void drop_details(submission& owner);
+    void charge(submission& owner);
     void set_phase(submission& owner, submission_phase phase);
     [[nodiscard]] bool goes_first(const submission& owner, const step_spec& step) const;
-    void refresh_ready(const submission& owner, round_id round, std::uint32_t step);
-    void refresh_round(const submission& owner, round_id round);
+    void set_ready(const submission& owner, const step_ref& ref, bool ready) const;
+    void refresh_ready(const submission& owner, round_id round, std::uint32_t step) const;
+    void refresh_round(const submission& owner, round_id round) const;
+    void index_next_rounds(const submission& owner) const;
+    void index_submission(submission& owner);
+    void read_snapshot(class value_reader& in);
+    void read_submission(submission owner);
     void rebuild_indexes();
     void keep_removed_queues(const cluster_configuration& next);
     void index_configuration();
     void index_ready_first();
     void index_usage();
-    work_task* task_of(const task_ref& ref);
+    static task_table* tasks_of(submission& owner, const step_ref& ref);
 
     std::optional<cluster_configuration> m_configuration;
     std::unordered_map<submission_id, submission> m_submissions;
@@ -269,8 +268,14 @@
         m_queue_positions; ///< positions in the configuration, by name
     std::map<worker_incarnation_ref, worker_incarnation_id> m_by_incarnation;
     std::map<std::string, worker_incarnation_id> m_by_host;
-    std::set<step_ref> m_ready;
-    std::set<step_ref> m_ready_first;
+    // What is due follows from the time as well, so these change without a command, see `release_due`.
+    mutable std::set<step_ref> m_ready;
+    mutable std::set<step_ref> m_ready_first;
+    /// Submissions whose next round lies ahead, by when it is due.
+    mutable std::set<std::pair<wall_ms, submission_id>> m_scheduled;
+    mutable wall_ms m_released_up_to{};
+    std::uint64_t m_submission_bytes = 0; ///< sum of `charged_bytes`
+    std::uint64_t m_configuration_bytes = 0;
     std::set<submission_id> m_closing;
     std::set<std::pair<wall_ms, submission_id>> m_ended;
     std::map<std::string, std::uint32_t> m_queued;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -178,6 +178,7 @@
 void dispatcher::pass(monotonic_time now, wall_ms wall)
 {
     m_wall = wall;
+    m_state.release_due(wall);
     sync_views(now);
     if (now >= m_periodic_work_due)
     {
@@ -401,16 +402,15 @@
     for (const submission_id id : m_state.closing())
     {
         const submission& owner = *m_state.find(id);
-        for (std::uint32_t r = 0; r < owner.rounds.size(); ++r)
+        for (const auto& [number, round] : owner.open_rounds)
         {
-            for (std::uint32_t s = 0; s < owner.rounds[r].steps.size(); ++s)
+            for (std::uint32_t s = 0; s < round.steps.size(); ++s)
             {
-                const auto& tasks = owner.rounds[r].steps[s].tasks;
-                for (std::uint32_t i = 0; i < tasks.size(); ++i)
+                for (const auto& [index, task] : round.steps[s].tasks.records())
                 {
-                    const run_ref run{{{id, round_id{r}, s}, i}, tasks[i].run};
-                    const worker_incarnation* worker = m_state.find(tasks[i].worker);
-                    if (tasks[i].state() == work_phase::active && worker != nullptr &&
+                    const run_ref run{{{id, round_id{number}, s}, index}, task.run};
+                    const worker_incarnation* worker = m_state.find(task.worker);
+                    if (task.state() == work_phase::active && worker != nullptr &&
                         worker->occupied.contains(run))
                     {
                         send_stop(m_views[worker->id], run, now);
@@ -428,6 +428,10 @@
     const resources counted = item.step->size * static_cast<std::int64_t>(starts.size());
     drop_hold(item.ref);
     m_planned_by_organisation[item.owner->organisation] += counted;
+    const std::uint32_t round = item.ref.round.value();
+    const std::uint64_t rounds = round >= item.owner->next_round ? 1 + round - item.owner->next_round : 0;
+    const std::uint64_t bytes = starts.size() * task_bytes() + rounds * round_bytes(item.owner->spec);
+    m_planned_bytes += bytes;
     if (m_hooks.planned)
     {
         const wall_ms since = std::max(item.owner->spec.due_at(item.ref.round), item.owner->accepted);
@@ -452,7 +456,7 @@
     // A submission is reported as waiting until a worker confirms its first start.
     const bool first = item.owner->state() == submission_phase::queued;
     m_hooks.propose(record_starts{starts},
-                    [this, alive = m_alive, starts, tickets, room, counted, first, id = item.owner->id,
+                    [this, alive = m_alive, starts, tickets, room, counted, bytes, first, id = item.owner->id,
                      queue = item.owner->queue, organisation = item.owner->organisation](bool committed)
                     {
                         if (!*alive)
@@ -464,6 +468,7 @@
                             m_unconfirmed.add(id, queue);
                         }
                         m_planned_by_organisation[organisation] -= counted;
+                        m_planned_bytes -= bytes;
                         for (const planned_start& planned : starts)
                         {
                             m_planned.erase(planned.task);
--- a/src/dispatch/dispatcher_crash_suspects.cpp
+++ b/src/dispatch/dispatcher_crash_suspects.cpp
@@ -13,7 +13,7 @@
                                      std::vector<planned_start>& starts, std::vector<std::string>& tickets,
                                      std::uint32_t& left, monotonic_time now) const
 {
-    const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
+    const step_tasks tasks(*item.owner, item.ref);
     bool must_wait = false;
     for (std::uint32_t i = 0; i < tasks.size(); ++i)
     {
--- a/src/dispatch/dispatcher_gang_reservations.cpp
+++ b/src/dispatch/dispatcher_gang_reservations.cpp
@@ -31,8 +31,8 @@
             continue;
         }
         const auto known = m_gang_waiting_since.find(item.ref);
-        const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
-        const bool first_attempt = item.step->after.empty() && tasks.front().run == 0;
+        const step_tasks tasks(*item.owner, item.ref);
+        const bool first_attempt = item.step->after.empty() && tasks[0].run == 0;
         const wall_ms turn = std::max(item.owner->spec.due_at(item.ref.round), item.owner->accepted);
         const milliseconds waited{first_attempt ? std::max<wall_ms>(m_wall - turn, 0) : 0};
         since[item.ref] = known != m_gang_waiting_since.end() ? known->second : now - waited;
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -179,9 +179,9 @@
                   };
                   return key(a) < key(b);
               });
-    const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
-    std::uint32_t run = 0;
-    for (const work_task& task : tasks)
+    const step_tasks tasks(*item.owner, item.ref);
+    std::uint32_t run = 1;
+    for (const auto& [index, task] : tasks.records())
     {
         run = std::max(run, task.run + 1);
     }
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -47,15 +47,14 @@
 
 std::uint32_t dispatcher::waiting_tasks(const candidate& item) const
 {
-    const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
-    std::uint32_t waiting = 0;
-    for (std::uint32_t i = 0; i < tasks.size(); ++i)
+    const step_tasks tasks(*item.owner, item.ref);
+    std::uint32_t planned = 0;
+    for (auto at = m_planned.lower_bound(task_ref{item.ref, 0});
+         at != m_planned.end() && at->first.step == item.ref; ++at)
     {
-        const bool free =
-            tasks[i].state() == work_phase::waiting && !m_planned.contains(task_ref{item.ref, i});
-        waiting += free ? 1 : 0;
+        planned += tasks[at->first.index].state() == work_phase::waiting ? 1 : 0;
     }
-    return waiting;
+    return tasks.waiting() - planned;
 }
 
 // The step is ready, so some of its tasks wait, but starts may already be planned for all of them.
@@ -66,14 +65,31 @@
     return none_planned || waiting_tasks(item) > 0;
 }
 
-// The number of tasks of a step that the quota of its organisation still permits; for a gang all or none.
+// The number of tasks of a step that may start without taking the state over its limit. Tasks that have begun
+// before hardly add to it, and a gang starts as a whole.
+std::uint32_t dispatcher::tasks_within_memory(const candidate& item) const
+{
+    const std::uint32_t next = item.owner->next_round;
+    const bool further_round = item.ref.round.value() >= std::max(next, 1U);
+    const std::uint64_t rounds = further_round ? 1 + item.ref.round.value() - next : 0;
+    const std::uint64_t held = m_state.bytes() + m_planned_bytes + rounds * round_bytes(item.owner->spec);
+    const std::uint64_t limit = further_round ? m_settings.state.accept_bytes : m_settings.state.start_bytes;
+    const std::uint64_t fresh = held >= limit ? 0 : (limit - held) / task_bytes();
+    const std::uint64_t begun = step_tasks(*item.owner, item.ref).waiting_again();
+    const std::uint64_t places = item.step->gang && fresh + begun > 0 ? item.step->count : fresh + begun;
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(places, item.step->count));
+}
+
+// The number of tasks of a step that the quota of its organisation and the state's size still permit; for a
+// gang all or none.
 std::uint32_t dispatcher::permitted_tasks(const candidate& item) const
 {
     const auto planned = m_planned_by_organisation.find(item.owner->organisation);
     const std::uint32_t places =
         m_state.quotas().places(item.owner->organisation, item.step->size,
                                 planned == m_planned_by_organisation.end() ? resources{} : planned->second);
-    return item.step->gang && places < item.step->count ? 0 : places;
+    const std::uint32_t permitted = std::min(places, tasks_within_memory(item));
+    return item.step->gang && permitted < item.step->count ? 0 : permitted;
 }
 
 std::map<worker_incarnation_id, std::uint32_t> dispatcher::placed_tasks(const candidate& item) const
@@ -83,17 +99,16 @@
     {
         return out;
     }
-    const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
-    for (std::uint32_t i = 0; i < tasks.size(); ++i)
+    for (auto at = m_planned.lower_bound(task_ref{item.ref, 0});
+         at != m_planned.end() && at->first.step == item.ref; ++at)
     {
-        const auto planned = m_planned.find(task_ref{item.ref, i});
-        if (planned != m_planned.end())
-        {
-            ++out[planned->second];
-        }
-        else if (tasks[i].state() == work_phase::active)
+        ++out[at->second];
+    }
+    for (const auto& [index, task] : step_tasks(*item.owner, item.ref).records())
+    {
+        if (task.state() == work_phase::active && !m_planned.contains(task_ref{item.ref, index}))
         {
-            ++out[tasks[i].worker];
+            ++out[task.worker];
         }
     }
     return out;
@@ -188,9 +203,8 @@
 // Workers on which tasks of this step failed are excluded as long as enough others can take it.
 std::set<worker_incarnation_id> dispatcher::workers_with_failures(const candidate& item)
 {
-    const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
     std::set<worker_incarnation_id> failed;
-    for (const work_task& task : tasks)
+    for (const auto& [index, task] : step_tasks(*item.owner, item.ref).records())
     {
         if (task.failed_on.value() != 0 && task.state() == work_phase::waiting)
         {
@@ -382,7 +396,7 @@
                             std::vector<planned_start>& starts, std::vector<std::string>& tickets,
                             std::uint32_t& left) const
 {
-    const auto& tasks = item.owner->rounds[item.ref.round.value()].steps[item.ref.step].tasks;
+    const step_tasks tasks(*item.owner, item.ref);
     auto fit = offers.begin();
     for (std::uint32_t i = 0; i < tasks.size(); ++i)
     {
--- a/src/dispatch/dispatcher_window.cpp
+++ b/src/dispatch/dispatcher_window.cpp
@@ -9,7 +9,7 @@
 
 namespace
 {
-constexpr duration idle_pass_interval = milliseconds(100); // checks leases, retries and due times
+constexpr std::int64_t idle_pass_interval_ms = 100; // checks leases and retries
 
 // Gangs that are not urgent are always examined: they gather capacity in advance, and their retries are
 // limited.
@@ -26,8 +26,13 @@
 
 monotonic_time dispatcher::next_pass(monotonic_time now) const
 {
-    return m_schedule.next(m_state.ready().size(), m_state.ready_first().size(), now,
-                           now + idle_pass_interval);
+    monotonic_time latest = now + milliseconds(idle_pass_interval_ms);
+    if (const std::optional<wall_ms> due = m_state.next_due())
+    {
+        const wall_ms ahead = std::clamp<wall_ms>(*due - m_wall, 0, idle_pass_interval_ms);
+        latest = std::min(latest, now + milliseconds(ahead));
+    }
+    return m_schedule.next(m_state.ready().size(), m_state.ready_first().size(), now, latest);
 }
 
 // What is free on the hosts that a step may use, or expected to be freed there within the lookahead.
--- a/src/dispatch/unconfirmed_submissions.cpp
+++ b/src/dispatch/unconfirmed_submissions.cpp
@@ -13,10 +13,16 @@
     return owner != nullptr && owner->state() == submission_phase::running;
 }
 
-bool shows_no_activity(const work_task& task)
+bool shows_no_activity(const step_progress& step)
 {
-    return task.state() == work_phase::waiting && task.run <= 1 && task.failures == 0 &&
-           task.checkpoint.empty();
+    return step.tasks.completed() == 0 &&
+           std::all_of(step.tasks.records().begin(), step.tasks.records().end(),
+                       [](const auto& item)
+                       {
+                           const work_task& task = item.second;
+                           return task.state() == work_phase::waiting && task.run <= 1 &&
+                                  task.failures == 0 && task.checkpoint.empty();
+                       });
 }
 } // namespace
 
@@ -41,16 +47,12 @@
 
 bool shows_no_start(const submission& owner)
 {
-    return owner.state() == submission_phase::running &&
-           std::all_of(owner.rounds.begin(), owner.rounds.end(),
-                       [](const round_progress& round)
+    return owner.state() == submission_phase::running && owner.next_round == owner.open_rounds.size() &&
+           std::all_of(owner.open_rounds.begin(), owner.open_rounds.end(),
+                       [](const auto& round)
                        {
-                           return std::all_of(round.steps.begin(), round.steps.end(),
-                                              [](const step_progress& step)
-                                              {
-                                                  return std::all_of(step.tasks.begin(), step.tasks.end(),
-                                                                     shows_no_activity);
-                                              });
+                           return std::all_of(round.second.steps.begin(), round.second.steps.end(),
+                                              shows_no_activity);
                        });
 }
 
--- a/src/fabric/core_calls.cpp
+++ b/src/fabric/core_calls.cpp
@@ -13,16 +13,6 @@
 namespace walkthread
 {
 
-namespace
-{
-service_reply refuse(workload_code code, std::string text)
-{
-    service_reply reply = make_reply(reply_kind::refused, std::move(text));
-    reply.code = static_cast<std::int32_t>(code);
-    return reply;
-}
-} // namespace
-
 bool core_node::handle_locally(const service_call& body, const call_handler& handler)
 {
     if (std::holds_alternative<advise_call>(body))
@@ -46,34 +36,6 @@
     return true;
 }
 
-// Returns no value if access is granted. The log has the queue, never a key.
-std::optional<service_reply> core_node::check_access(const access_decision& caller, std::string_view call)
-{
-    const auto refused = [&](workload_code code, std::string text)
-    {
-        log_event("caller_refused", {},
-                  {{"call", call},
-                   {"queue", caller.queue == nullptr ? std::string{} : caller.queue->name},
-                   {"code", static_cast<std::int32_t>(code)},
-                   {"configuration", m_state.current_configuration()->version}});
-        return refuse(code, std::move(text));
-    };
-    switch (caller.verdict)
-    {
-    case access_verdict::allowed:
-        return std::nullopt;
-    case access_verdict::no_configuration:
-        return make_reply(reply_kind::unavailable, "There is no configuration yet.");
-    case access_verdict::no_queue:
-        return refuse(workload_code::unknown_queue, "There is no such queue.");
-    case access_verdict::no_key:
-        return refused(workload_code::no_key, "This queue requires the key of an organisation.");
-    case access_verdict::unknown_key:
-        return refused(workload_code::unknown_key, "This key does not belong to any organisation.");
-    }
-    return make_reply(reply_kind::unavailable);
-}
-
 void core_node::propose(const workload_command& command,
                         std::function<void(std::optional<workload_result>)> handler)
 {
@@ -112,7 +74,7 @@
                 }
                 handler(outcome->code == 0
                             ? make_reply(reply_kind::done)
-                            : refuse(static_cast<workload_code>(outcome->code), outcome->detail));
+                            : make_refusal(static_cast<workload_code>(outcome->code), outcome->detail));
                 if (*alive)
                 {
                     wake_dispatcher();
@@ -120,129 +82,6 @@
             });
 }
 
-// ---------------------------------------------------------------------------------------------------------
-// Callers
-// ---------------------------------------------------------------------------------------------------------
-
-void core_node::handle(const submit_call& call, const call_handler& handler)
-{
-    const access_decision caller = decide_access(m_state, call.host, call.path, call.key);
-    if (auto refusal = check_access(caller, "submit"))
-    {
-        handler(std::move(*refusal));
-        return;
-    }
-    const queue_spec* queue = caller.queue;
-    const submission* known = m_state.find(call.id);
-    if (known != nullptr && known->queue == queue->name && known->organisation == caller.organisation)
-    {
-        handler(make_reply(reply_kind::done));
-        return;
-    }
-    const std::string name = name_of(call.id);
-    if (!addresses_submission(*queue, call.path, name))
-    {
-        handler(refuse(workload_code::unknown_queue, "No queue has the path without the submission's id."));
-        return;
-    }
-    if (std::string fault = find_fault(call.spec); !fault.empty())
-    {
-        handler(refuse(workload_code::bad_submission, std::move(fault)));
-        return;
-    }
-    log_event("submission_taken", name,
-              {{"queue", queue->name},
-               {"organisation", caller.organisation},
-               {"steps", call.spec.steps.size()},
-               {"tasks", call.spec.steps.front().count},
-               {"gang", call.spec.steps.front().gang},
-               {"lasting", call.spec.steps.front().long_running},
-               {"rounds", call.spec.rounds}});
-    propose_and_reply(accept_submission{call.id, queue->name, call.spec, caller.organisation},
-                      [this, alive = m_alive, name, handler](service_reply reply)
-                      {
-                          if (*alive && reply.what() != reply_kind::done)
-                          {
-                              log_event("submission_not_kept", name,
-                                        {{"kind", reply.kind}, {"code", reply.code}, {"detail", reply.text}});
-                          }
-                          handler(std::move(reply));
-                      });
-}
-
-// Callers often ask right after their last task has ended. The reply waits a few milliseconds until ends that
-// are known but not committed yet are applied, so that the caller need not ask again.
-void core_node::handle(const state_call& call, const call_handler& handler)
-{
-    m_dispatcher->after_ends_committed(call.id,
-                                       [this, alive = m_alive, call, handler]
-                                       {
-                                           if (*alive)
-                                           {
-                                               reply_with_state(call, handler);
-                                           }
-                                       });
-}
-
-void core_node::reply_with_state(const state_call& call, const call_handler& handler)
-{
-    const monotonic_time now = monotonic_now();
-    if (!leads(now))
-    {
-        service_reply reply = make_reply(reply_kind::not_leading);
-        reply.leader = describe_leader(now).leader;
-        handler(std::move(reply));
-        return;
-    }
-    const access_decision caller = decide_access(m_state, call.host, call.path, call.key);
-    if (auto refusal = check_access(caller, "state"))
-    {
-        handler(std::move(*refusal));
-        return;
-    }
-    const submission* known = find_for_caller(m_state, caller, call.id);
-    if (known == nullptr)
-    {
-        handler(refuse(workload_code::unknown_submission, "There is no such submission."));
-        return;
-    }
-    service_reply reply = make_reply(reply_kind::done, std::string(name_of(known->state())));
-    reply.number = known->phase;
-    handler(std::move(reply));
-}
-
-void core_node::handle(const cancel_call& call, const call_handler& handler)
-{
-    const access_decision caller = decide_access(m_state, call.host, call.path, call.key);
-    if (auto refusal = check_access(caller, "cancel"))
-    {
-        handler(std::move(*refusal));
-        return;
-    }
-    const submission* known = find_for_caller(m_state, caller, call.id);
-    if (known == nullptr)
-    {
-        handler(refuse(workload_code::unknown_submission, "There is no such submission."));
-        return;
-    }
-    log_event("submission_cancelling", name_of(call.id),
-              {{"queue", known->queue}, {"state", name_of(known->state())}, {"active", known->active}});
-    propose_and_reply(cancel_submission{call.id, known->queue}, handler);
-}
-
-void core_node::handle(const pending_call& call, const call_handler& handler)
-{
-    const access_decision caller = decide_access(m_state, call.host, call.path, call.key);
-    if (auto refusal = check_access(caller, "pending"))
-    {
-        handler(std::move(*refusal));
-        return;
-    }
-    service_reply reply = make_reply(reply_kind::done);
-    reply.number = m_dispatcher->pending(caller.queue->name);
-    handler(std::move(reply));
-}
-
 // ---------------------------------------------------------------------------------------------------------
 // Operators
 // ---------------------------------------------------------------------------------------------------------
@@ -252,7 +91,7 @@
     if (auto fault = find_fault(call.next))
     {
         log_event("configuration_refused", {}, {{"version", call.next.version}, {"reason", *fault}});
-        handler(refuse(workload_code::bad_configuration, *fault));
+        handler(make_refusal(workload_code::bad_configuration, *fault));
         return;
     }
     const std::uint64_t held = m_state.current_configuration() ? m_state.current_configuration()->version : 0;
@@ -303,33 +142,54 @@
     const auto found = m_state.waves().find(call.wave);
     if (found == m_state.waves().end())
     {
-        handler(refuse(workload_code::bad_wave, "There is no such wave."));
+        handler(make_refusal(workload_code::bad_wave, "There is no such wave."));
         return;
     }
     handler(make_reply(reply_kind::done, found->second.complete() ? "completed" : "running"));
 }
 
+// The steps of a round that is in progress or begins next.
+std::string core_node::describe_round(const submission& owner, round_id round) const
+{
+    std::string text;
+    const wall_ms due = owner.spec.due_at(round);
+    for (std::uint32_t s = 0; s < owner.spec.steps.size(); ++s)
+    {
+        const step_tasks tasks(owner, round, s);
+        const bool ready = m_state.ready().contains(step_ref{owner.id, round, s});
+        const std::string waits = ready              ? ", waits for capacity or advice."
+                                  : due > wall_now() ? ", due at " + std::to_string(due) + '.'
+                                                     : ".";
+        text += " Round " + std::to_string(round.value()) + " step " + std::to_string(s) + ": " +
+                std::to_string(tasks.completed()) + " of " + std::to_string(tasks.size()) +
+                " tasks completed" + waits;
+    }
+    return text;
+}
+
 void core_node::handle(const explain_call& call, const call_handler& handler)
 {
     const submission* known = m_state.find(call.id);
     if (known == nullptr)
     {
-        handler(refuse(workload_code::unknown_submission, "There is no such submission."));
+        handler(make_refusal(workload_code::unknown_submission, "There is no such submission."));
         return;
     }
     std::string text = name_of(call.id) + " in queue " + known->queue + ": " +
                        std::string(name_of(known->state())) + ", " + std::to_string(known->active) +
                        " runs active.";
-    for (std::uint32_t r = 0; r < known->rounds.size(); ++r)
+    if (!known->final() && known->spec.rounds > 1)
     {
-        for (std::uint32_t s = 0; s < known->rounds[r].steps.size(); ++s)
-        {
-            const step_progress& step = known->rounds[r].steps[s];
-            const bool ready = m_state.ready().contains(step_ref{call.id, round_id{r}, s});
-            text += " Round " + std::to_string(r) + " step " + std::to_string(s) + ": " +
-                    std::to_string(step.completed) + " of " + std::to_string(step.tasks.size()) +
-                    " tasks completed" + (ready ? ", waits for capacity or advice." : ".");
-        }
+        text += ' ' + std::to_string(known->next_round - known->open_rounds.size()) + " of " +
+                std::to_string(known->spec.rounds) + " rounds completed.";
+    }
+    for (const auto& [number, round] : known->open_rounds)
+    {
+        text += describe_round(*known, round_id{number});
+    }
+    if (!known->final() && known->next_round < known->spec.rounds)
+    {
+        text += describe_round(*known, round_id{known->next_round});
     }
     for (const auto& [hall, cordon] : m_state.cordons().all())
     {
@@ -356,7 +216,7 @@
     if (!in_place && std::find(halls.begin(), halls.end(), call.hall) == halls.end())
     {
         log_event("cordon_refused", call.hall, {{"reason", "unknown hall"}, {"by", call.requested_by}});
-        handler(refuse(workload_code::unknown_hall, "There is no such hall."));
+        handler(make_refusal(workload_code::unknown_hall, "There is no such hall."));
         return;
     }
     if (in_place == call.cordoned)
--- a/src/fabric/core_metrics.cpp
+++ b/src/fabric/core_metrics.cpp
@@ -31,6 +31,11 @@
     gauge("walkthread_log_bytes", "Size of the log on the disk.", m_replica->storage().log_bytes());
     gauge("walkthread_log_limit_bytes", "Size at which the log is rewritten at the latest.",
           m_settings.storage.log_bytes);
+    gauge("walkthread_state_bytes", "Memory that the replicated state takes up.", m_state.bytes());
+    gauge("walkthread_state_limit_bytes", "Size of the state from which on submissions are refused.",
+          m_settings.state.accept_bytes);
+    page.add_count("walkthread_state_refusals_total", "Submissions refused because the state was full.",
+                   static_cast<double>(m_state_refusals));
     page.add(m_commit_times.collect());
     fill_leading(page);
 }
--- a/src/fabric/core_node.cpp
+++ b/src/fabric/core_node.cpp
@@ -50,10 +50,11 @@
                                      handler(reply.advice);
                                  });
           }),
-      m_pass_timer(loop)
+      m_admission(m_settings.state), m_pass_timer(loop)
 {
     m_advisor_queries.set_clock(monotonic_now);
     m_core_settings.dispatch.max_lease = m_settings.max_lease;
+    m_core_settings.dispatch.state = m_settings.state;
 }
 
 core_node::~core_node()
--- a/src/fabric/mesh.cpp
+++ b/src/fabric/mesh.cpp
@@ -120,9 +120,9 @@
         m_core->displace_outgoing();
         found = m_core->links.emplace(to, std::make_shared<core::outgoing>(m_core, to)).first;
     }
-    const std::string body = encode(message);
-    m_core->counts.record_sent(message.index(), body.size());
-    found->second->send(make_frame(body));
+    std::string frame = make_frame_in_place(encode(message, std::string(frame_header_size, '\0')));
+    m_core->counts.record_sent(message.index(), frame.size() - frame_header_size);
+    found->second->send(std::move(frame));
 }
 
 void mesh::forget(const std::string& to)
--- a/src/fabric/mesh_core.hpp
+++ b/src/fabric/mesh_core.hpp
@@ -198,7 +198,8 @@
         {
             unacknowledged_since = monotonic_now();
         }
-        batch.clear();
+        batch = std::move(queue.front()); // a frame may hold a whole snapshot: no copy of it
+        queue.pop_front();
         while (!queue.empty())
         {
             batch += queue.front();
@@ -385,7 +386,9 @@
             {
                 return !owner->closed;
             }
+            const std::size_t size = value_of(body)->size();
             auto message = decode<mesh_message>(*value_of(body));
+            value_of(body).reset(); // a frame may hold a whole snapshot
             if (!ok(message))
             {
                 return false; // another version or a foreign client: closes the connection
@@ -399,7 +402,7 @@
             {
                 return false;
             }
-            owner->counts.record_received(value_of(message).index(), from_replica, value_of(body)->size());
+            owner->counts.record_received(value_of(message).index(), from_replica, size);
             owner->message_handler(from, std::move(value_of(message)));
         }
     }
--- a/src/replication/replica_log.cpp
+++ b/src/replication/replica_log.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t resend_limit_bytes = 64U << 10U;
 // Allows for sending and loading some megabytes on a small host under load.
 constexpr duration snapshot_timeout = seconds(3);
+// Above this part of `snapshot_bytes` a snapshot is not sent to several followers at once.
+constexpr std::uint64_t large_snapshot_share = 4;
 // Entries of half a second at peak load, when a follower never fully catches up.
 constexpr std::uint64_t max_promotion_lag = 512;
 
@@ -173,6 +175,31 @@
     send(from, append_reply{m_state.term, true, m_commit, m.sent_at});
 }
 
+// While it is sent, a snapshot is in memory several times, so a large one goes to one follower at a time.
+// Among those that need it, followers that reply go first, then the one whose last snapshot was sent longest
+// ago.
+bool replica::may_send_snapshot(const replica_id& to, monotonic_time now) const
+{
+    if (m_snapshot_data.size() <= m_settings.snapshot_bytes / large_snapshot_share)
+    {
+        return true;
+    }
+    const auto turn = [this, now](const progress& p)
+    {
+        return std::make_pair(now - p.last_reply > m_settings.election_timeout, p.snapshot_sent);
+    };
+    const auto own_turn = turn(m_progress.at(to));
+    return std::none_of(m_progress.begin(), m_progress.end(),
+                        [&](const auto& item)
+                        {
+                            const progress& p = item.second;
+                            const bool sending =
+                                p.snapshot_in_flight && now - p.snapshot_sent < snapshot_timeout;
+                            const bool waits = p.next <= m_log.base_index() && turn(p) < own_turn;
+                            return item.first != to && (sending || waits);
+                        });
+}
+
 void replica::send_append(const replica_id& to, monotonic_time now)
 {
     progress& p = m_progress[to];
@@ -180,7 +207,7 @@
     if (p.next <= m_log.base_index())
     {
         const bool recent = p.snapshot_in_flight && now - p.snapshot_sent < snapshot_timeout;
-        if (!recent)
+        if (!recent && may_send_snapshot(to, now))
         {
             p.snapshot_in_flight = true;
             p.snapshot_sent = now;
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -1,11 +1,14 @@
 #include <walkthread/wire/frame.hpp>
 
+#include <utility>
+
 namespace walkthread
 {
 
 namespace
 {
 constexpr std::size_t compact_threshold = 1U << 16U; // consumed bytes after which the buffer is compacted
+constexpr std::size_t shrink_threshold = 1U << 20U;  // memory kept on the connection after a large frame
 
 std::uint32_t read_length(std::string_view header)
 {
@@ -20,15 +23,22 @@
 
 std::string make_frame(std::string_view body)
 {
-    const auto length = static_cast<std::uint32_t>(body.size());
     std::string frame;
     frame.reserve(frame_header_size + body.size());
-    for (int shift = 24; shift >= 0; shift -= 8)
+    frame.append(frame_header_size, '\0');
+    frame.append(body);
+    return make_frame_in_place(std::move(frame));
+}
+
+std::string make_frame_in_place(std::string frame)
+{
+    const auto length = static_cast<std::uint32_t>(frame.size() - frame_header_size);
+    for (std::size_t i = 0; i + 1 < frame_header_size; ++i)
     {
-        frame.push_back(static_cast<char>((length >> static_cast<unsigned>(shift)) & 0xFFU));
+        const auto shift = static_cast<unsigned>(8 * (frame_header_size - 2 - i));
+        frame[i] = static_cast<char>((length >> shift) & 0xFFU);
     }
-    frame.push_back(static_cast<char>(frame_version));
-    frame.append(body);
+    frame[frame_header_size - 1] = static_cast<char>(frame_version);
     return frame;
 }
 
@@ -38,6 +48,10 @@
     {
         m_buffer.erase(0, m_consumed);
         m_consumed = 0;
+        if (m_buffer.capacity() > shrink_threshold)
+        {
+            m_buffer.shrink_to_fit();
+        }
     }
     m_buffer.append(bytes);
 }
--- a/src/workload/workload_incarnations.cpp
+++ b/src/workload/workload_incarnations.cpp
@@ -95,10 +95,11 @@
     worker.used = before.used;
     for (const auto& [run, room] : worker.occupied)
     {
-        work_task* task = task_of(run.task);
-        if (task != nullptr && task->run == run.run)
+        const work_task* task = find(run.task);
+        if (task != nullptr && task->state() != work_phase::completed && task->run == run.run)
         {
-            task->worker = worker.id;
+            tasks_of(m_submissions.at(run.task.step.submission), run.task.step)
+                ->move(run.task.index, worker.id);
         }
     }
     std::vector<lost_run> lost = command.lost;
--- a/src/workload/workload_indexes.cpp
+++ b/src/workload/workload_indexes.cpp
@@ -1,10 +1,9 @@
-// Parts of workload_state: submission phases, indexes and snapshots.
+// Parts of workload_state: submission phases and indexes.
 
 #include <walkthread/workload/workload_state.hpp>
 
 #include <algorithm>
-
-#include <walkthread/wire/codec.hpp>
+#include <utility>
 
 namespace walkthread
 {
@@ -37,6 +36,7 @@
     {
         m_ended_by_command.push_back(owner.id); // the caller may still use its details
     }
+    m_scheduled.erase({owner.spec.due_at(round_id{owner.indexed_end}), owner.id});
     for (std::set<step_ref>* index : {&m_ready, &m_ready_first})
     {
         index->erase(index->lower_bound(step_ref{owner.id, round_id{0}, 0}),
@@ -63,45 +63,89 @@
     }
 }
 
-void workload_state::refresh_ready(const submission& owner, round_id round, std::uint32_t step)
+void workload_state::set_ready(const submission& owner, const step_ref& ref, bool ready) const
+{
+    if (!ready)
+    {
+        m_ready.erase(ref);
+        m_ready_first.erase(ref);
+        return;
+    }
+    m_ready.insert(ref);
+    if (goes_first(owner, owner.spec.steps[ref.step]))
+    {
+        m_ready_first.insert(ref);
+    }
+}
+
+void workload_state::refresh_ready(const submission& owner, round_id round, std::uint32_t step) const
 {
-    const round_progress& progress = owner.rounds[round.value()];
-    const auto& tasks = progress.steps[step].tasks;
-    const bool waits = std::any_of(tasks.begin(), tasks.end(),
-                                   [](const work_task& task)
-                                   {
-                                       return task.state() == work_phase::waiting;
-                                   });
     const auto& after = owner.spec.steps[step].after;
     const bool free = std::all_of(after.begin(), after.end(),
-                                  [&progress](std::uint32_t earlier)
+                                  [&owner, round](std::uint32_t earlier)
                                   {
-                                      return progress.steps[earlier].complete();
+                                      return step_tasks(owner, round, earlier).complete();
                                   });
-    const step_ref ref{owner.id, round, step};
-    if (waits && free && !owner.final())
+    const bool waits = step_tasks(owner, round, step).waiting() > 0;
+    set_ready(owner, {owner.id, round, step}, waits && free && !owner.final());
+}
+
+void workload_state::refresh_round(const submission& owner, round_id round) const
+{
+    for (std::uint32_t step = 0; step < owner.spec.steps.size(); ++step)
     {
-        m_ready.insert(ref);
-        if (goes_first(owner, owner.spec.steps[step]))
-        {
-            m_ready_first.insert(ref);
-        }
+        refresh_ready(owner, round, step);
     }
-    else
+}
+
+// A round that lies ahead, or for which the window of ready rounds has no place, costs nothing until its
+// turn.
+void workload_state::index_next_rounds(const submission& owner) const
+{
+    while (!owner.final() && owner.indexed_end < owner.spec.rounds &&
+           owner.indexed_end - owner.next_round < max_ready_rounds)
     {
-        m_ready.erase(ref);
-        m_ready_first.erase(ref);
+        const round_id next{owner.indexed_end};
+        const wall_ms due = owner.spec.due_at(next);
+        if (due > std::max(owner.accepted, m_released_up_to))
+        {
+            m_scheduled.insert({due, owner.id});
+            return;
+        }
+        ++owner.indexed_end;
+        refresh_round(owner, next);
     }
 }
 
-void workload_state::refresh_round(const submission& owner, round_id round)
+void workload_state::release_due(wall_ms now) const
 {
-    for (std::uint32_t step = 0; step < owner.spec.steps.size(); ++step)
+    m_released_up_to = now;
+    while (!m_scheduled.empty() && m_scheduled.begin()->first <= now)
     {
-        refresh_ready(owner, round, step);
+        const submission& owner = *find(m_scheduled.begin()->second);
+        m_scheduled.erase(m_scheduled.begin());
+        index_next_rounds(owner);
     }
 }
 
+std::optional<wall_ms> workload_state::next_due() const
+{
+    return m_scheduled.empty() ? std::nullopt : std::optional(m_scheduled.begin()->first);
+}
+
+std::uint64_t workload_state::bytes() const
+{
+    // A worker's entry, its indexes and the dispatcher's view of it.
+    constexpr std::uint64_t worker_bytes = 1536;
+    return m_submission_bytes + m_configuration_bytes + m_workers.size() * worker_bytes;
+}
+
+void workload_state::charge(submission& owner)
+{
+    m_submission_bytes -= std::exchange(owner.charged_bytes, size_of(owner));
+    m_submission_bytes += owner.charged_bytes;
+}
+
 // Called before the configuration is replaced.
 void workload_state::keep_removed_queues(const cluster_configuration& next)
 {
@@ -129,6 +173,8 @@
     {
         m_queue_positions.emplace(m_configuration->queues[place].name, place);
     }
+    // The parsed queues take about as much as the document that lists them.
+    m_configuration_bytes = m_configuration ? 2 * text_bytes(m_configuration->source.size()) : 0;
     index_ready_first();
 }
 
@@ -152,6 +198,8 @@
 void workload_state::rebuild_indexes()
 {
     m_ready.clear(); // before the configuration is indexed: it may name steps of the former state
+    m_scheduled.clear();
+    m_submission_bytes = 0;
     index_configuration();
     index_usage();
     m_worker_changes.reset();
@@ -166,103 +214,36 @@
         m_by_incarnation[worker.description.incarnation()] = id;
         m_by_host[worker.description.host] = id;
     }
-    for (const auto& [id, owner] : m_submissions)
-    {
-        if (owner.state() == submission_phase::queued)
-        {
-            ++m_queued[owner.queue];
-        }
-        if (owner.final())
-        {
-            m_ended.insert({owner.ended, id});
-            if (owner.active > 0)
-            {
-                m_closing.insert(id);
-            }
-            continue;
-        }
-        ++m_unfinished[owner.queue];
-        for (std::uint32_t round = 0; round < owner.rounds.size(); ++round)
-        {
-            refresh_round(owner, round_id{round});
-        }
-    }
-}
-
-std::string workload_state::save() const
-{
-    snapshot_content out;
-    out.held = m_configuration;
-    out.next_worker = m_next_incarnation;
-    out.former = m_former;
-    out.unheard = m_unresponsive;
-    out.crashes = m_crashes;
-    out.quotas = m_quotas;
-    out.cordons = m_cordons;
-    for (const auto& [name, queue] : m_removed_queues)
-    {
-        out.removed_queues.push_back(queue);
-    }
-    for (const auto& [id, owner] : m_submissions)
-    {
-        out.submissions.push_back(owner);
-    }
-    for (const auto& [id, worker] : m_workers)
-    {
-        out.workers.push_back(worker);
-    }
-    for (const auto& [id, wave] : m_waves)
+    for (auto& [id, owner] : m_submissions)
     {
-        out.waves.push_back(wave);
+        index_submission(owner);
     }
-    return encode(out);
 }
 
-bool workload_state::load(const std::string& bytes)
+void workload_state::index_submission(submission& owner)
 {
-    auto decoded = decode<snapshot_content>(bytes);
-    if (!ok(decoded))
-    {
-        return false;
-    }
-    snapshot_content& in = value_of(decoded);
-    m_configuration = std::move(in.held);
-    m_next_incarnation = in.next_worker;
-    m_former = std::move(in.former);
-    for (std::string& id : in.former_ids)
-    {
-        m_former.push_back({std::move(id), process_start_ms{}});
-    }
-    m_unresponsive = std::move(in.unheard);
-    m_crashes = std::move(in.crashes);
-    m_quotas = std::move(in.quotas);
-    m_cordons = std::move(in.cordons);
-    m_removed_queues.clear();
-    for (queue_spec& queue : in.removed_queues)
-    {
-        const std::string name = queue.name;
-        m_removed_queues.emplace(name, std::move(queue));
-    }
-    m_submissions.clear();
-    m_workers.clear();
-    m_waves.clear();
-    for (submission& owner : in.submissions)
+    owner.description_bytes = description_bytes(owner.spec);
+    charge(owner);
+    if (owner.state() == submission_phase::queued)
     {
-        const submission_id id = owner.id;
-        m_submissions.emplace(id, std::move(owner));
+        ++m_queued[owner.queue];
     }
-    for (worker_incarnation& worker : in.workers)
+    if (owner.final())
     {
-        const worker_incarnation_id id = worker.id;
-        m_workers.emplace(id, std::move(worker));
+        m_ended.insert({owner.ended, owner.id});
+        if (owner.active > 0)
+        {
+            m_closing.insert(owner.id);
+        }
+        return;
     }
-    for (maintenance_wave& wave : in.waves)
+    ++m_unfinished[owner.queue];
+    for (const auto& [number, round] : owner.open_rounds)
     {
-        const std::uint64_t number = wave.wave;
-        m_waves.emplace(number, std::move(wave));
+        refresh_round(owner, round_id{number});
     }
-    rebuild_indexes();
-    return true;
+    owner.indexed_end = owner.next_round;
+    index_next_rounds(owner);
 }
 
 } // namespace walkthread
--- a/src/workload/workload_runs.cpp
+++ b/src/workload/workload_runs.cpp
@@ -38,10 +38,12 @@
         return false;
     }
     submission& owner = m_submissions[planned.task.step.submission];
-    work_task& task = *task_of(planned.task);
-    task.phase = static_cast<std::uint8_t>(work_phase::active);
-    task.run = planned.run;
-    task.worker = planned.worker;
+    const step_ref& ref = planned.task.step;
+    if (ref.round.value() >= owner.next_round)
+    {
+        begin_rounds(owner, ref.round);
+    }
+    tasks_of(owner, ref)->start(planned.task.index, planned.run, planned.worker);
     ++owner.active;
     worker_incarnation& worker = m_workers[planned.worker];
     const resources room = host_demand_of(owner.spec.steps[planned.task.step.step]);
@@ -52,10 +54,25 @@
     {
         set_phase(owner, submission_phase::running);
     }
-    refresh_ready(owner, planned.task.step.round, planned.task.step.step);
+    charge(owner);
+    refresh_ready(owner, ref.round, ref.step);
     return true;
 }
 
+// A round that could not start yet begins together with the first one behind it that does.
+void workload_state::begin_rounds(submission& owner, round_id last)
+{
+    const std::uint32_t first = owner.next_round;
+    m_scheduled.erase({owner.spec.due_at(round_id{owner.indexed_end}), owner.id});
+    owner.begin_rounds(last.value());
+    owner.indexed_end = std::max(owner.indexed_end, owner.next_round);
+    for (std::uint32_t round = first; round <= last.value(); ++round)
+    {
+        refresh_round(owner, round_id{round});
+    }
+    index_next_rounds(owner);
+}
+
 void workload_state::start_all_or_none(const record_starts& command)
 {
     const submission* owner = find(command.starts.front().task.step.submission);
@@ -115,7 +132,9 @@
 void workload_state::drop_details(submission& owner)
 {
     owner.spec = submission_spec{};
-    owner.rounds = {};
+    owner.open_rounds = {};
+    owner.description_bytes = 0;
+    charge(owner);
 }
 
 void workload_state::apply_end(wall_ms at, worker_incarnation& worker, const observed_end& end)
@@ -124,16 +143,18 @@
     const bool known = worker.occupied.contains(end.run);
     release(worker, end.run); // may drop the details of a final submission
     const auto found = m_submissions.find(end.run.task.step.submission);
-    work_task* task = task_of(end.run.task);
-    if (!known || found == m_submissions.end() || task == nullptr)
+    const work_task* task = find(end.run.task);
+    if (!known || found == m_submissions.end() || task == nullptr || task->state() == work_phase::completed)
     {
         return;
     }
     submission& owner = found->second;
     const step_spec& step = owner.spec.steps[end.run.task.step.step];
-    if (!end.checkpoint.empty() && task->run == end.run.run)
+    task_table* tasks = tasks_of(owner, end.run.task.step);
+    if (!end.checkpoint.empty() && task->run == end.run.run && tasks != nullptr)
     {
-        task->checkpoint = end.checkpoint;
+        tasks->set_checkpoint(end.run.task.index, end.checkpoint);
+        charge(owner);
     }
     if (owner.final())
     {
@@ -148,8 +169,7 @@
     {
         return;
     }
-    task->phase = static_cast<std::uint8_t>(work_phase::waiting);
-    task->last_end = end.how;
+    tasks->end(end.run.task.index, how);
     if (how == run_end::completed && !step.long_running)
     {
         complete_task(at, owner, end.run.task);
@@ -166,43 +186,46 @@
 
 void workload_state::complete_task(wall_ms at, submission& owner, const task_ref& ref)
 {
-    round_progress& round = owner.rounds[ref.step.round.value()];
-    step_progress& step = round.steps[ref.step.step];
-    work_task& task = step.tasks[ref.index];
-    if (task.state() == work_phase::completed)
+    const auto found = owner.open_rounds.find(ref.step.round.value());
+    if (found == owner.open_rounds.end() ||
+        found->second.steps[ref.step.step].tasks[ref.index].state() == work_phase::completed)
     {
         return;
     }
-    task.phase = static_cast<std::uint8_t>(work_phase::completed);
-    task.checkpoint.clear();
+    round_progress& round = found->second;
+    task_table& tasks = round.steps[ref.step.step].tasks;
+    tasks.complete(ref.index);
     m_crashes.clear(ref);
-    ++step.completed;
-    if (!step.complete())
+    if (tasks.complete() && ++round.completed_steps == round.steps.size())
     {
+        for (std::uint32_t step = 0; step < owner.spec.steps.size(); ++step)
+        {
+            set_ready(owner, {owner.id, ref.step.round, step}, false);
+        }
+        owner.open_rounds.erase(found);
+        charge(owner);
+        if (owner.open_rounds.empty() && owner.next_round == owner.spec.rounds)
+        {
+            finish(at, owner, submission_phase::completed);
+        }
         return;
     }
-    ++round.completed_steps;
-    if (round.completed_steps == round.steps.size())
+    charge(owner);
+    if (tasks.complete())
     {
-        ++owner.completed_rounds;
-    }
-    if (owner.completed_rounds == owner.rounds.size())
-    {
-        finish(at, owner, submission_phase::completed);
-        return;
+        refresh_round(owner, ref.step.round);
     }
-    refresh_round(owner, ref.step.round);
 }
 
 void workload_state::complete_gang(wall_ms at, submission& owner, const run_ref& run)
 {
     const step_ref step = run.task.step;
     const std::uint32_t count = owner.spec.steps[step.step].count;
-    const step_progress& progress = owner.rounds[step.round.value()].steps[step.step];
-    const bool newest = std::none_of(progress.tasks.begin(), progress.tasks.end(),
-                                     [&run](const work_task& task)
+    const step_tasks tasks(owner, step);
+    const bool newest = std::none_of(tasks.records().begin(), tasks.records().end(),
+                                     [&run](const auto& item)
                                      {
-                                         return task.run > run.run;
+                                         return item.second.run > run.run;
                                      });
     for (std::uint32_t index = 0; newest && index < count && !owner.final(); ++index)
     {
@@ -219,16 +242,15 @@
 {
     const step_ref step = run.task.step;
     const step_spec& spec = owner.spec.steps[step.step];
-    step_progress& progress = owner.rounds[step.round.value()].steps[step.step];
-    work_task& task = progress.tasks[run.task.index];
-    ++task.failures;
-    task.failed_on = worker;
+    step_progress& progress = owner.open_rounds.at(step.round.value()).steps[step.step];
+    progress.tasks.count_failure(run.task.index, worker);
     if (spec.gang && progress.gang_failed_run < run.run)
     {
         progress.gang_failed_run = run.run;
         ++progress.gang_failures;
     }
-    const std::uint32_t failures = spec.gang ? progress.gang_failures : task.failures;
+    const std::uint32_t failures =
+        spec.gang ? progress.gang_failures : progress.tasks[run.task.index].failures;
     if (!spec.long_running && failures >= owner.max_attempts)
     {
         finish(at, owner, submission_phase::failed);
--- a/src/workload/workload_state.cpp
+++ b/src/workload/workload_state.cpp
@@ -1,6 +1,7 @@
 #include <walkthread/workload/workload_state.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace walkthread
@@ -8,9 +9,9 @@
 
 namespace
 {
-constexpr std::uint32_t max_tasks = 4096;            // per submission and round; far above what callers send
-constexpr std::uint32_t max_rounds = 1000;           // far above what callers send
-constexpr std::size_t max_open_submissions = 20'000; // bounds memory, at about 1 KB each
+constexpr std::uint32_t max_tasks = 4096; // per submission and round; far above what callers send
+constexpr std::size_t max_open_submissions =
+    20'000; // bounds the leader's work; `state_size.hpp` bounds memory
 
 workload_result refuse(workload_code code, std::string detail)
 {
@@ -67,9 +68,13 @@
             }
         }
     }
-    if (spec.rounds == 0 || spec.rounds > max_rounds || spec.period_ms < 0)
+    if (spec.rounds == 0 || spec.period_ms < 0 || spec.first_due < 0)
     {
-        return "The number of rounds or their period is out of range.";
+        return "The number of rounds, their period or the time of the first one is out of range.";
+    }
+    if (spec.due_at(round_id{spec.rounds - 1}) == std::numeric_limits<wall_ms>::max())
+    {
+        return "The last round is due later than a time stamp can tell.";
     }
     return {};
 }
@@ -138,16 +143,12 @@
 const work_task* workload_state::find(const task_ref& ref) const
 {
     const submission* owner = find(ref.step.submission);
-    if (owner == nullptr || ref.step.round.value() >= owner->rounds.size())
-    {
-        return nullptr;
-    }
-    const round_progress& round = owner->rounds[ref.step.round.value()];
-    if (ref.step.step >= round.steps.size() || ref.index >= round.steps[ref.step.step].tasks.size())
+    if (owner == nullptr || ref.step.round.value() >= owner->spec.rounds ||
+        ref.step.step >= owner->spec.steps.size() || ref.index >= owner->spec.steps[ref.step.step].count)
     {
         return nullptr;
     }
-    return &round.steps[ref.step.step].tasks[ref.index];
+    return &step_tasks(*owner, ref.step)[ref.index];
 }
 
 const step_spec* workload_state::find(const step_ref& ref) const
@@ -156,9 +157,10 @@
     return owner == nullptr || ref.step >= owner->spec.steps.size() ? nullptr : &owner->spec.steps[ref.step];
 }
 
-work_task* workload_state::task_of(const task_ref& ref)
+task_table* workload_state::tasks_of(submission& owner, const step_ref& ref)
 {
-    return const_cast<work_task*>(std::as_const(*this).find(ref));
+    const auto round = owner.open_rounds.find(ref.round.value());
+    return round == owner.open_rounds.end() ? nullptr : &round->second.steps[ref.step].tasks;
 }
 
 std::uint32_t workload_state::queued(const std::string& queue) const
@@ -251,21 +253,12 @@
     kept.max_attempts = queue->max_attempts;
     kept.spec = command.spec;
     kept.accepted = at;
-    kept.rounds.resize(command.spec.rounds);
-    for (round_progress& round : kept.rounds)
-    {
-        for (const step_spec& step : command.spec.steps)
-        {
-            round.steps.emplace_back().tasks.resize(step.count);
-        }
-    }
     ++m_queued[kept.queue];
     ++m_unfinished[kept.queue];
-    const submission& owner = m_submissions.emplace(command.id, std::move(kept)).first->second;
-    for (std::uint32_t round = 0; round < owner.spec.rounds; ++round)
-    {
-        refresh_round(owner, round_id{round});
-    }
+    submission& owner = m_submissions.emplace(command.id, std::move(kept)).first->second;
+    owner.description_bytes = description_bytes(owner.spec);
+    charge(owner);
+    index_next_rounds(owner);
     return {};
 }
 
@@ -328,6 +321,7 @@
         if (found != m_submissions.end() && found->second.final() && found->second.active == 0)
         {
             m_ended.erase({found->second.ended, id});
+            m_submission_bytes -= found->second.charged_bytes;
             m_submissions.erase(found);
         }
     }
--- a/tests/src/pool_settings.hpp
+++ b/tests/src/pool_settings.hpp
@@ -53,6 +53,7 @@
     bool contended_pool = false;    // organisations compete for capacity
     std::uint64_t seed = 1;
     std::size_t poll_connections = SIZE_MAX; // maximum number of concurrent polls, as known to the leader
+    state_limits state = make_state_limits(0);
     mechanism_set mechanisms;
     bool log_lines = std::getenv("WALKTHREAD_LOG") != nullptr; // prints the log, to debug one seed
 };
--- a/tests/src/simulated_pool.hpp
+++ b/tests/src/simulated_pool.hpp
@@ -70,6 +70,7 @@
         chosen.mechanisms = m_settings.mechanisms;
         chosen.poll_connections = m_settings.poll_connections;
         chosen.contended_pool = m_settings.contended_pool;
+        chosen.state = m_settings.state;
         m_leader = std::make_unique<dispatcher>(m_state, chosen, hooks(), *m_log, m_term, m_now);
         for (auto& [incarnation, worker] : m_workers)
         {
@@ -82,6 +83,17 @@
         m_leader_since = m_now;
         wake();
     }
+    // The next leader starts from a snapshot, as a replica does after a restart.
+    void restart_from_snapshot()
+    {
+        stop_leader();
+        const std::string stored = m_state.save();
+        if (!m_state.load(stored) || m_state.save().size() != stored.size())
+        {
+            throw std::logic_error("The snapshot was not restored.");
+        }
+        start_leader();
+    }
     void stop_leader()
     {
         m_leader.reset();
@@ -238,13 +250,20 @@
     }
     submission_id submit(const std::string& queue, std::vector<step_spec> steps,
                          const std::string& organisation = {})
+    {
+        submission_spec spec;
+        spec.payload = "text";
+        spec.steps = std::move(steps);
+        return submit(queue, spec, organisation);
+    }
+    submission_id submit(const std::string& queue, const submission_spec& spec,
+                         const std::string& organisation = {})
     {
         accept_submission command;
         command.id = submission_id{++m_next_id};
         command.queue = queue;
         command.organisation = organisation;
-        command.spec.payload = "text";
-        command.spec.steps = std::move(steps);
+        command.spec = spec;
         const submission_id id = command.id;
         at(m_settings.commit,
            [this, command]
--- a/tests/src/simulation_records.hpp
+++ b/tests/src/simulation_records.hpp
@@ -187,6 +187,11 @@
         return found == m_crashes.end() ? 0 : found->second;
     }
 
+    [[nodiscard]] wall_ms wall() const
+    {
+        return 1'700'000'000'000 + std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count();
+    }
+
   protected:
     struct sim_run
     {
@@ -310,10 +315,6 @@
     {
         return m_state.apply(wall(), command);
     }
-    [[nodiscard]] wall_ms wall() const
-    {
-        return 1'700'000'000'000 + std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count();
-    }
     [[nodiscard]] std::int64_t clock_of(const sim_worker& worker) const
     {
         const duration up = m_now.time_since_epoch() - worker.clock_origin;
--- a/tests/src/stall_check.hpp
+++ b/tests/src/stall_check.hpp
@@ -108,7 +108,7 @@
         std::map<task_ref, stall> next;
         for (const auto& [id, owner] : m_pool.state().submissions())
         {
-            for (std::uint32_t round = 0; !owner.final() && round < owner.rounds.size(); ++round)
+            for (std::uint32_t round = 0; !owner.final() && round < owner.spec.rounds; ++round)
             {
                 sample_round(owner, round_id{round}, *leader_active_since, next);
             }
@@ -118,18 +118,17 @@
     void sample_round(const submission& owner, round_id round, monotonic_time leader_active_since,
                       std::map<task_ref, stall>& next)
     {
-        const round_progress& progress = owner.rounds[round.value()];
-        for (std::uint32_t step = 0; step < progress.steps.size(); ++step)
+        for (std::uint32_t step = 0; step < owner.spec.steps.size(); ++step)
         {
             const step_spec& spec = owner.spec.steps[step];
-            const bool ready =
-                owner.spec.due_at(round) == 0 && std::all_of(spec.after.begin(), spec.after.end(),
-                                                             [&progress](std::uint32_t earlier)
-                                                             {
-                                                                 return progress.steps[earlier].complete();
-                                                             });
+            const bool ready = owner.spec.due_at(round) == 0 &&
+                               std::all_of(spec.after.begin(), spec.after.end(),
+                                           [&owner, round](std::uint32_t earlier)
+                                           {
+                                               return step_tasks(owner, round, earlier).complete();
+                                           });
             const std::vector<task_ref> stalled =
-                ready ? stalled_tasks(spec, {owner.id, round, step}, progress.steps[step])
+                ready ? stalled_tasks(spec, {owner.id, round, step}, step_tasks(owner, round, step))
                       : std::vector<task_ref>{};
             if (!stalled.empty() && has_spare_capacity(owner, spec, stalled))
             {
@@ -209,13 +208,13 @@
     }
     // All tasks of a gang, unless one run has all its members; otherwise each task without a run.
     [[nodiscard]] std::vector<task_ref> stalled_tasks(const step_spec& spec, const step_ref& step,
-                                                      const step_progress& progress) const
+                                                      const step_tasks& tasks) const
     {
         std::vector<task_ref> out;
         for (std::uint32_t index = 0; index < spec.count; ++index)
         {
             const task_ref task{step, index};
-            const bool done = progress.tasks[index].state() == work_phase::completed;
+            const bool done = tasks[index].state() == work_phase::completed;
             if (!done && !runs(task) && m_pool.late_order_until(task) < m_pool.now())
             {
                 out.push_back(task);
--- a/tests/src/unit-replication.cpp
+++ b/tests/src/unit-replication.cpp
@@ -506,3 +506,62 @@
     BOOST_TEST(applied == 1U);
     BOOST_TEST(group.leads(now));
 }
+
+// Guards against a leader that holds a large state once for each follower it sends it to: replicas that lost
+// their disks together took it over its memory.
+BOOST_AUTO_TEST_CASE(large_snapshot_goes_to_one_follower_at_a_time)
+{
+    const replica_id self{node_id{1}, incarnation_id{1}};
+    replica_settings settings = short_lease_settings();
+    settings.snapshot_bytes = 4096;
+    replica_start disk;
+    disk.state.term = term_id{1};
+    disk.base.index = log_index{100};
+    disk.base.term = term_id{1};
+    disk.base.data.assign(8192, 'x');
+    disk.base.members.voters = {self};
+    for (std::uint16_t n = 2; n <= 4; ++n)
+    {
+        disk.base.members.learners.push_back({{node_id{n}, incarnation_id{1}}, false, {}});
+    }
+    replica leader(group_id{1}, self, settings, disk, 1, monotonic_time{});
+    monotonic_time now{};
+    std::set<replica_id> served;
+    std::optional<replica_id> receiving;
+    while (now < monotonic_time{} + seconds(5))
+    {
+        now += milliseconds(10);
+        leader.tick(now);
+        const replica_output output = leader.take_output(now);
+        leader.synced(now);
+        std::size_t snapshots = 0;
+        for (const replica_envelope& sent : output.messages)
+        {
+            const auto reply = [&](bool accepted, std::uint64_t match)
+            {
+                leader.receive(
+                    {group_id{1}, sent.to, self, append_reply{leader.term(), accepted, log_index{match}, {}}},
+                    now);
+            };
+            if (std::holds_alternative<snapshot_request>(sent.message))
+            {
+                ++snapshots;
+                receiving = sent.to;
+            }
+            else if (!served.contains(sent.to))
+            {
+                reply(false, 0); // its log is empty
+            }
+        }
+        BOOST_TEST(snapshots <= 1U);
+        if (receiving && now.time_since_epoch() % milliseconds(500) == duration{0})
+        {
+            served.insert(*receiving);
+            leader.receive(
+                {group_id{1}, *receiving, self, append_reply{leader.term(), true, leader.last_index(), {}}},
+                now);
+            receiving.reset();
+        }
+    }
+    BOOST_TEST(served.size() == 3U);
+}
