Queues: a submission belongs to a route, whatever the name of the queue

Cause: the name of the queue decided to which queue a submission belongs, in five places (find_for_caller, the submit call, accept_submission, the counts of waiting and unfinished work, the settings of removed queues); learned run times and advice went by name as well. Ruled out: old configurations at entry processes, since the leader gave these answers on the new version.

Now a submission keeps the route at which it was accepted, host and path prefix, and its queue is the one that has it. A queue that keeps its name and gets a route that was nobody's is followed; one whose route is gone is removed, and its name is free. An address at which a submission was accepted stays its own if a longer prefix is given to another queue. Commands name the route, since names may change before they are applied. Stored names are not rewritten, so that replicas of two releases hold the same state.

--- a/include/walkthread/dispatch/queue_pools.hpp
+++ b/include/walkthread/dispatch/queue_pools.hpp
@@ -19,7 +19,7 @@
 /// @since 0.9
 struct queue_move
 {
-    std::string queue;
+    std::string route; ///< of the queue, which may have got another name as well
     std::string from;
     std::string to;
     friend bool operator==(const queue_move&, const queue_move&) = default;
@@ -33,14 +33,14 @@
     /// @brief Takes over a configuration. The first one moves nothing.
     /// @param has_work whether a queue that is no longer configured still has unfinished submissions: its
     /// pool is remembered, as the queue may come back with another one
-    /// @return the queues that were moved, by name
+    /// @return the queues that were moved, by route
     /// Complexity: constant for the version seen last, else linear in the queues.
     [[nodiscard]] std::vector<queue_move> update(const cluster_configuration& current,
                                                  const std::function<bool(const std::string&)>& has_work);
 
   private:
     std::uint64_t m_version = 0;
-    std::map<std::string, std::string> m_pools; ///< by queue
+    std::map<std::string, std::string> m_pools; ///< by the queue's route
 };
 
 } // namespace walkthread
--- a/include/walkthread/dispatch/unconfirmed_submissions.hpp
+++ b/include/walkthread/dispatch/unconfirmed_submissions.hpp
@@ -6,7 +6,7 @@
 
 #include <cstdint>
 #include <string>
-#include <unordered_map>
+#include <unordered_set>
 
 #include <walkthread/workload/workload_state.hpp>
 
@@ -20,14 +20,14 @@
 {
   public:
     /// @brief Adds a submission whose first starts were committed, or were found never to have begun.
-    void add(submission_id id, std::string queue)
+    void add(submission_id id)
     {
-        m_queues.emplace(id, std::move(queue));
+        m_ids.insert(id);
     }
     /// @brief Removes a submission: a worker reported that it runs, or ran, one of its tasks.
     void confirm(submission_id id)
     {
-        m_queues.erase(id);
+        m_ids.erase(id);
     }
     /// @brief Removes submissions that are not running any more. Complexity: linear in the tracked
     /// submissions.
@@ -36,7 +36,7 @@
     [[nodiscard]] std::uint32_t count(const std::string& queue, const workload_state& state) const;
 
   private:
-    std::unordered_map<submission_id, std::string> m_queues;
+    std::unordered_set<submission_id> m_ids;
 };
 
 /// @brief Whether the record of a running submission shows no sign that any of its tasks started: none is
--- a/include/walkthread/workload/caller_access.hpp
+++ b/include/walkthread/workload/caller_access.hpp
@@ -33,6 +33,7 @@
     access_verdict verdict{};
     const queue_spec* queue{}; ///< the matching queue; null if there is none
     std::string organisation;  ///< of the caller; empty for calls without a key
+    std::string address;       ///< host and path of the call
     [[nodiscard]] bool allowed() const
     {
         return verdict == access_verdict::allowed;
@@ -44,6 +45,16 @@
 [[nodiscard]] access_decision decide_access(const workload_state& state, std::string_view host,
                                             std::string_view path, std::string_view key);
 
+/// @brief Whether a call addresses a submission: its queue matches the call, or the call repeats the address
+/// under which the submission was accepted and its queue is still configured. The latter holds when a longer
+/// path prefix was given to another queue since.
+[[nodiscard]] bool addresses(const workload_state& state, const access_decision& caller,
+                             const submission& known);
+
+/// @brief Whether a call repeats the address of a submission whose queue was removed.
+[[nodiscard]] bool addresses_removed_queue(const workload_state& state, const access_decision& caller,
+                                           submission_id id);
+
 /// @brief The submission that an allowed call refers to; null if this caller may not see one. A submission of
 /// another organisation is treated like one that does not exist.
 [[nodiscard]] const submission* find_for_caller(const workload_state& state, const access_decision& caller,
--- a/include/walkthread/workload/cluster_configuration.hpp
+++ b/include/walkthread/workload/cluster_configuration.hpp
@@ -5,6 +5,7 @@
 /// @since 0.2
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -47,6 +48,10 @@
                    max_attempts, advised, advice, open)
 };
 
+/// @brief The route of a queue: host and path prefix, by which callers know it. Operators may give a queue
+/// another name; its route stays the same.
+[[nodiscard]] std::string route_of(const queue_spec& queue);
+
 /// @brief One host pool.
 struct pool_spec
 {
@@ -83,6 +88,12 @@
 [[nodiscard]] bool addresses_submission(const queue_spec& queue, std::string_view path,
                                         std::string_view name);
 
+/// @brief Queues whose route a new configuration changes: they keep their names, their former routes are
+/// given to no queue, and their new ones were no other queue's. Complexity: n log n in the queues.
+/// @return the new route of each former one
+[[nodiscard]] std::map<std::string, std::string> find_moved_routes(const cluster_configuration& held,
+                                                                   const cluster_configuration& next);
+
 /// @brief The queue with this name; null if there is none.
 [[nodiscard]] const queue_spec* find_queue_by_name(const cluster_configuration& held, std::string_view name);
 
--- a/include/walkthread/workload/commands.hpp
+++ b/include/walkthread/workload/commands.hpp
@@ -51,7 +51,10 @@
     std::string queue;
     submission_spec spec;
     std::string organisation; ///< owner; empty for none
-    MSGPACK_DEFINE(id, queue, spec, organisation)
+    /// Of the queue. It counts and not the name, which may be another queue's when the command is applied;
+    /// empty in commands of releases before 0.10.
+    std::string route{};
+    MSGPACK_DEFINE(id, queue, spec, organisation, route)
 };
 
 /// @brief Cancels a submission at its caller's request.
--- a/include/walkthread/workload/submission.hpp
+++ b/include/walkthread/workload/submission.hpp
@@ -149,7 +149,7 @@
 struct submission
 {
     submission_id id{};
-    std::string queue;
+    std::string queue;            ///< name of its queue when it was accepted
     std::string pool;             ///< of its queue when it was accepted; see `workload_state::pool_of`
     std::uint32_t max_attempts{}; ///< of its queue when it was accepted, and valid until it ends
     submission_spec spec;
@@ -162,8 +162,11 @@
     std::string organisation;                            ///< owner; empty for none
     std::uint32_t next_round{};                          ///< the first round that has not begun
     std::map<std::uint32_t, round_progress> open_rounds; ///< rounds that have begun and not completed
+    /// Route of its queue when it was accepted; see `workload_state::queue_of`. Empty in snapshots of
+    /// releases before 0.10.
+    std::string route;
     MSGPACK_DEFINE(id, queue, pool, max_attempts, spec, phase, accepted, ended, former_rounds,
-                   former_completed_rounds, active, organisation, next_round, open_rounds)
+                   former_completed_rounds, active, organisation, next_round, open_rounds, route)
 
     std::uint64_t description_bytes{}; ///< derived, see `state_size.hpp`
     std::uint64_t charged_bytes{};     ///< derived: its part of `workload_state::bytes`
@@ -180,6 +183,11 @@
     {
         return phase >= static_cast<std::uint8_t>(submission_phase::completed);
     }
+    /// @brief Under which its queue's run times and advice are learned: the route, which outlives names.
+    [[nodiscard]] const std::string& queue_key() const
+    {
+        return route.empty() ? queue : route;
+    }
     /// @brief Whether a round has completed.
     [[nodiscard]] bool round_completed(std::uint32_t round) const
     {
--- a/include/walkthread/workload/workload_state.hpp
+++ b/include/walkthread/workload/workload_state.hpp
@@ -98,9 +98,14 @@
     }
     /// @brief A queue of the current configuration, or null. Complexity: constant.
     [[nodiscard]] const queue_spec* find_queue(const std::string& name) const;
-    /// @brief The queue of a submission as it is configured, or as it was last if it is no longer. Null only
-    /// for a submission from the snapshot of a release before 0.9 whose queue had been removed.
-    /// Complexity: constant.
+    /// @brief The configured queue with this route, or null. Complexity: constant.
+    [[nodiscard]] const queue_spec* find_route(const std::string& route) const;
+    /// @brief The queue of a submission as it is configured: the one with its route, whatever its name, or
+    /// with the route that its own was changed to. Null if there is none. Complexity: constant.
+    [[nodiscard]] const queue_spec* configured_queue_of(const submission& owner) const;
+    /// @brief The queue of a submission as it is configured, or as it was last if it is no longer. Null if it
+    /// was removed and no submission of it is unfinished, or if the snapshot of a release before 0.9 lacks
+    /// it. Complexity: logarithmic in the removed queues.
     [[nodiscard]] const queue_spec* queue_of(const submission& owner) const;
     /// @brief The pool whose workers run what still waits of a submission: that of its queue.
     /// Complexity: constant.
@@ -181,8 +186,10 @@
     }
     /// @brief Number of submissions of a queue that have not started any task.
     [[nodiscard]] std::uint32_t queued(const std::string& queue) const;
-    /// @brief Number of submissions of a queue that are not final, configured or not.
-    [[nodiscard]] std::uint32_t unfinished(const std::string& queue) const;
+    /// @brief Number of submissions of the queue with this route that are not final, configured or not.
+    [[nodiscard]] std::uint32_t unfinished(const std::string& route) const;
+    /// @brief The present route of a submission's queue.
+    [[nodiscard]] const std::string& route_of(const submission& owner) const;
     /// @brief Whether a run is the active run of its task and its submission is not final.
     [[nodiscard]] bool needs_run(const run_ref& run) const;
     /// @brief The state of a task; null if there is none, also once its submission is final and has no active
@@ -237,8 +244,12 @@
     void index_submission(submission& owner);
     void read_snapshot(class value_reader& in);
     void read_submission(submission owner);
+    void complete_routes();
     void rebuild_indexes();
+    void follow_routes(const cluster_configuration& next);
     void keep_removed_queues(const cluster_configuration& next);
+    void count_submission(const submission& owner);
+    void recount_submissions();
     void index_configuration();
     void index_ready_first();
     void index_usage();
@@ -256,9 +267,11 @@
     crash_evidence_table m_crashes;
     quota_usage m_quotas;
     hall_cordons m_cordons;
-    /// Queues that were removed while submissions of them were unfinished: these need the settings until
-    /// they end.
+    /// Queues, by route, that were removed while submissions of them were unfinished: these need the settings
+    /// until they end.
     std::map<std::string, queue_spec> m_removed_queues;
+    /// The present routes of queues whose route was changed, by the former ones.
+    std::map<std::string, std::string> m_moved_routes;
 
     // Indexes derived from the above; not saved.
     api_key_index m_keys;
@@ -266,6 +279,7 @@
     std::vector<submission_id> m_ended_by_command; ///< submissions ended by the command that is being applied
     std::unordered_map<std::string, std::size_t>
         m_queue_positions; ///< positions in the configuration, by name
+    std::unordered_map<std::string, std::size_t> m_route_positions; ///< the same by route
     std::map<worker_incarnation_ref, worker_incarnation_id> m_by_incarnation;
     std::map<std::string, worker_incarnation_id> m_by_host;
     // What is due follows from the time as well, so these change without a command, see `release_due`.
@@ -278,8 +292,8 @@
     std::uint64_t m_configuration_bytes = 0;
     std::set<submission_id> m_closing;
     std::set<std::pair<wall_ms, submission_id>> m_ended;
-    std::map<std::string, std::uint32_t> m_queued;
-    std::map<std::string, std::uint32_t> m_unfinished; ///< by queue; no entry for 0
+    std::map<std::string, std::uint32_t> m_queued;     ///< by present route
+    std::map<std::string, std::uint32_t> m_unfinished; ///< by present route; no entry for 0
 };
 
 /// @brief Resources that a task of a step reserves on its host: best-effort (`fills`) tasks reserve no
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -274,8 +274,8 @@
     const double objective = item.queue != nullptr ? objective_ms(chain, *item.queue) : 0.0;
     item.slack_ms = objective - age - chain.remaining_ms;
     item.uncertainty_ms =
-        2 * std::sqrt(m_objectives.relative_variance(item.owner->queue)) * chain.remaining_ms;
-    item.run_ms = m_objectives.expected_ms(item.owner->queue, *item.step);
+        2 * std::sqrt(m_objectives.relative_variance(item.owner->queue_key())) * chain.remaining_ms;
+    item.run_ms = m_objectives.expected_ms(item.owner->queue_key(), *item.step);
     item.reserved = has_reservation(item.ref);
     item.expected_timeliness = classify_timeliness(item.slack_ms, objective, m_settings.timeliness_limits);
     return true;
@@ -448,7 +448,7 @@
         }
     }
     log_event(now, "starts_planned", name_of(item.ref),
-              {{"queue", item.owner->queue},
+              {{"queue", item.queue == nullptr ? item.owner->queue : item.queue->name},
                {"tasks", starts.size()},
                {"slack_ms", static_cast<std::int64_t>(item.slack_ms)},
                {"missed", item.missed()},
@@ -457,7 +457,7 @@
     const bool first = item.owner->state() == submission_phase::queued;
     m_hooks.propose(record_starts{starts},
                     [this, alive = m_alive, starts, tickets, room, counted, bytes, first, id = item.owner->id,
-                     queue = item.owner->queue, organisation = item.owner->organisation](bool committed)
+                     organisation = item.owner->organisation](bool committed)
                     {
                         if (!*alive)
                         {
@@ -465,7 +465,7 @@
                         }
                         if (first && committed)
                         {
-                            m_unconfirmed.add(id, queue);
+                            m_unconfirmed.add(id);
                         }
                         m_planned_by_organisation[organisation] -= counted;
                         m_planned_bytes -= bytes;
--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -43,7 +43,7 @@
     {
         return find_offers(item, now);
     }
-    const double share = m_advice.good_share(item.owner->queue);
+    const double share = m_advice.good_share(item.owner->queue_key());
     const std::size_t from = std::hash<submission_id>{}(item.ref.submission) % m_hosts.size();
     std::vector<offer> offers;
     offers.reserve(first_query_hosts);
@@ -89,7 +89,7 @@
         return (flags << 48U) | (room << 32U) | o.worker->id.value();
     };
     step_advice& known = m_advice.of(item.ref);
-    const double share = m_advice.good_share(item.owner->queue);
+    const double share = m_advice.good_share(item.owner->queue_key());
     std::vector<query_target> offers;
     double usable_slots = 0;
     for (const offer& o : find_offers_to_query(item, need, now))
@@ -208,10 +208,10 @@
               {{"workers", workers.size()},
                {"need", item.step->count},
                {"held", held_tasks(item.ref)},
-               {"share_good", m_advice.good_share(item.owner->queue)}});
+               {"share_good", m_advice.good_share(item.owner->queue_key())}});
     const milliseconds validity{item.queue->advice.validity_ms};
     m_hooks.advise(question, pressing,
-                   [this, alive = m_alive, ref = item.ref, queue = item.owner->queue, workers,
+                   [this, alive = m_alive, ref = item.ref, queue = item.owner->queue_key(), workers,
                     validity](const advice_answer& answer)
                    {
                        if (*alive)
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -419,7 +419,7 @@
     std::vector<worker_incarnation_id> asked;
     double expected_slots = 0;
     double unknown_free = 0;
-    const double share = m_advice.good_share(item.owner->queue);
+    const double share = m_advice.good_share(item.owner->queue_key());
     std::vector<offer> unknown;
     for (const offer& o : find_offers(item, now))
     {
--- a/src/dispatch/dispatcher_losses.cpp
+++ b/src/dispatch/dispatcher_losses.cpp
@@ -49,7 +49,7 @@
 {
     const submission* owner = m_state.find(run.task.step.submission);
     const step_spec* step = m_state.find(run.task.step);
-    const double expected_ms = step == nullptr ? 0.0 : m_objectives.expected_ms(owner->queue, *step);
+    const double expected_ms = step == nullptr ? 0.0 : m_objectives.expected_ms(owner->queue_key(), *step);
     return milliseconds(static_cast<std::int64_t>(expected_ms));
 }
 
--- a/src/dispatch/dispatcher_moved_queues.cpp
+++ b/src/dispatch/dispatcher_moved_queues.cpp
@@ -17,9 +17,9 @@
         return;
     }
     const std::vector<queue_move> moves = m_queue_pools.update(*m_state.current_configuration(),
-                                                               [this](const std::string& queue)
+                                                               [this](const std::string& route)
                                                                {
-                                                                   return m_state.unfinished(queue) > 0;
+                                                                   return m_state.unfinished(route) > 0;
                                                                });
     if (moves.empty())
     {
@@ -28,13 +28,13 @@
     std::set<std::string> moved;
     for (const queue_move& move : moves)
     {
-        moved.insert(move.queue);
-        log_event(now, "queue_moved", move.queue,
-                  {{"from", move.from}, {"to", move.to}, {"unfinished", m_state.unfinished(move.queue)}});
+        moved.insert(move.route);
+        log_event(now, "queue_moved", move.route,
+                  {{"from", move.from}, {"to", move.to}, {"unfinished", m_state.unfinished(move.route)}});
     }
     for (const step_ref& ref : m_state.ready())
     {
-        if (moved.contains(m_state.find(ref.submission)->queue))
+        if (moved.contains(m_state.route_of(*m_state.find(ref.submission))))
         {
             drop_hold(ref);
             m_hold_backoff_until.erase(ref);
--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -399,7 +399,7 @@
             const step_spec& step = *spec;
             const bool leaving =
                 view.draining && step.checkpoints && view.leaves_at - now < m_settings.drain_stop_lead;
-            const double expected = m_objectives.expected_ms(owner->queue, step) * stall_factor;
+            const double expected = m_objectives.expected_ms(owner->queue_key(), step) * stall_factor;
             const duration stall_limit = std::max<duration>(
                 m_settings.stall_timeout, milliseconds(static_cast<std::int64_t>(expected)));
             const bool paced = known.pace < 100; // throttled by this leader, so no progress is expected
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -228,7 +228,7 @@
         if (!bad && !failed.contains(id) && is_eligible(item, row))
         {
             const bool is_known = !advised || entry != known.entries.end();
-            others += (is_known ? 1.0 : m_advice.good_share(item.owner->queue)) *
+            others += (is_known ? 1.0 : m_advice.good_share(item.owner->queue_key())) *
                       slots(item, id, row.worker->description.size);
         }
     }
--- a/src/dispatch/dispatcher_polling.cpp
+++ b/src/dispatch/dispatcher_polling.cpp
@@ -330,7 +330,7 @@
         const submission* owner = m_state.find(run.task.step.submission);
         if (owner != nullptr && shows_no_start(*owner))
         {
-            m_unconfirmed.add(owner->id, owner->queue);
+            m_unconfirmed.add(owner->id);
         }
     }
 }
@@ -402,11 +402,11 @@
             m_state.find(end.run.task)->checkpoint.empty())
         {
             const std::int64_t took_ms = std::chrono::duration_cast<milliseconds>(took).count();
-            const double expected = m_objectives.expected_ms(owner->queue, step);
-            m_objectives.record_run(owner->queue, step.estimate_ms, took_ms);
+            const double expected = m_objectives.expected_ms(owner->queue_key(), step);
+            m_objectives.record_run(owner->queue_key(), step.estimate_ms, took_ms);
             m_turnover.record(step.size, milliseconds(took_ms));
             const double sound =
-                std::min(1.0, reliable_spread / m_objectives.relative_variance(owner->queue));
+                std::min(1.0, reliable_spread / m_objectives.relative_variance(owner->queue_key()));
             const double seen = std::clamp(expected / static_cast<double>(std::max<std::int64_t>(took_ms, 1)),
                                            min_speed_sample, max_speed_sample);
             const bool learns =
--- a/src/dispatch/dispatcher_preempt.cpp
+++ b/src/dispatch/dispatcher_preempt.cpp
@@ -27,7 +27,7 @@
     }
     const queue_spec* queue = m_state.queue_of(*owner);
     const bool lesser = queue != nullptr && item.queue != nullptr && queue->priority > item.queue->priority;
-    const double left = m_objectives.expected_ms(owner->queue, *step) * (100.0 - known.percent) / 100.0;
+    const double left = m_objectives.expected_ms(owner->queue_key(), *step) * (100.0 - known.percent) / 100.0;
     return lesser && step->checkpoints && !step->gang && !step->long_running && left > min_remaining_ms;
 }
 
--- a/src/dispatch/dispatcher_reserve.cpp
+++ b/src/dispatch/dispatcher_reserve.cpp
@@ -28,7 +28,7 @@
     {
         return std::nullopt;
     }
-    return m_objectives.expected_ms(owner->queue, *step) * (100.0 - known.percent) / 100.0;
+    return m_objectives.expected_ms(owner->queue_key(), *step) * (100.0 - known.percent) / 100.0;
 }
 
 std::optional<double> dispatcher::time_until_task_fits(const candidate& item, const offer& o) const
--- a/src/dispatch/objective.cpp
+++ b/src/dispatch/objective.cpp
@@ -65,7 +65,7 @@
     critical_path_times out;
     for (std::size_t i = steps.size(); i-- > 0;)
     {
-        behind[i] += expected_ms(owner.queue, steps[i]);
+        behind[i] += expected_ms(owner.queue_key(), steps[i]);
         out.total_ms = std::max(out.total_ms, behind[i]);
         for (const std::uint32_t earlier : steps[i].after)
         {
--- a/src/dispatch/queue_pools.cpp
+++ b/src/dispatch/queue_pools.cpp
@@ -16,19 +16,19 @@
     std::map<std::string, std::string> next;
     for (const queue_spec& queue : current.queues)
     {
-        next.emplace(queue.name, queue.pool);
+        next.emplace(route_of(queue), queue.pool);
     }
     std::vector<queue_move> moves;
-    for (const auto& [name, pool] : m_pools)
+    for (const auto& [route, pool] : m_pools)
     {
-        const auto present = next.find(name);
-        if (present == next.end() && has_work(name))
+        const auto present = next.find(route);
+        if (present == next.end() && has_work(route))
         {
-            next.emplace(name, pool);
+            next.emplace(route, pool);
         }
         else if (present != next.end() && present->second != pool)
         {
-            moves.push_back({name, pool, present->second});
+            moves.push_back({route, pool, present->second});
         }
     }
     m_pools = std::move(next);
--- a/src/dispatch/unconfirmed_submissions.cpp
+++ b/src/dispatch/unconfirmed_submissions.cpp
@@ -28,21 +28,22 @@
 
 void unconfirmed_submissions::prune(const workload_state& state)
 {
-    std::erase_if(m_queues,
-                  [&state](const auto& item)
+    std::erase_if(m_ids,
+                  [&state](submission_id id)
                   {
-                      return !is_running(state, item.first);
+                      return !is_running(state, id);
                   });
 }
 
 std::uint32_t unconfirmed_submissions::count(const std::string& queue, const workload_state& state) const
 {
-    return static_cast<std::uint32_t>(std::count_if(m_queues.begin(), m_queues.end(),
-                                                    [&queue, &state](const auto& item)
-                                                    {
-                                                        return item.second == queue &&
-                                                               is_running(state, item.first);
-                                                    }));
+    const queue_spec* const asked = state.find_queue(queue);
+    return static_cast<std::uint32_t>(
+        std::count_if(m_ids.begin(), m_ids.end(),
+                      [asked, &state](submission_id id)
+                      {
+                          return is_running(state, id) && state.configured_queue_of(*state.find(id)) == asked;
+                      }));
 }
 
 bool shows_no_start(const submission& owner)
--- a/src/fabric/core_caller_calls.cpp
+++ b/src/fabric/core_caller_calls.cpp
@@ -49,7 +49,7 @@
     }
     const queue_spec* queue = caller.queue;
     const submission* known = m_state.find(call.id);
-    if (known != nullptr && known->queue == queue->name && known->organisation == caller.organisation)
+    if (known != nullptr && addresses(m_state, caller, *known) && known->organisation == caller.organisation)
     {
         handler(make_reply(reply_kind::done));
         return;
@@ -81,20 +81,29 @@
                {"lasting", call.spec.steps.front().long_running},
                {"rounds", call.spec.rounds}});
     m_admission.begin_commit(call.id, bytes);
-    propose_and_reply(accept_submission{call.id, queue->name, call.spec, caller.organisation},
-                      [this, alive = m_alive, id = call.id, name, handler](service_reply reply)
-                      {
-                          if (*alive)
-                          {
-                              m_admission.end_commit(id);
-                          }
-                          if (*alive && reply.what() != reply_kind::done)
-                          {
-                              log_event("submission_not_kept", name,
-                                        {{"kind", reply.kind}, {"code", reply.code}, {"detail", reply.text}});
-                          }
-                          handler(std::move(reply));
-                      });
+    propose_and_reply(
+        accept_submission{call.id, queue->name, call.spec, caller.organisation, route_of(*queue)},
+        [this, alive = m_alive, id = call.id, name, handler](service_reply reply)
+        {
+            if (*alive)
+            {
+                m_admission.end_commit(id);
+            }
+            if (*alive && reply.what() != reply_kind::done)
+            {
+                log_event("submission_not_kept", name,
+                          {{"kind", reply.kind}, {"code", reply.code}, {"detail", reply.text}});
+            }
+            handler(std::move(reply));
+        });
+}
+
+// An accepted submission whose queue was removed is not unknown, also if a shorter path prefix matches.
+service_reply core_node::refuse_unknown(const access_decision& caller, submission_id id) const
+{
+    return addresses_removed_queue(m_state, caller, id)
+               ? make_refusal(workload_code::unknown_queue, "There is no such queue.")
+               : make_refusal(workload_code::unknown_submission, "There is no such submission.");
 }
 
 // Refuses a submission for which the state has no room. What was accepted goes on.
@@ -163,7 +172,7 @@
     const submission* known = find_for_caller(m_state, caller, call.id);
     if (known == nullptr)
     {
-        handler(make_refusal(workload_code::unknown_submission, "There is no such submission."));
+        handler(refuse_unknown(caller, call.id));
         return;
     }
     service_reply reply = make_reply(reply_kind::done, std::string(name_of(known->state())));
@@ -182,7 +191,7 @@
     const submission* known = find_for_caller(m_state, caller, call.id);
     if (known == nullptr)
     {
-        handler(make_refusal(workload_code::unknown_submission, "There is no such submission."));
+        handler(refuse_unknown(caller, call.id));
         return;
     }
     log_event("submission_cancelling", name_of(call.id),
--- a/src/fabric/core_calls.cpp
+++ b/src/fabric/core_calls.cpp
@@ -175,9 +175,10 @@
         handler(make_refusal(workload_code::unknown_submission, "There is no such submission."));
         return;
     }
-    std::string text = name_of(call.id) + " in queue " + known->queue + ": " +
-                       std::string(name_of(known->state())) + ", " + std::to_string(known->active) +
-                       " runs active.";
+    const queue_spec* queue = m_state.configured_queue_of(*known);
+    std::string text =
+        name_of(call.id) + " in queue " + (queue == nullptr ? known->queue + " (removed)" : queue->name) +
+        ": " + std::string(name_of(known->state())) + ", " + std::to_string(known->active) + " runs active.";
     if (!known->final() && known->spec.rounds > 1)
     {
         text += ' ' + std::to_string(known->next_round - known->open_rounds.size()) + " of " +
--- a/src/workload/cluster_configuration.cpp
+++ b/src/workload/cluster_configuration.cpp
@@ -79,6 +79,39 @@
     return best;
 }
 
+std::string route_of(const queue_spec& queue)
+{
+    return queue.host + queue.path_prefix;
+}
+
+std::map<std::string, std::string> find_moved_routes(const cluster_configuration& held,
+                                                     const cluster_configuration& next)
+{
+    std::set<std::string> before;
+    for (const queue_spec& queue : held.queues)
+    {
+        before.insert(route_of(queue));
+    }
+    std::set<std::string> after;
+    std::map<std::string, std::string> by_name;
+    for (const queue_spec& queue : next.queues)
+    {
+        after.insert(route_of(queue));
+        by_name.emplace(queue.name, route_of(queue));
+    }
+    std::map<std::string, std::string> moved;
+    for (const queue_spec& queue : held.queues)
+    {
+        const auto same_name = by_name.find(queue.name);
+        if (!after.contains(route_of(queue)) && same_name != by_name.end() &&
+            !before.contains(same_name->second))
+        {
+            moved.emplace(route_of(queue), same_name->second);
+        }
+    }
+    return moved;
+}
+
 bool addresses_submission(const queue_spec& queue, std::string_view path, std::string_view name)
 {
     return path.size() == queue.path_prefix.size() + name.size() && path.starts_with(queue.path_prefix);
--- a/src/workload/workload_indexes.cpp
+++ b/src/workload/workload_indexes.cpp
@@ -12,7 +12,7 @@
 {
     if (owner.state() == submission_phase::queued)
     {
-        --m_queued[owner.queue];
+        --m_queued[route_of(owner)];
     }
     owner.phase = static_cast<std::uint8_t>(phase);
 }
@@ -20,10 +20,11 @@
 void workload_state::finish(wall_ms at, submission& owner, submission_phase phase)
 {
     set_phase(owner, phase);
-    if (const auto open = m_unfinished.find(owner.queue); open != m_unfinished.end() && --open->second == 0)
+    if (const auto open = m_unfinished.find(route_of(owner));
+        open != m_unfinished.end() && --open->second == 0)
     {
+        m_removed_queues.erase(open->first);
         m_unfinished.erase(open);
-        m_removed_queues.erase(owner.queue);
     }
     m_crashes.clear(owner.id);
     owner.ended = at;
@@ -146,6 +147,38 @@
     m_submission_bytes += owner.charged_bytes;
 }
 
+// Called before the configuration is replaced. Callers of a former route that is given to a queue again mean
+// that queue.
+void workload_state::follow_routes(const cluster_configuration& next)
+{
+    if (!m_configuration)
+    {
+        return;
+    }
+    for (const auto& [former, present] : find_moved_routes(*m_configuration, next))
+    {
+        for (auto& [earlier, route] : m_moved_routes)
+        {
+            route = route == former ? present : route;
+        }
+        m_moved_routes.insert_or_assign(former, present);
+    }
+    std::set<std::string> in_use;
+    for (const auto& [id, owner] : m_submissions)
+    {
+        in_use.insert(owner.route);
+    }
+    for (const queue_spec& queue : next.queues)
+    {
+        in_use.erase(walkthread::route_of(queue));
+    }
+    std::erase_if(m_moved_routes,
+                  [&in_use](const auto& item)
+                  {
+                      return !in_use.contains(item.first);
+                  });
+}
+
 // Called before the configuration is replaced.
 void workload_state::keep_removed_queues(const cluster_configuration& next)
 {
@@ -153,15 +186,41 @@
     {
         for (const queue_spec& queue : m_configuration->queues)
         {
-            if (m_unfinished.contains(queue.name))
+            const std::string route = walkthread::route_of(queue);
+            if (m_unfinished.contains(route))
             {
-                m_removed_queues.insert_or_assign(queue.name, queue);
+                m_removed_queues.insert_or_assign(route, queue);
             }
         }
     }
     for (const queue_spec& queue : next.queues)
     {
-        m_removed_queues.erase(queue.name);
+        m_removed_queues.erase(walkthread::route_of(queue));
+    }
+    for (const auto& [former, present] : m_moved_routes)
+    {
+        m_removed_queues.erase(former);
+    }
+}
+
+void workload_state::count_submission(const submission& owner)
+{
+    const std::string& route = route_of(owner);
+    m_queued[route] += owner.state() == submission_phase::queued ? 1 : 0;
+    if (!owner.final())
+    {
+        ++m_unfinished[route];
+    }
+}
+
+// A queue may have another route now, or a route another queue.
+void workload_state::recount_submissions()
+{
+    m_queued.clear();
+    m_unfinished.clear();
+    for (const auto& [id, owner] : m_submissions)
+    {
+        count_submission(owner);
     }
 }
 
@@ -169,9 +228,11 @@
 {
     m_keys = m_configuration ? api_key_index(m_configuration->organisations) : api_key_index{};
     m_queue_positions.clear();
+    m_route_positions.clear();
     for (std::size_t place = 0; m_configuration && place < m_configuration->queues.size(); ++place)
     {
         m_queue_positions.emplace(m_configuration->queues[place].name, place);
+        m_route_positions.emplace(walkthread::route_of(m_configuration->queues[place]), place);
     }
     // The parsed queues take about as much as the document that lists them.
     m_configuration_bytes = m_configuration ? 2 * text_bytes(m_configuration->source.size()) : 0;
@@ -224,10 +285,7 @@
 {
     owner.description_bytes = description_bytes(owner.spec);
     charge(owner);
-    if (owner.state() == submission_phase::queued)
-    {
-        ++m_queued[owner.queue];
-    }
+    count_submission(owner);
     if (owner.final())
     {
         m_ended.insert({owner.ended, owner.id});
@@ -237,7 +295,6 @@
         }
         return;
     }
-    ++m_unfinished[owner.queue];
     for (const auto& [number, round] : owner.open_rounds)
     {
         refresh_round(owner, round_id{number});
--- a/src/workload/workload_snapshots.cpp
+++ b/src/workload/workload_snapshots.cpp
@@ -13,8 +13,8 @@
 namespace
 {
 // held, submissions, workers, waves, next_worker, former_ids, unheard, crashes, former, quotas, cordons,
-// removed_queues
-constexpr std::uint32_t snapshot_parts = 12;
+// removed_queues, moved_routes
+constexpr std::uint32_t snapshot_parts = 13;
 
 template <typename Map>
 void write_values(value_writer& out, const Map& items)
@@ -59,6 +59,7 @@
     out.write(m_quotas);
     out.write(m_cordons);
     write_values(out, m_removed_queues);
+    out.write(m_moved_routes);
     return out.take();
 }
 
@@ -69,6 +70,29 @@
     m_submissions.emplace(id, std::move(owner));
 }
 
+// Submissions of releases before 0.10 name their queue only.
+void workload_state::complete_routes()
+{
+    std::map<std::string, std::string> routes;
+    for (const auto& [route, queue] : m_removed_queues)
+    {
+        routes[queue.name] = route;
+    }
+    for (std::size_t i = 0; m_configuration && i < m_configuration->queues.size(); ++i)
+    {
+        const queue_spec& queue = m_configuration->queues[i];
+        routes[queue.name] = walkthread::route_of(queue);
+    }
+    for (auto& [id, owner] : m_submissions)
+    {
+        const auto known = routes.find(owner.queue);
+        if (owner.route.empty() && known != routes.end())
+        {
+            owner.route = known->second;
+        }
+    }
+}
+
 void workload_state::read_snapshot(value_reader& in)
 {
     std::uint32_t left = in.begin_array();
@@ -108,9 +132,11 @@
     m_cordons = read_part<hall_cordons>(in, left);
     for (queue_spec& queue : read_part<std::vector<queue_spec>>(in, left))
     {
-        const std::string name = queue.name;
-        m_removed_queues.emplace(name, std::move(queue));
+        const std::string route = walkthread::route_of(queue);
+        m_removed_queues.emplace(route, std::move(queue));
     }
+    m_moved_routes = read_part<std::map<std::string, std::string>>(in, left);
+    complete_routes();
 }
 
 bool workload_state::load(const std::string& bytes)
--- a/src/workload/workload_state.cpp
+++ b/src/workload/workload_state.cpp
@@ -89,13 +89,30 @@
     return found == m_queue_positions.end() ? nullptr : &m_configuration->queues[found->second];
 }
 
+const queue_spec* workload_state::find_route(const std::string& route) const
+{
+    const auto found = m_route_positions.find(route);
+    return found == m_route_positions.end() ? nullptr : &m_configuration->queues[found->second];
+}
+
+const std::string& workload_state::route_of(const submission& owner) const
+{
+    const auto moved = m_moved_routes.find(owner.route);
+    return moved == m_moved_routes.end() ? owner.route : moved->second;
+}
+
+const queue_spec* workload_state::configured_queue_of(const submission& owner) const
+{
+    return find_route(route_of(owner));
+}
+
 const queue_spec* workload_state::queue_of(const submission& owner) const
 {
-    if (const queue_spec* queue = find_queue(owner.queue))
+    if (const queue_spec* queue = configured_queue_of(owner))
     {
         return queue;
     }
-    const auto removed = m_removed_queues.find(owner.queue);
+    const auto removed = m_removed_queues.find(route_of(owner));
     return removed == m_removed_queues.end() ? nullptr : &removed->second;
 }
 
@@ -165,13 +182,14 @@
 
 std::uint32_t workload_state::queued(const std::string& queue) const
 {
-    const auto found = m_queued.find(queue);
+    const queue_spec* known = find_queue(queue);
+    const auto found = known == nullptr ? m_queued.end() : m_queued.find(walkthread::route_of(*known));
     return found == m_queued.end() ? 0 : found->second;
 }
 
-std::uint32_t workload_state::unfinished(const std::string& queue) const
+std::uint32_t workload_state::unfinished(const std::string& route) const
 {
-    const auto found = m_unfinished.find(queue);
+    const auto found = m_unfinished.find(route);
     return found == m_unfinished.end() ? 0 : found->second;
 }
 
@@ -214,9 +232,11 @@
     }
     if (!m_configuration || command.next.version > m_configuration->version)
     {
+        follow_routes(command.next);
         keep_removed_queues(command.next);
         m_configuration = command.next;
         index_configuration();
+        recount_submissions();
         m_quotas.set_limits(m_configuration->organisations);
     }
     return {};
@@ -224,15 +244,18 @@
 
 workload_result workload_state::handle(wall_ms at, const accept_submission& command)
 {
+    const queue_spec* queue = command.route.empty() ? find_queue(command.queue) : find_route(command.route);
     const submission* known = find(command.id);
     if (known != nullptr)
     {
-        return known->queue == command.queue && known->organisation == command.organisation
+        const bool same_removed =
+            command.route.empty() ? known->queue == command.queue : known->route == command.route;
+        const bool same_queue = queue == nullptr ? same_removed : queue == configured_queue_of(*known);
+        return same_queue && known->organisation == command.organisation
                    ? workload_result{}
                    : refuse(workload_code::id_in_use,
                             "A submission of another queue or organisation has this id.");
     }
-    const queue_spec* queue = find_queue(command.queue);
     if (queue == nullptr)
     {
         return refuse(workload_code::unknown_queue, "There is no such queue.");
@@ -247,15 +270,15 @@
     }
     submission kept;
     kept.id = command.id;
-    kept.queue = command.queue;
+    kept.queue = queue->name;
+    kept.route = walkthread::route_of(*queue);
     kept.organisation = command.organisation;
     kept.pool = queue->pool;
     kept.max_attempts = queue->max_attempts;
     kept.spec = command.spec;
     kept.accepted = at;
-    ++m_queued[kept.queue];
-    ++m_unfinished[kept.queue];
     submission& owner = m_submissions.emplace(command.id, std::move(kept)).first->second;
+    count_submission(owner);
     owner.description_bytes = description_bytes(owner.spec);
     charge(owner);
     index_next_rounds(owner);
--- a/tests/src/stall_check.hpp
+++ b/tests/src/stall_check.hpp
@@ -236,7 +236,7 @@
                                           const std::vector<task_ref>& stalled) const
     {
         const step_ref step = stalled.front().step;
-        const bool advised = m_pool.state().find_queue(owner.queue)->advised;
+        const bool advised = m_pool.state().queue_of(owner)->advised;
         capacity_sum sum;
         for (const auto& [incarnation, worker] : m_pool.workers())
         {
--- a/tests/src/unit-queue-changes.cpp
+++ b/tests/src/unit-queue-changes.cpp
@@ -298,7 +298,7 @@
     const msgpack::object_handle whole = msgpack::unpack(saved.data(), saved.size());
     msgpack::sbuffer earlier;
     msgpack::packer<msgpack::sbuffer> packer(earlier);
-    const std::uint32_t fields = whole.get().via.array.size - 1;
+    const std::uint32_t fields = whole.get().via.array.size - 2; // without removed and moved queues
     packer.pack_array(fields);
     for (std::uint32_t i = 0; i < fields; ++i)
     {
@@ -324,6 +324,7 @@
         {
             held.queues.emplace_back();
             held.queues.back().name = name;
+            held.queues.back().path_prefix = name;
             held.queues.back().pool = pool;
         }
         return pools.update(held,
