Dispatcher: log which orders are open when a worker has started again

Two runs of one task overlapped after workers had started again under their old ids. The log could not tell whether a poll or a start for the former incarnation was open at that time, which the next one may execute late. The event worker_started_again has both now.

--- a/src/dispatch/dispatcher_restarts.cpp
+++ b/src/dispatch/dispatcher_restarts.cpp
@@ -21,6 +21,8 @@
                {"unheard_ms", now - former.contact.last_heard()},
                {"ends_seen", worker.ends_recorded_up_to},
                {"runs", worker.occupied.size()},
+               {"poll_in_flight", former.poll_in_flight},
+               {"unanswered_starts", former.unanswered_starts.size()},
                {"leaving", worker.leaving}});
 }
 
