Dispatcher: orders for a former incarnation are void once the next one has answered

Cause: a poll that was in flight to the former incarnation is executed late by the next one. Its lease end is a time on the former clock, so the worker cuts it to the longest lease, which is longer than the leader's usual one, and the leader gave the worker up before that lease was over. The confirmation of ends in the same poll discarded ends of the new incarnation that nobody had recorded. Both incarnations had the same fencing token, the term.

Change: the fencing token of orders to a worker is the term and the number of the incarnation, so that it rises with each. From the first answer on, orders for a former incarnation and those of earlier leaders are refused. worker_lease says in one place until when an incarnation may hold a lease: before that answer by the latest late order and the longest lease, after it by the clock reading in that answer and the longest lease (the usual one where no former process had the id), and by the leader's own grants.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -95,11 +95,15 @@
     using candidate = step_candidate;
     using offer = host_candidate;
 
-    // dispatcher.cpp: the scheduling pass and the order of the candidates
+    // dispatcher_views.cpp: the view of each incarnation of a worker
     void sync_views(monotonic_time now);
     void sync_all_views(monotonic_time now);
     void add_view(worker_incarnation_id id, monotonic_time now);
+    [[nodiscard]] foreign_leases find_foreign_leases(const worker_incarnation& worker,
+                                                     monotonic_time now) const;
     [[nodiscard]] worker_view make_view(const worker_incarnation& worker, monotonic_time now);
+
+    // dispatcher.cpp: the scheduling pass and the order of the candidates
     void run_periodic_work(monotonic_time now, wall_ms wall);
     [[nodiscard]] candidate make_candidate(const step_ref& ref) const;
     [[nodiscard]] std::vector<candidate> order_candidates(wall_ms wall, bool all);
@@ -337,12 +341,19 @@
     dispatch_settings m_settings;
     dispatch_hooks m_hooks;
     decision_log& m_log;
-    std::uint64_t m_fence;
+    std::uint64_t m_fence; ///< the term
     monotonic_time m_term_start;
     wall_ms m_wall{};
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< until the end of the term
 
     std::map<worker_incarnation_id, worker_view> m_views;
+    /// A process of a worker that was dropped: the next one under its id may execute orders for it.
+    struct dropped_process
+    {
+        process_start_ms start{};
+        monotonic_time dropped{};
+    };
+    std::map<std::string, dropped_process> m_dropped; ///< by the worker's id
     std::uint64_t m_synced_version = 0;
     monotonic_time m_periodic_work_due{};
     monotonic_time m_waiting_log_due{};                      ///< next log line about the longest waiting step
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -17,6 +17,7 @@
 #include <walkthread/dispatch/objective.hpp>
 #include <walkthread/dispatch/orders.hpp>
 #include <walkthread/dispatch/worker_contact.hpp>
+#include <walkthread/dispatch/worker_lease.hpp>
 #include <walkthread/units/time.hpp>
 
 namespace walkthread
@@ -157,11 +158,7 @@
     bool awaits_first_poll{};            ///< it is in the queue of first polls
     worker_contact contact;              ///< whether it can be reached
     monotonic_time answered_poll_sent{}; ///< send time of the newest poll that was answered
-    monotonic_time clock_at{};
-    std::int64_t clock_ms{}; ///< the worker's clock at `clock_at` or a little before
-    bool clock_known{};
-    std::int64_t granted_until_ms{};           ///< the latest lease end ever sent, on the worker's clock
-    monotonic_time earlier_leader_lease_end{}; ///< leases granted by an earlier leader end by then
+    worker_lease lease;                  ///< its clock, and the leases that it may hold
     bool poll_in_flight{};
     monotonic_time poll_sent{};
     monotonic_time poll_due{};
@@ -192,18 +189,12 @@
     /// Unanswered orders to start, with the time when they were found to be so.
     std::map<run_ref, monotonic_time> unanswered_starts;
 
-    /// @brief Records a reading of the worker's clock that was made no later than `now`.
-    void update_clock(std::int64_t ms, monotonic_time now);
-    /// @brief The estimated current time on the worker's clock.
-    [[nodiscard]] std::int64_t clock_now(monotonic_time now) const;
     /// @brief Records that a run of a gang was ended here because another member was lost; its other members
     /// here end as well.
     void record_broken_gang(const run_ref& run);
     /// @brief Whether a run was ended here for that reason, as far as the host has reported. Complexity:
     /// logarithmic in the number of such gangs.
     [[nodiscard]] bool ended_with_gang(const run_ref& run) const;
-    /// @brief Returns the lease end to request, on the worker's clock, and records it as granted.
-    std::int64_t grant_lease(monotonic_time now, milliseconds lease);
     /// @brief Takes over the runs that a former incarnation with the same id was told to start: orders for
     /// that incarnation may have reached this one, or may still do so.
     /// @param settings define for how long
@@ -215,8 +206,6 @@
     [[nodiscard]] bool has_pending_stops() const;
     /// @brief Whether it is unknown for any unanswered start whether it was carried out.
     [[nodiscard]] bool has_unresolved_start() const;
-    /// @brief Whether every lease that was ever granted has certainly expired, so that nothing can run there.
-    [[nodiscard]] bool lease_surely_expired(monotonic_time now, double drift) const;
 };
 
 } // namespace walkthread
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -18,8 +18,6 @@
 constexpr duration periodic_work_interval = milliseconds(50); // a fifth of the shortest retry interval
 // For work that visits every run: stalled runs, speeds and expiry change within seconds.
 constexpr duration review_interval = milliseconds(250);
-// Percent: pace of filling tasks that an earlier leader started, until tail latencies are known.
-constexpr std::int32_t inherited_pace = 25;
 // Ranks 0 to 2 are long-running work, urgent work and gangs with a reservation.
 constexpr int rank_of(timeliness expected_timeliness)
 {
@@ -60,117 +58,6 @@
     m_log.write(now, m_wall, event, subject, fields);
 }
 
-// Also null between the commit that drops an incarnation and the next pass, which erases its view: answers
-// that arrive in between are ignored.
-worker_view* dispatcher::view_of(worker_incarnation_id worker)
-{
-    const auto found = m_views.find(worker);
-    return found == m_views.end() || m_state.find(worker) == nullptr ? nullptr : &found->second;
-}
-
-worker_address dispatcher::address_of(worker_incarnation_id worker) const
-{
-    const worker_incarnation* incarnation = m_state.find(worker);
-    return incarnation == nullptr
-               ? worker_address{}
-               : worker_address{worker, incarnation->description.id, incarnation->description.process_start,
-                                incarnation->description.address, m_fence};
-}
-
-// Adds views of new incarnations and erases those of dropped ones. Visits only what has changed: each of
-// thousands of workers that register is a change of its own.
-void dispatcher::sync_views(monotonic_time now)
-{
-    const worker_change_log& changes = m_state.worker_changes();
-    if (m_synced_version == changes.version())
-    {
-        return;
-    }
-    const auto changed = changes.since(std::exchange(m_synced_version, changes.version()));
-    if (!changed)
-    {
-        sync_all_views(now);
-        return;
-    }
-    m_counters.views_synced += changed->size();
-    for (const worker_incarnation_id id : *changed)
-    {
-        add_view(id, now);
-    }
-    for (const worker_incarnation_id id : *changed)
-    {
-        if (m_state.find(id) == nullptr)
-        {
-            m_views.erase(id);
-        }
-    }
-}
-
-void dispatcher::sync_all_views(monotonic_time now)
-{
-    m_counters.views_synced += m_state.workers().size();
-    for (const auto& [id, worker] : m_state.workers())
-    {
-        add_view(id, now);
-    }
-    std::erase_if(m_views,
-                  [this](const auto& item)
-                  {
-                      return m_state.find(item.first) == nullptr;
-                  });
-}
-
-// Former incarnations still have their views here: a successor carries state over.
-void dispatcher::add_view(worker_incarnation_id id, monotonic_time now)
-{
-    const worker_incarnation* worker = m_state.find(id);
-    if (worker != nullptr && !m_views.contains(id))
-    {
-        m_views.emplace(id, make_view(*worker, now));
-        m_first_polls.add(id, !worker->occupied.empty());
-    }
-}
-
-worker_view dispatcher::make_view(const worker_incarnation& worker, monotonic_time now)
-{
-    worker_view view;
-    view.id = worker.id;
-    view.awaits_first_poll = true;
-    view.contact = worker_contact(now);
-    view.next_quarantine = m_settings.quarantine;
-    view.draining = worker.leaving;
-    view.sequence = worker.leaving_sequence;     // delayed older reports are ignored
-    view.leaves_at = now + m_settings.max_lease; // assumed until the worker reports to this leader
-    if (worker.leaving)
-    {
-        log_event(now, "worker_draining", worker.description.id,
-                  {{"from", "log"}, {"sequence", worker.leaving_sequence}, {"runs", worker.occupied.size()}});
-    }
-    const double longest =
-        static_cast<double>(m_settings.max_lease.count()) * (1.0 + 2 * m_settings.clock_drift);
-    const auto former = m_views.find(worker.follows);
-    const bool inherited = now == m_term_start || !worker.occupied.empty();
-    const monotonic_time granted_by = former == m_views.end() ? m_term_start : now;
-    view.earlier_leader_lease_end =
-        inherited ? granted_by + milliseconds(static_cast<std::int64_t>(longest)) : now;
-    for (const auto& [run, room] : worker.occupied)
-    {
-        run_view& known = view.runs[run];
-        known.sent = now;
-        known.last_progress = now;
-        known.inherited = former == m_views.end();
-        known.carried_over = !known.inherited;
-        // An earlier leader may have throttled it: keep it low until tail latencies on the host are known.
-        const step_spec* step = m_state.find(run.task.step);
-        view.filler_pace = step != nullptr && step->fills ? inherited_pace : view.filler_pace;
-    }
-    if (former != m_views.end())
-    {
-        view.carry_over(former->second, now, m_settings);
-    }
-    return view;
-}
-
 // ---------------------------------------------------------------------------------------------------------
 // Scheduling pass
 // ---------------------------------------------------------------------------------------------------------
@@ -251,6 +138,11 @@
         check_stalled_runs(now);
         m_unconfirmed.prune(m_state);
         update_typical_speed();
+        std::erase_if(m_dropped,
+                      [this, now](const auto& item)
+                      {
+                          return now - item.second.dropped > m_settings.late_order_limit;
+                      });
         expire_submissions(wall);
     }
 }
--- a/src/dispatch/dispatcher_losses.cpp
+++ b/src/dispatch/dispatcher_losses.cpp
@@ -190,9 +190,13 @@
         m_suspects.record_loss(item.run.task, now);
     }
     const worker_incarnation& worker = *m_state.find(view.id);
+    m_dropped[worker.description.id] = {worker.description.process_start, now};
     log_event(now, "worker_dropped", worker.description.id,
               {{"reason", reason},
                {"unheard_ms", now - view.contact.last_heard()},
+               {"answered_this_leader", view.answered},
+               {"lease_end_ms", view.lease.latest_end_ms()},
+               {"clock_ms", view.lease.clock_known() ? view.lease.clock_now(now) : -1},
                {"runs", worker.occupied.size()}});
     const auto again = [this, alive = m_alive, id = view.id](bool committed)
     {
--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -81,7 +81,7 @@
     const step_spec* step = m_state.find(run.task.step);
     const queue_spec* queue = m_state.queue_of(*owner);
     order.has_priority = (queue != nullptr && queue->priority == 0) || (step != nullptr && step->gang);
-    order.until_ms = view.grant_lease(now, std::min(m_settings.start_window, m_settings.max_lease));
+    order.until_ms = view.lease.grant(now, std::min(m_settings.start_window, m_settings.max_lease));
     note_start(view, run, now);
     poll_promptly(view, now);
     known.sent = now;
@@ -129,7 +129,7 @@
     known.order_in_flight = false;
     if (answer.clock_ms)
     {
-        view->update_clock(*answer.clock_ms, now);
+        view->lease.update_clock(*answer.clock_ms, now);
     }
     if (answer.outcome == order_outcome::accepted)
     {
--- a/src/dispatch/dispatcher_polling.cpp
+++ b/src/dispatch/dispatcher_polling.cpp
@@ -73,9 +73,9 @@
     // A worker whose answers are lost may still receive polls. Its lease has to expire at some time, so a
     // poll of an unresponsive worker does not renew it.
     const bool unresponsive = view.contact.time_since_contact(now) > m_settings.silent_after();
-    if (view.clock_known && !unresponsive)
+    if (view.lease.clock_known() && !unresponsive)
     {
-        order.until_ms = view.grant_lease(now, std::min(m_settings.lease, m_settings.max_lease));
+        order.until_ms = view.lease.grant(now, std::min(m_settings.lease, m_settings.max_lease));
     }
     const bool shared = view.serving > 0 && view.filling > 0;
     const milliseconds wait = polls_often_lost() ? m_settings.short_poll_wait
@@ -176,7 +176,8 @@
     view->contact.record_answer(now);
     m_contact_history.record_answer(now, max_expected_silence());
     view->answered_poll_sent = std::max(view->answered_poll_sent, sent);
-    view->update_clock(answer.clock_ms, now);
+    view->lease.update_clock(answer.clock_ms, now);
+    view->lease.record_fenced(answer.clock_ms);
     apply_running(*view, answer, now);
     pace_fillers(*view, answer, now);
     apply_ends(*view, answer, sent, now);
--- a/src/dispatch/dispatcher_reports.cpp
+++ b/src/dispatch/dispatcher_reports.cpp
@@ -107,7 +107,7 @@
     }
     if (!view.answered)
     {
-        view.update_clock(report.clock_ms, now);
+        view.lease.update_clock(report.clock_ms, now);
     }
 }
 
@@ -150,7 +150,7 @@
 {
     poll_order question;
     question.to = {worker_incarnation_id{}, report.description.id, report.description.process_start,
-                   report.description.address, m_fence};
+                   report.description.address, fencing_token(m_fence, present)};
     question.timeout = m_settings.poll_timeout;
     m_hooks.poll(question,
                  [this, alive = m_alive, report, present, done](const poll_answer& answer)
@@ -247,6 +247,7 @@
         done(true);
         return;
     }
+    m_dropped[id] = {known->description.process_start, m_hooks.now()};
     m_hooks.propose(drop_worker{known->id, true, {}},
                     [this, alive = m_alive, id, done](bool committed)
                     {
--- /dev/null
+++ b/src/dispatch/dispatcher_views.cpp
@@ -0,0 +1,151 @@
+// dispatcher: what the leader knows of each incarnation of a worker, kept in step with the replicated state.
+
+#include <walkthread/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+
+namespace walkthread
+{
+
+namespace
+{
+// Percent: pace of filling tasks that an earlier leader started, until tail latencies are known.
+constexpr std::int32_t inherited_pace = 25;
+constexpr milliseconds clock_resolution{1}; // workers report their clock in whole milliseconds
+} // namespace
+
+// Also null between the commit that drops an incarnation and the next pass, which erases its view: answers
+// that arrive in between are ignored.
+worker_view* dispatcher::view_of(worker_incarnation_id worker)
+{
+    const auto found = m_views.find(worker);
+    return found == m_views.end() || m_state.find(worker) == nullptr ? nullptr : &found->second;
+}
+
+worker_address dispatcher::address_of(worker_incarnation_id worker) const
+{
+    const worker_incarnation* incarnation = m_state.find(worker);
+    return incarnation == nullptr
+               ? worker_address{}
+               : worker_address{worker, incarnation->description.id, incarnation->description.process_start,
+                                incarnation->description.address, fencing_token(m_fence, worker)};
+}
+
+// Adds views of new incarnations and erases those of dropped ones. Visits only what has changed: each of
+// thousands of workers that register is a change of its own.
+void dispatcher::sync_views(monotonic_time now)
+{
+    const worker_change_log& changes = m_state.worker_changes();
+    if (m_synced_version == changes.version())
+    {
+        return;
+    }
+    const auto changed = changes.since(std::exchange(m_synced_version, changes.version()));
+    if (!changed)
+    {
+        sync_all_views(now);
+        return;
+    }
+    m_counters.views_synced += changed->size();
+    for (const worker_incarnation_id id : *changed)
+    {
+        add_view(id, now);
+    }
+    for (const worker_incarnation_id id : *changed)
+    {
+        if (m_state.find(id) == nullptr)
+        {
+            m_views.erase(id);
+        }
+    }
+}
+
+void dispatcher::sync_all_views(monotonic_time now)
+{
+    m_counters.views_synced += m_state.workers().size();
+    for (const auto& [id, worker] : m_state.workers())
+    {
+        add_view(id, now);
+    }
+    std::erase_if(m_views,
+                  [this](const auto& item)
+                  {
+                      return m_state.find(item.first) == nullptr;
+                  });
+}
+
+// Former incarnations still have their views here: a successor carries state over.
+void dispatcher::add_view(worker_incarnation_id id, monotonic_time now)
+{
+    const worker_incarnation* worker = m_state.find(id);
+    if (worker != nullptr && !m_views.contains(id))
+    {
+        m_views.emplace(id, make_view(*worker, now));
+        m_first_polls.add(id, !worker->occupied.empty());
+    }
+}
+
+// Leases that the worker may hold by orders without this leader's token for this incarnation. Orders for a
+// former incarnation have lease ends on another clock, of which the worker makes the longest lease; those of
+// an earlier leader for the same incarnation are no longer than its usual lease.
+foreign_leases dispatcher::find_foreign_leases(const worker_incarnation& worker, monotonic_time now) const
+{
+    const auto measured_here = [this](milliseconds span)
+    {
+        const double longest = static_cast<double>(span.count()) * (1.0 + 2 * m_settings.clock_drift);
+        return milliseconds(static_cast<std::int64_t>(longest));
+    };
+    const auto before = m_dropped.find(worker.description.id);
+    const bool other_process_dropped = before != m_dropped.end() &&
+                                       before->second.start != worker.description.process_start &&
+                                       now - before->second.dropped < m_settings.late_order_limit;
+    if (worker.follows != worker_incarnation_id{} || other_process_dropped)
+    {
+        return {now + m_settings.late_order_limit + measured_here(m_settings.max_lease),
+                m_settings.max_lease + clock_resolution};
+    }
+    if (now == m_term_start)
+    {
+        const auto drift = measured_here(worker_lease::max_reading_age) - worker_lease::max_reading_age;
+        return {now + measured_here(m_settings.max_lease),
+                std::min(m_settings.lease + drift, m_settings.max_lease + clock_resolution)};
+    }
+    return {now, milliseconds{0}};
+}
+
+worker_view dispatcher::make_view(const worker_incarnation& worker, monotonic_time now)
+{
+    worker_view view;
+    view.id = worker.id;
+    view.awaits_first_poll = true;
+    view.contact = worker_contact(now);
+    view.next_quarantine = m_settings.quarantine;
+    view.draining = worker.leaving;
+    view.sequence = worker.leaving_sequence;     // delayed older reports are ignored
+    view.leaves_at = now + m_settings.max_lease; // assumed until the worker reports to this leader
+    if (worker.leaving)
+    {
+        log_event(now, "worker_draining", worker.description.id,
+                  {{"from", "log"}, {"sequence", worker.leaving_sequence}, {"runs", worker.occupied.size()}});
+    }
+    view.lease = worker_lease(find_foreign_leases(worker, now));
+    const auto former = m_views.find(worker.follows);
+    for (const auto& [run, room] : worker.occupied)
+    {
+        run_view& known = view.runs[run];
+        known.sent = now;
+        known.last_progress = now;
+        known.inherited = former == m_views.end();
+        known.carried_over = !known.inherited;
+        // An earlier leader may have throttled it: keep it low until tail latencies on the host are known.
+        const step_spec* step = m_state.find(run.task.step);
+        view.filler_pace = step != nullptr && step->fills ? inherited_pace : view.filler_pace;
+    }
+    if (former != m_views.end())
+    {
+        view.carry_over(former->second, now, m_settings);
+    }
+    return view;
+}
+
+} // namespace walkthread
--- a/src/dispatch/drop_blocker.cpp
+++ b/src/dispatch/drop_blocker.cpp
@@ -30,7 +30,7 @@
     {
         return drop_blocker::no_failed_poll;
     }
-    if (!view.lease_surely_expired(*asked, settings.clock_drift))
+    if (!view.lease.surely_expired(*asked, settings.clock_drift))
     {
         return drop_blocker::lease_may_be_valid;
     }
@@ -39,7 +39,7 @@
     const auto others_heard = [&](std::optional<monotonic_time> poll)
     {
         return poll && *poll >= hearing.since() && hearing.last() > *poll &&
-               view.lease_surely_expired(*poll, settings.clock_drift);
+               view.lease.surely_expired(*poll, settings.clock_drift);
     };
     return others_heard(asked) || others_heard(view.contact.kept_failed_poll())
                ? drop_blocker::none
--- a/src/dispatch/worker_view.cpp
+++ b/src/dispatch/worker_view.cpp
@@ -5,30 +5,6 @@
 namespace walkthread
 {
 
-namespace
-{
-std::int64_t to_ms(duration span)
-{
-    return std::chrono::duration_cast<milliseconds>(span).count();
-}
-} // namespace
-
-void worker_view::update_clock(std::int64_t ms, monotonic_time now)
-{
-    // Keep the reading that puts the worker's clock furthest ahead: it had the shortest transfer time.
-    if (!clock_known || ms >= clock_now(now) || now - clock_at > seconds(10))
-    {
-        clock_ms = ms;
-        clock_at = now;
-        clock_known = true;
-    }
-}
-
-std::int64_t worker_view::clock_now(monotonic_time now) const
-{
-    return clock_ms + to_ms(now - clock_at);
-}
-
 void worker_view::record_broken_gang(const run_ref& run)
 {
     std::erase_if(broken_gangs,
@@ -46,13 +22,6 @@
     return found != broken_gangs.end() && found->second == run.run;
 }
 
-std::int64_t worker_view::grant_lease(monotonic_time now, milliseconds lease)
-{
-    const std::int64_t until = clock_now(now) + lease.count();
-    granted_until_ms = std::max(granted_until_ms, until);
-    return until;
-}
-
 void worker_view::carry_over(const worker_view& former, monotonic_time now, const dispatch_settings& settings)
 {
     for (const auto& [run, before] : former.runs)
@@ -84,12 +53,6 @@
     }
     unanswered_starts = former.unanswered_starts;
     speed = former.speed; // a property of the machine, not of the incarnation
-    // An order for the former incarnation has a lease end on a clock that was far ahead; the new one cuts it
-    // to the longest lease.
-    if (!unanswered_starts.empty())
-    {
-        earlier_leader_lease_end += settings.late_order_limit;
-    }
 }
 
 bool worker_view::has_unresolved_runs() const
@@ -121,18 +84,4 @@
                        });
 }
 
-bool worker_view::lease_surely_expired(monotonic_time now, double drift) const
-{
-    if (now < earlier_leader_lease_end && (!answered || !unanswered_starts.empty()))
-    {
-        return false;
-    }
-    if (!clock_known)
-    {
-        return now >= earlier_leader_lease_end;
-    }
-    const double elapsed = static_cast<double>(to_ms(now - clock_at)) * (1.0 - drift);
-    return static_cast<double>(clock_ms) + elapsed > static_cast<double>(granted_until_ms);
-}
-
 } // namespace walkthread
