Simulated workers carry out orders for a former incarnation

Cause: the simulation let an unanswered start reach the next incarnation under the same id, but not polls, and stops only on request of a test. So no test had a poll that was in flight when its worker crashed and was carried out by the next incarnation, which has seen no fencing token.

Change: `pool_settings::delayed_orders` gives the shares of polls, starts and stops left unanswered by a crash or an isolation that are carried out 0.05 to 12 s later by the incarnation that then has the id. It gets the lease, cut to the longest one, and the acknowledged ends of such a poll; its clock, fencing token and numbers of ends have begun anew, and it still refuses a lower token than it has seen. The longest lease is a setting (it was 6 s everywhere).

--- a/tests/src/pool_settings.hpp
+++ b/tests/src/pool_settings.hpp
@@ -31,6 +31,17 @@
     bool resets = false; // starts are carried out, then the connection breaks and the channel resends them
 };
 
+// Shares of the orders left unanswered by an unreachable worker, or by its crash, that are carried out later
+// by the incarnation that then has its id.
+struct delayed_order_settings
+{
+    double polls = 0.0;
+    double starts = 0.0;
+    double stops = 0.0;
+    milliseconds earliest{50};
+    milliseconds latest{12000}; // the platform's bound for unanswered orders
+};
+
 struct pool_settings
 {
     std::size_t workers = 8;
@@ -47,6 +58,8 @@
     std::size_t slow_worker_interval = 0;     // every n-th worker takes 1.3 times as long; 0 for none
     duration restart = milliseconds(3000);    // time until a worker that a task crashed is back
     bool restarts_keep_ids = false;           // with the same id but without its state
+    delayed_order_settings delayed_orders;
+    milliseconds max_lease{6000}; // workers cut longer ones to this
     // Time for which a host is down for maintenance; 0: the order has no effect.
     duration maintenance = milliseconds(0);
     resources organisation_limit{}; // of each organisation; no limits if it is empty
--- a/tests/src/simulated_pool.hpp
+++ b/tests/src/simulated_pool.hpp
@@ -71,6 +71,7 @@
         chosen.poll_connections = m_settings.poll_connections;
         chosen.contended_pool = m_settings.contended_pool;
         chosen.state = m_settings.state;
+        chosen.max_lease = m_settings.max_lease;
         m_leader = std::make_unique<dispatcher>(m_state, chosen, hooks(), *m_log, m_term, m_now);
         for (auto& [incarnation, worker] : m_workers)
         {
@@ -219,6 +220,7 @@
         }
         if (auto handler = std::exchange(worker.pending_poll, nullptr); handler)
         {
+            poll_later(worker.pending_poll_order);
             at(silent ? lost_answer_timeout : duration(m_settings.network_delay),
                [handler]
                {
--- a/tests/src/simulated_workers.hpp
+++ b/tests/src/simulated_workers.hpp
@@ -5,12 +5,12 @@
 
 #include <walkthread/workload/names.hpp>
 
-#include "simulation_records.hpp"
+#include "delayed_orders.hpp"
 
 namespace walkthread::test
 {
 
-class simulated_workers : public simulation_records
+class simulated_workers : public delayed_orders
 {
   public:
     // Makes one run there fail.
@@ -29,7 +29,7 @@
     }
 
   protected:
-    using simulation_records::simulation_records;
+    using delayed_orders::delayed_orders;
 
     void answer_later(const std::function<void(const order_answer&)>& handler, order_answer answer)
     {
@@ -40,8 +40,8 @@
            });
     }
     // The addressed incarnation does not answer: another one at its address identifies itself.
-    void answer_for_absent_worker(const worker_address& to, duration timeout,
-                                  const std::function<void(const order_answer&)>& handler)
+    order_outcome answer_for_absent_worker(const worker_address& to, duration timeout,
+                                           const std::function<void(const order_answer&)>& handler)
     {
         const bool other = std::any_of(m_workers.begin(), m_workers.end(),
                                        [&to](const auto& item)
@@ -67,6 +67,7 @@
            {
                handler({outcome, {}, false});
            });
+        return outcome;
     }
     static constexpr milliseconds order_timeout{600};
     static constexpr milliseconds connect_timeout{700};
@@ -88,7 +89,10 @@
         sim_worker* worker = find(order.to.id);
         if (worker == nullptr)
         {
-            answer_for_absent_worker(order.to, order_timeout, handler);
+            if (answer_for_absent_worker(order.to, order_timeout, handler) == order_outcome::unanswered)
+            {
+                start_later(order);
+            }
             return;
         }
         if (!late && random_fraction() < worker->faults.late)
@@ -127,6 +131,18 @@
         }
         answer_later(handler, {execute_start(*worker, order, late), clock_of(*worker), false});
     }
+    void start_later(const start_task_order& order)
+    {
+        carry_out_later(order.to, m_settings.delayed_orders.starts,
+                        [this, order](sim_worker& worker)
+                        {
+                            execute_start(worker, order, true);
+                        });
+        if (m_settings.delayed_orders.starts > 0.0)
+        {
+            m_late_order_until[order.run.task] = m_now + late_order_bound;
+        }
+    }
     order_outcome execute_start(sim_worker& worker, const start_task_order& order, bool late = false)
     {
         if (order.to.fence < worker.fence)
@@ -347,7 +363,10 @@
         sim_worker* worker = find(order.to.id);
         if (worker == nullptr)
         {
-            answer_for_absent_worker(order.to, order_timeout, handler);
+            if (answer_for_absent_worker(order.to, order_timeout, handler) == order_outcome::unanswered)
+            {
+                stop_later(order);
+            }
             return;
         }
         if (order.to.fence < worker->fence)
@@ -370,10 +389,26 @@
                });
             return;
         }
-        worker->fence = order.to.fence;
-        std::uint32_t& highest = worker->highest[order.run.task];
+        execute_stop(*worker, order);
+        answer_later(handler, {order_outcome::accepted, clock_of(*worker), false});
+    }
+    void stop_later(const stop_task_order& order)
+    {
+        carry_out_later(order.to, m_settings.delayed_orders.stops,
+                        [this, order](sim_worker& worker)
+                        {
+                            if (order.to.fence >= worker.fence)
+                            {
+                                execute_stop(worker, order);
+                            }
+                        });
+    }
+    void execute_stop(sim_worker& worker, const stop_task_order& order)
+    {
+        worker.fence = order.to.fence;
+        std::uint32_t& highest = worker.highest[order.run.task];
         highest = std::max(highest, order.run.run);
-        if (worker->running.contains(order.run))
+        if (worker.running.contains(order.run))
         {
             at(milliseconds(200),
                [this, incarnation = order.to.id, run = order.run]
@@ -384,7 +419,6 @@
                    }
                });
         }
-        answer_later(handler, {order_outcome::accepted, clock_of(*worker), false});
     }
 
     void handle_poll(const poll_order& order, const std::function<void(const poll_answer&)>& handler)
@@ -403,15 +437,21 @@
                {
                    handler({order_outcome::unanswered, {}, 0, {}, {}});
                });
+            poll_later(order);
             return;
         }
         if (worker == nullptr)
         {
-            answer_for_absent_worker(order.to, order.timeout + milliseconds(order.wait_ms),
-                                     [handler](const order_answer& answer)
-                                     {
-                                         handler({answer.outcome, {}, 0, {}, {}});
-                                     });
+            const order_outcome outcome =
+                answer_for_absent_worker(order.to, order.timeout + milliseconds(order.wait_ms),
+                                         [handler](const order_answer& answer)
+                                         {
+                                             handler({answer.outcome, {}, 0, {}, {}});
+                                         });
+            if (outcome == order_outcome::unanswered)
+            {
+                poll_later(order);
+            }
             return;
         }
         if (order.to.fence < worker->fence)
@@ -432,24 +472,14 @@
                });
             return;
         }
-        worker->fence = order.to.fence;
         m_connected.emplace(order.to.id, order.to.fence);
-        expire_lease_if_over(*worker);
-        // An incarnation other than the addressed one ignores the lease and the acknowledged ends of the
-        // poll.
+        // The leader verifies the incarnation on a connection; another one than the addressed gets neither
+        // the lease nor the acknowledged ends of the poll.
         const bool meant = order.to.process_start == worker->description.process_start;
-        const std::uint64_t last_seen = meant ? order.last_seen : 0;
-        extend_lease(*worker, meant ? order.until_ms.value_or(0) : 0);
-        std::erase_if(worker->ended,
-                      [this, last_seen, worker](const reported_end& item)
-                      {
-                          if (item.number <= last_seen)
-                          {
-                              confirm_end(*worker, item);
-                          }
-                          return item.number <= last_seen;
-                      });
+        execute_poll(*worker, order.to.fence, meant ? order.until_ms.value_or(0) : 0,
+                     meant ? order.last_seen : 0);
         worker->pending_poll = handler;
+        worker->pending_poll_order = order;
         const std::uint64_t number = ++worker->poll_number;
         if (!worker->ended.empty() || order.wait_ms == 0 || !meant)
         {
@@ -465,6 +495,35 @@
                }
            });
     }
+    void execute_poll(sim_worker& worker, std::uint64_t fence, std::int64_t until, std::uint64_t last_seen)
+    {
+        worker.fence = fence;
+        expire_lease_if_over(worker);
+        extend_lease(worker, until);
+        std::erase_if(worker.ended,
+                      [this, last_seen, &worker](const reported_end& item)
+                      {
+                          if (item.number <= last_seen)
+                          {
+                              confirm_end(worker, item);
+                          }
+                          return item.number <= last_seen;
+                      });
+    }
+    // A delayed poll has passed the verification of the former incarnation: the present one takes its lease
+    // and its acknowledged ends.
+    void poll_later(const poll_order& order)
+    {
+        carry_out_later(order.to, m_settings.delayed_orders.polls,
+                        [this, order](sim_worker& worker)
+                        {
+                            if (order.to.fence >= worker.fence)
+                            {
+                                execute_poll(worker, order.to.fence, order.until_ms.value_or(0),
+                                             order.last_seen);
+                            }
+                        });
+    }
     // An end counts once the leader has acknowledged it, unless the lease has expired since.
     void confirm_end(const sim_worker& worker, const reported_end& item)
     {
--- a/tests/src/simulation_records.hpp
+++ b/tests/src/simulation_records.hpp
@@ -222,6 +222,7 @@
         std::map<std::uint64_t, monotonic_time> ended_at;
         monotonic_time lease_expired_at{};
         std::function<void(const poll_answer&)> pending_poll;
+        poll_order pending_poll_order; // of `pending_poll`
         std::uint64_t poll_number = 0;
         std::size_t starts = 0;
         std::optional<monotonic_time> leaving_acknowledged;
@@ -324,9 +325,8 @@
     void extend_lease(sim_worker& worker, std::int64_t until) const
     {
         worker.lease_until =
-            std::max(worker.lease_until, std::min(until, clock_of(worker) + max_lease.count()));
+            std::max(worker.lease_until, std::min(until, clock_of(worker) + m_settings.max_lease.count()));
     }
-    static constexpr milliseconds max_lease{6000};
     [[nodiscard]] bool lease_holds(const sim_worker& worker) const
     {
         return worker.lease_until >= clock_of(worker);
