Dispatcher: any worker may be the next process under its id

Found in the review of the fencing token for each incarnation. Whether orders for a former process may be open was taken from the replicated link to it and from what this leader had dropped in the last 12 s.

Where ids may be used again, each new view of a worker now counts with the longest lease at its first answer, and before it with late orders besides, unless an earlier leader's runs show that the present process had answered. The record of dropped workers is gone.

unit-orders-and-lives, unit-former-orders, unit-worker-lease, unit-restarts pass.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -347,13 +347,6 @@
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< until the end of the term
 
     std::map<worker_incarnation_id, worker_view> m_views;
-    /// A process of a worker that was dropped: the next one under its id may execute orders for it.
-    struct dropped_process
-    {
-        process_start_ms start{};
-        monotonic_time dropped{};
-    };
-    std::map<std::string, dropped_process> m_dropped; ///< by the worker's id
     std::uint64_t m_synced_version = 0;
     monotonic_time m_periodic_work_due{};
     monotonic_time m_waiting_log_due{};                      ///< next log line about the longest waiting step
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -138,11 +138,6 @@
         check_stalled_runs(now);
         m_unconfirmed.prune(m_state);
         update_typical_speed();
-        std::erase_if(m_dropped,
-                      [this, now](const auto& item)
-                      {
-                          return now - item.second.dropped > m_settings.late_order_limit;
-                      });
         expire_submissions(wall);
     }
 }
--- a/src/dispatch/dispatcher_losses.cpp
+++ b/src/dispatch/dispatcher_losses.cpp
@@ -190,7 +190,6 @@
         m_suspects.record_loss(item.run.task, now);
     }
     const worker_incarnation& worker = *m_state.find(view.id);
-    m_dropped[worker.description.id] = {worker.description.process_start, now};
     log_event(now, "worker_dropped", worker.description.id,
               {{"reason", reason},
                {"unheard_ms", now - view.contact.last_heard()},
--- a/src/dispatch/dispatcher_reports.cpp
+++ b/src/dispatch/dispatcher_reports.cpp
@@ -247,7 +247,6 @@
         done(true);
         return;
     }
-    m_dropped[id] = {known->description.process_start, m_hooks.now()};
     m_hooks.propose(drop_worker{known->id, true, {}},
                     [this, alive = m_alive, id, done](bool committed)
                     {
--- a/src/dispatch/dispatcher_views.cpp
+++ b/src/dispatch/dispatcher_views.cpp
@@ -85,9 +85,9 @@
     }
 }
 
-// Leases that the worker may hold by orders without this leader's token for this incarnation. Orders for a
-// former incarnation have lease ends on another clock, of which the worker makes the longest lease; those of
-// an earlier leader for the same incarnation are no longer than its usual lease.
+// Leases that the worker may hold by orders without this leader's token for this incarnation. Of orders for a
+// former process under the same id, whose lease ends are far ahead on the present clock, the worker makes the
+// longest lease. A process may have ended before this leader's term, so any worker may be the next one.
 foreign_leases dispatcher::find_foreign_leases(const worker_incarnation& worker, monotonic_time now) const
 {
     const auto measured_here = [this](milliseconds span)
@@ -95,22 +95,19 @@
         const double longest = static_cast<double>(span.count()) * (1.0 + 2 * m_settings.clock_drift);
         return milliseconds(static_cast<std::int64_t>(longest));
     };
-    const auto before = m_dropped.find(worker.description.id);
-    const bool other_process_dropped = before != m_dropped.end() &&
-                                       before->second.start != worker.description.process_start &&
-                                       now - before->second.dropped < m_settings.late_order_limit;
-    if (worker.follows != worker_incarnation_id{} || other_process_dropped)
+    const milliseconds longest = measured_here(m_settings.max_lease);
+    const bool inherited = now == m_term_start;
+    if (worker.description.process_start == process_start_ms{}) // each process has an id of its own
     {
-        return {now + m_settings.late_order_limit + measured_here(m_settings.max_lease),
-                m_settings.max_lease + clock_resolution};
+        const milliseconds drift =
+            measured_here(worker_lease::max_reading_age) - worker_lease::max_reading_age;
+        return inherited ? foreign_leases{now + longest, std::min(m_settings.lease + drift, longest)}
+                         : foreign_leases{now, milliseconds{0}};
     }
-    if (now == m_term_start)
-    {
-        const auto drift = measured_here(worker_lease::max_reading_age) - worker_lease::max_reading_age;
-        return {now + measured_here(m_settings.max_lease),
-                std::min(m_settings.lease + drift, m_settings.max_lease + clock_resolution)};
-    }
-    return {now, milliseconds{0}};
+    // An earlier leader started runs only on workers that had answered its token for them.
+    const bool refuses_late_orders = inherited && worker.follows == worker_incarnation_id{};
+    return {now + longest + (refuses_late_orders ? milliseconds{0} : m_settings.late_order_limit),
+            m_settings.max_lease + clock_resolution};
 }
 
 worker_view dispatcher::make_view(const worker_incarnation& worker, monotonic_time now)
