Listener: bound what surrounds the content of a request

Cause: the parser bounds the header and the decoded body. Chunk extensions and trailers are neither, and the read buffer had no maximum size: a client that sent trailers or a chunk extension without end made the process grow until it was killed.

Change: the listener reads and parses in steps of its own. The read buffer holds at most a header and `framing_bytes`, and the bytes behind the header that are not body are counted: five bytes for each byte of body are allowed, as chunks of one byte need them, and `framing_bytes` (16 KiB) besides. More gets 413, and the connection is closed. An idle connection no longer keeps the buffer of its largest request, nor its last response.

A body of exactly the limit is served, also in chunks of one byte.

--- a/include/walkthread/fabric/web_listener.hpp
+++ b/include/walkthread/fabric/web_listener.hpp
@@ -21,9 +21,12 @@
 {
     std::size_t header_bytes = 16U << 10U; ///< the default limit of the documented interface
     std::size_t body_bytes = 1U << 20U;    ///< fits a cluster configuration with thousands of queues
-    milliseconds request_timeout{3000};    ///< from the first byte of a request to its last
-    milliseconds idle_timeout{60000};      ///< for a keep-alive connection without a request
-    std::size_t connections = 3000; ///< beyond that the connection that has been idle longest is closed
+    /// Chunk headers, chunk extensions and trailers of one request together, besides the five bytes that the
+    /// header of a chunk of one byte takes.
+    std::size_t framing_bytes = 16U << 10U;
+    milliseconds request_timeout{3000}; ///< from the first byte of a request to its last
+    milliseconds idle_timeout{60000};   ///< for a keep-alive connection without a request
+    std::size_t connections = 3000;     ///< beyond that the connection that has been idle longest is closed
 };
 
 /// @brief Serves HTTP on one address. To be used from the event loop's thread only.
--- a/src/fabric/web_listener.cpp
+++ b/src/fabric/web_listener.cpp
@@ -21,6 +21,10 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
+constexpr std::size_t first_read_bytes = 512; // what an idle connection keeps for the next request
+constexpr std::size_t max_read_bytes = 64U << 10U;
+constexpr std::size_t min_chunk_framing = 5; // a size of one digit and two line ends
+
 web_request to_web_request(http::request<http::string_body>& in)
 {
     web_request out;
@@ -80,7 +84,8 @@
 struct web_listener::core::session : std::enable_shared_from_this<session>
 {
     session(std::shared_ptr<core> parent, tcp::socket socket)
-        : owner(std::move(parent)), stream(std::move(socket))
+        : owner(std::move(parent)), stream(std::move(socket)),
+          buffer(owner->bounds.header_bytes + owner->bounds.framing_bytes)
     {
         ++owner->sessions;
     }
@@ -133,13 +138,14 @@
         parser.emplace();
         parser->header_limit(static_cast<std::uint32_t>(owner->bounds.header_bytes));
         parser->body_limit(owner->bounds.body_bytes);
+        content_bytes = 0;
         if (buffer.size() > 0)
         {
             read();
             return;
         }
-        buffer.reserve(512);
-        stream.async_read_some(buffer.prepare(512),
+        buffer.shrink_to_fit();
+        stream.async_read_some(buffer.prepare(first_read_bytes),
                                [self = shared_from_this()](beast::error_code failed, std::size_t bytes)
                                {
                                    if (failed)
@@ -156,35 +162,77 @@
         set_idle(false);
         set_busy(true);
         stream.expires_after(owner->bounds.request_timeout);
-        http::async_read(stream, buffer, *parser,
-                         [self = shared_from_this()](beast::error_code failed, std::size_t /*bytes*/)
-                         {
-                             self->handle_read(failed);
-                         });
+        parse();
     }
 
-    void handle_read(beast::error_code failed)
+    void read_more()
     {
-        if (failed == http::error::body_limit)
+        const std::size_t size = beast::read_size(buffer, max_read_bytes);
+        if (size == 0)
         {
-            respond_and_close(413);
+            refuse(parser->is_header_done() ? 413 : 431);
             return;
         }
-        if (failed == http::error::header_limit)
+        stream.async_read_some(buffer.prepare(size),
+                               [self = shared_from_this()](beast::error_code failed, std::size_t bytes)
+                               {
+                                   if (failed == asio::error::eof)
+                                   {
+                                       self->refuse(400);
+                                       return;
+                                   }
+                                   if (failed)
+                                   {
+                                       return;
+                                   }
+                                   self->buffer.commit(bytes);
+                                   self->parse();
+                               });
+    }
+
+    // Parses what has been received. The parser alone bounds neither chunk extensions nor trailers.
+    void parse()
+    {
+        beast::error_code failed;
+        while (!failed && buffer.size() > 0 && !parser->is_done())
+        {
+            const bool in_content = parser->is_header_done();
+            parser->eager(in_content);
+            const std::size_t used = parser->put(buffer.data(), failed);
+            buffer.consume(used);
+            content_bytes += in_content ? used : 0;
+        }
+        if (failed == http::error::body_limit || (parser->is_header_done() && has_excessive_framing()))
         {
-            respond_and_close(431);
-            return;
+            refuse(413);
         }
-        if (failed && failed != http::error::end_of_stream &&
-            failed.category() == http::make_error_code(http::error::bad_method).category())
+        else if (failed == http::error::header_limit)
         {
-            respond_and_close(400);
-            return;
+            refuse(431);
         }
-        if (failed)
+        else if (failed && failed != http::error::need_more)
         {
-            return;
+            refuse(400);
+        }
+        else if (!parser->is_done())
+        {
+            read_more();
         }
+        else
+        {
+            handle_request();
+        }
+    }
+
+    [[nodiscard]] bool has_excessive_framing() const
+    {
+        const std::size_t body = parser->get().body().size();
+        const std::size_t unparsed = parser->is_done() ? 0 : buffer.size();
+        return content_bytes + unparsed - body > owner->bounds.framing_bytes + min_chunk_framing * body;
+    }
+
+    void handle_request()
+    {
         http::request<http::string_body> request = parser->release();
         keep_alive = request.keep_alive();
         stream.expires_never();
@@ -195,9 +243,12 @@
                        });
     }
 
-    void respond_and_close(unsigned status)
+    // Answers a request that was not handled, and closes the connection.
+    void refuse(unsigned status)
     {
         keep_alive = false;
+        parser.reset();
+        buffer.clear();
         write(web_response{
             status, R"({"error":{"detail":"The request is malformed or too large."}})", {}, {}, false});
     }
@@ -232,6 +283,7 @@
                                   self->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
                                   return;
                               }
+                              self->response = {};
                               self->wait_for_request();
                           });
     }
@@ -241,6 +293,7 @@
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
     http::response<http::string_body> response;
+    std::size_t content_bytes = 0; ///< parsed bytes of the request behind its header
     bool keep_alive = true;
     bool is_busy = false;
     std::optional<std::list<session*>::iterator> idle_position;
--- /dev/null
+++ b/tests/src/unit-fabric-listener-limits.cpp
@@ -0,0 +1,195 @@
+#define BOOST_TEST_MODULE fabric_listener_limits
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <walkthread/fabric/web_listener.hpp>
+
+using namespace walkthread;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+// What a client saw of its connection.
+struct exchange
+{
+    std::string received;
+    std::size_t sent = 0;
+    bool closed = false;
+
+    [[nodiscard]] unsigned status() const
+    {
+        return received.size() < 12 ? 0 : static_cast<unsigned>(std::stoul(received.substr(9, 3)));
+    }
+};
+
+struct listener_fixture
+{
+    asio::io_context loop;
+    web_limits bounds;
+    std::vector<web_request> handled;
+    std::unique_ptr<web_listener> listener;
+    tcp::endpoint address;
+
+    listener_fixture()
+    {
+        bounds.header_bytes = 1024;
+        bounds.body_bytes = 4096;
+        bounds.framing_bytes = 1024;
+    }
+
+    void open()
+    {
+        {
+            tcp::acceptor probe(loop, {asio::ip::address_v4::loopback(), 0});
+            address = probe.local_endpoint();
+        }
+        listener = std::make_unique<web_listener>(
+            loop, bounds,
+            [this](web_request request, const std::function<void(web_response)>& answer)
+            {
+                handled.push_back(std::move(request));
+                answer(web_response{200, {}, {}, {}, false});
+            });
+        BOOST_REQUIRE_EQUAL(listener->open("127.0.0.1:" + std::to_string(address.port())), "");
+    }
+
+    tcp::socket connect()
+    {
+        tcp::socket client(loop);
+        client.connect(address);
+        client.non_blocking(true);
+        return client;
+    }
+
+    // Sends `head`, then `repeated` again and again up to `max_sent` bytes, and reads until the server
+    // closes, or until a response is there if `one_response`. The time limit only stops a hanging test.
+    exchange talk(tcp::socket& client, const std::string& head, const std::string& repeated = {},
+                  std::size_t max_sent = 0, bool one_response = false)
+    {
+        exchange out;
+        std::string unsent = head;
+        bool writable = true;
+        const auto give_up = std::chrono::steady_clock::now() + seconds(10);
+        while (!out.closed && std::chrono::steady_clock::now() < give_up)
+        {
+            if (unsent.empty() && out.sent < max_sent)
+            {
+                unsent = repeated;
+            }
+            boost::system::error_code failed;
+            if (writable && !unsent.empty())
+            {
+                const std::size_t bytes = client.write_some(asio::buffer(unsent), failed);
+                out.sent += bytes;
+                unsent.erase(0, bytes);
+                writable = !failed || failed == asio::error::would_block;
+            }
+            std::array<char, 4096> part{};
+            const std::size_t bytes = client.read_some(asio::buffer(part), failed);
+            out.received.append(part.data(), bytes);
+            out.closed = failed && failed != asio::error::would_block;
+            if (one_response && out.received.find("\r\n\r\n") != std::string::npos)
+            {
+                break;
+            }
+            if (max_sent > 0 && unsent.empty() && out.sent >= max_sent && out.received.empty())
+            {
+                break; // everything was taken without an answer
+            }
+            loop.restart();
+            loop.run_for(milliseconds(1));
+        }
+        return out;
+    }
+
+    exchange talk(const std::string& head, const std::string& repeated = {}, std::size_t max_sent = 0)
+    {
+        tcp::socket client = connect();
+        return talk(client, head, repeated, max_sent);
+    }
+
+    exchange request_once(const std::string& text)
+    {
+        tcp::socket client = connect();
+        return talk(client, text, {}, 0, true);
+    }
+
+    void check_refused(const exchange& out, unsigned status)
+    {
+        BOOST_TEST(out.status() == status);
+        BOOST_TEST(out.closed);
+        BOOST_TEST(handled.empty());
+        BOOST_TEST(request_once("GET /x HTTP/1.1\r\nHost: a\r\n\r\n").status() == 200U);
+    }
+};
+
+const std::string chunked = "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr std::size_t endless = 4U << 20U; // far above all limits of the fixture
+
+std::string with_length(std::size_t bytes)
+{
+    return "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n";
+}
+} // namespace
+
+// Guards against a read buffer that grows with trailers until the process runs out of memory.
+BOOST_FIXTURE_TEST_CASE(trailers_without_end_are_refused, listener_fixture)
+{
+    open();
+    check_refused(talk(chunked + "1\r\nx\r\n0\r\n", "A: " + std::string(1000, 'x') + "\r\n", endless), 413);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_chunk_extension_without_end_is_refused, listener_fixture)
+{
+    open();
+    check_refused(talk(chunked + "1;a=", std::string(1000, 'x'), endless), 413);
+}
+
+// Each extension is short, but they are many times larger than the body.
+BOOST_FIXTURE_TEST_CASE(chunk_extensions_without_end_are_refused, listener_fixture)
+{
+    open();
+    check_refused(talk(chunked, "1;a=" + std::string(200, 'x') + "\r\ny\r\n", endless), 413);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_header_without_end_is_refused, listener_fixture)
+{
+    open();
+    check_refused(talk("GET /x HTTP/1.1\r\n", "A: " + std::string(1000, 'x') + "\r\n", endless), 431);
+}
+
+// Guards against a framing limit that a request within the limits meets.
+BOOST_FIXTURE_TEST_CASE(the_largest_body_is_served_in_chunks_of_one_byte, listener_fixture)
+{
+    open();
+    std::string text = chunked;
+    for (std::size_t i = 0; i < bounds.body_bytes; ++i)
+    {
+        text += "1\r\nx\r\n";
+    }
+    const std::string trailers = "0\r\nX-A: b\r\n\r\n";
+    BOOST_TEST(request_once(text + trailers).status() == 200U);
+    BOOST_TEST(request_once(with_length(bounds.body_bytes) + std::string(bounds.body_bytes, 'x')).status() ==
+               200U);
+    BOOST_REQUIRE_EQUAL(handled.size(), 2U);
+    BOOST_TEST(handled[0].body == std::string(bounds.body_bytes, 'x'));
+    BOOST_TEST(handled[1].body == handled[0].body);
+}
+
+// Guards against refused connections that stay half-open until the client closes them.
+BOOST_FIXTURE_TEST_CASE(a_refused_client_that_stays_is_disconnected, listener_fixture)
+{
+    open();
+    tcp::socket client = connect();
+    BOOST_TEST(talk(client, with_length(bounds.body_bytes + 1)).status() == 413U);
+    for (int i = 0; i < 100 && listener->connections() > 0; ++i) // the limit only stops a hanging test
+    {
+        loop.restart();
+        loop.run_for(milliseconds(100));
+    }
+    BOOST_TEST(listener->connections() == 0U);
+}
