Listener: a refused client that still sends gets its response

Cause: after a refusal the socket was closed with unread bytes, which resets the connection. A client that sends its whole request before it reads fails with a broken pipe, and may lose the response.

Change: after a refusal the listener shuts down its side, and reads and discards up to 1 MiB for up to 1 s before it closes. Such a connection counts as idle, so it is the first to give way to another, and it does not delay a planned stop.

A client that never closes is disconnected.

--- a/src/fabric/web_listener.cpp
+++ b/src/fabric/web_listener.cpp
@@ -24,6 +24,10 @@
 constexpr std::size_t first_read_bytes = 512; // what an idle connection keeps for the next request
 constexpr std::size_t max_read_bytes = 64U << 10U;
 constexpr std::size_t min_chunk_framing = 5; // a size of one digit and two line ends
+// What is read and discarded after a refusal. A client that sends its whole request before it reads gets the
+// answer; one that never ends is disconnected.
+constexpr std::size_t max_discarded_bytes = 1U << 20U;
+constexpr milliseconds discard_timeout{1000};
 
 web_request to_web_request(http::request<http::string_body>& in)
 {
@@ -247,12 +251,28 @@
     void refuse(unsigned status)
     {
         keep_alive = false;
+        refused = true;
         parser.reset();
         buffer.clear();
         write(web_response{
             status, R"({"error":{"detail":"The request is malformed or too large."}})", {}, {}, false});
     }
 
+    // Discards what the client still sends: closing a connection with unread bytes resets it, and the client
+    // may lose the response.
+    void discard()
+    {
+        stream.async_read_some(buffer.prepare(first_read_bytes),
+                               [self = shared_from_this()](beast::error_code failed, std::size_t bytes)
+                               {
+                                   self->discarded += bytes;
+                                   if (!failed && self->discarded < max_discarded_bytes)
+                                   {
+                                       self->discard();
+                                   }
+                               });
+    }
+
     void write(web_response answer)
     {
         response = {};
@@ -281,6 +301,13 @@
                               {
                                   beast::error_code ignored; // the peer may have closed first
                                   self->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+                                  if (!failed && self->refused)
+                                  {
+                                      self->set_busy(false);
+                                      self->set_idle(true);
+                                      self->stream.expires_after(discard_timeout);
+                                      self->discard();
+                                  }
                                   return;
                               }
                               self->response = {};
@@ -294,7 +321,9 @@
     std::optional<http::request_parser<http::string_body>> parser;
     http::response<http::string_body> response;
     std::size_t content_bytes = 0; ///< parsed bytes of the request behind its header
+    std::size_t discarded = 0;     ///< bytes received after a refusal
     bool keep_alive = true;
+    bool refused = false;
     bool is_busy = false;
     std::optional<std::list<session*>::iterator> idle_position;
 };
--- a/tests/src/unit-fabric-listener-limits.cpp
+++ b/tests/src/unit-fabric-listener-limits.cpp
@@ -193,3 +193,22 @@
     }
     BOOST_TEST(listener->connections() == 0U);
 }
+
+// Guards against a reset while the client still sends, on which it may lose the response.
+BOOST_FIXTURE_TEST_CASE(a_client_that_sends_first_and_reads_later_gets_the_refusal, listener_fixture)
+{
+    open();
+    tcp::socket client = connect();
+    const std::string text = with_length(bounds.body_bytes + 1) + std::string(bounds.body_bytes + 1, 'x');
+    std::size_t sent = 0;
+    boost::system::error_code failed;
+    while (sent < text.size() && !failed)
+    {
+        sent += client.write_some(
+            asio::buffer(text.data() + sent, std::min<std::size_t>(512, text.size() - sent)), failed);
+        loop.restart();
+        loop.run_for(milliseconds(1));
+    }
+    BOOST_TEST(sent == text.size());
+    BOOST_TEST(talk(client, {}).status() == 413U);
+}
