Callers' listener: bodies up to the configuration's limit

Cause: `max-body-bytes` of the cluster configuration was decoded and kept, but no listener asked for it: each took bodies of up to 1 MiB, four times the usual limit, from callers too.

Change: a replica tells its configuration's limit in its leader status, which processes without a replica ask for every 400 ms; they keep the limit of the highest version.

The new field is the last of its message: a process of the release before ignores it, and one that gets none keeps 1 MiB.

--- a/include/walkthread/fabric/core_node.hpp
+++ b/include/walkthread/fabric/core_node.hpp
@@ -63,6 +63,7 @@
     /// @brief Whether this process no longer leads, so that it may exit.
     [[nodiscard]] bool may_exit() const;
     void fill(metrics_page& page) const override;
+    [[nodiscard]] caller_limits limits_of_callers() const override;
 
   protected:
     void receive(const std::string& from, mesh_message message) override;
--- a/include/walkthread/fabric/fabric_node.hpp
+++ b/include/walkthread/fabric/fabric_node.hpp
@@ -90,6 +90,11 @@
     {
         return m_router.leaderless_for(now);
     }
+    /// @brief Limits of callers' requests, from the newest cluster configuration that this process knows of.
+    [[nodiscard]] virtual caller_limits limits_of_callers() const
+    {
+        return m_caller_limits;
+    }
     /// @brief Adds seeds after a settings reload.
     void add_seeds(const std::vector<std::string>& seeds);
     /// @brief Transfers leadership, if held, before a planned stop.
@@ -140,6 +145,7 @@
     void answer_probe(const std::string& from, monotonic_time now);
     void record_ignored_reply(const std::string& from, reply_match match);
     void record_sender(const std::string& from, const mesh_message& message, monotonic_time now);
+    caller_limits m_caller_limits; ///< as last reported by a replica
     leader_path m_path;
     boost::asio::steady_timer m_path_timer;
     bool m_path_check_due = false;
--- a/include/walkthread/fabric/messages.hpp
+++ b/include/walkthread/fabric/messages.hpp
@@ -221,6 +221,15 @@
     MSGPACK_DEFINE(can_query_advisor, wants_probe_peers)
 };
 
+/// @brief Limits of callers' requests, from the cluster configuration that the sender holds.
+/// @since 0.11
+struct caller_limits
+{
+    std::uint64_t version{};       ///< of the configuration; 0 for none
+    std::int64_t max_body_bytes{}; ///< 0 for no limit
+    MSGPACK_DEFINE(version, max_body_bytes)
+};
+
 /// @brief The leader that the sender knows of.
 struct leader_status
 {
@@ -231,7 +240,8 @@
     std::vector<std::string> probe_peers{}; ///< some processes without one, if the query asked for them
     /// From a process without a replica: milliseconds since it heard the leader; negative if it knows none.
     std::int64_t leader_silent_ms = -1;
-    MSGPACK_DEFINE(leads, leader, term, replicas, probe_peers, leader_silent_ms)
+    caller_limits limits{};
+    MSGPACK_DEFINE(leads, leader, term, replicas, probe_peers, leader_silent_ms, limits)
 };
 
 /// @brief A replica outside the membership asks to join.
--- a/include/walkthread/fabric/web_listener.hpp
+++ b/include/walkthread/fabric/web_listener.hpp
@@ -5,6 +5,7 @@
 /// @since 0.2
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -39,6 +40,9 @@
     web_listener(const web_listener&) = delete;
     web_listener& operator=(const web_listener&) = delete;
 
+    /// @brief Sets a limit of the body that may change while the listener is open.
+    /// @param current called for each request; a higher limit than `web_limits::body_bytes` has no effect
+    void limit_bodies(std::function<std::size_t()> current);
     /// @brief Listens on `IP:PORT`.
     /// @return an error message, or an empty string on success
     std::string open(const std::string& address);
--- a/src/fabric/core_members.cpp
+++ b/src/fabric/core_members.cpp
@@ -11,6 +11,12 @@
 namespace walkthread
 {
 
+caller_limits core_node::limits_of_callers() const
+{
+    const auto& held = m_state.current_configuration();
+    return held ? caller_limits{held->version, held->max_body_bytes} : caller_limits{};
+}
+
 leader_status core_node::describe_leader(monotonic_time now) const
 {
     const replica& core = m_replica->group().core();
@@ -18,6 +24,7 @@
     leader_status out;
     out.leads = leads(now) && !m_stopping;
     out.term = core.term().value();
+    out.limits = limits_of_callers();
     if (core.leader().node.value() != 0)
     {
         out.leader = peer_address_of(core.leader(), port);
--- a/src/fabric/fabric_node.cpp
+++ b/src/fabric/fabric_node.cpp
@@ -267,6 +267,10 @@
     record_sender(from, message, now);
     if (auto* status = std::get_if<leader_status>(&message))
     {
+        if (status->limits.version > m_caller_limits.version)
+        {
+            m_caller_limits = status->limits;
+        }
         m_watch.receive(from, *status, now);
         query_leader(now);
     }
--- a/src/fabric/web_listener.cpp
+++ b/src/fabric/web_listener.cpp
@@ -1,5 +1,6 @@
 #include <walkthread/fabric/web_listener.hpp>
 
+#include <algorithm>
 #include <list>
 #include <optional>
 #include <utility>
@@ -73,12 +74,17 @@
     void accept();
     void accept_later();
     [[nodiscard]] bool ensure_capacity();
+    [[nodiscard]] std::size_t body_limit() const
+    {
+        return current_body_limit ? std::min(current_body_limit(), bounds.body_bytes) : bounds.body_bytes;
+    }
 
     asio::io_context& loop;
     tcp::acceptor acceptor;
     asio::steady_timer accept_timer;
     web_limits bounds;
     web_handler handler;
+    std::function<std::size_t()> current_body_limit;
     std::list<session*> idle; ///< without a request, longest idle first
     bool draining_connections = false;
     std::size_t sessions = 0;
@@ -139,10 +145,6 @@
         set_busy(false);
         set_idle(true);
         stream.expires_after(owner->bounds.idle_timeout);
-        parser.emplace();
-        parser->header_limit(static_cast<std::uint32_t>(owner->bounds.header_bytes));
-        parser->body_limit(owner->bounds.body_bytes);
-        content_bytes = 0;
         if (buffer.size() > 0)
         {
             read();
@@ -166,6 +168,10 @@
         set_idle(false);
         set_busy(true);
         stream.expires_after(owner->bounds.request_timeout);
+        parser.emplace();
+        parser->header_limit(static_cast<std::uint32_t>(owner->bounds.header_bytes));
+        parser->body_limit(owner->body_limit());
+        content_bytes = 0;
         parse();
     }
 
@@ -390,6 +396,11 @@
     stop_accepting();
 }
 
+void web_listener::limit_bodies(std::function<std::size_t()> current)
+{
+    m_core->current_body_limit = std::move(current);
+}
+
 std::string web_listener::open(const std::string& address)
 {
     std::string failed = detail::open_acceptor(m_core->acceptor, address);
--- a/tests/src/unit-fabric-listener-limits.cpp
+++ b/tests/src/unit-fabric-listener-limits.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <walkthread/fabric/fabric_node.hpp>
+#include <walkthread/fabric/mesh.hpp>
 #include <walkthread/fabric/web_listener.hpp>
 
 using namespace walkthread;
@@ -212,3 +214,72 @@
     BOOST_TEST(sent == text.size());
     BOOST_TEST(talk(client, {}).status() == 413U);
 }
+
+// Guards against bodies above the configuration's limit, which cost memory and are then of no use.
+BOOST_FIXTURE_TEST_CASE(a_lower_body_limit_holds_for_the_next_request_of_a_connection, listener_fixture)
+{
+    std::size_t limit = bounds.body_bytes;
+    open();
+    listener->limit_bodies(
+        [&limit]
+        {
+            return limit;
+        });
+    tcp::socket client = connect();
+    BOOST_TEST(talk(client, with_length(3000) + std::string(3000, 'x'), {}, 0, true).status() == 200U);
+    limit = 2000;
+    BOOST_TEST(talk(client, with_length(2000) + std::string(2000, 'x'), {}, 0, true).status() == 200U);
+    BOOST_TEST(talk(client, with_length(2001) + std::string(2001, 'x'), {}, 0, true).status() == 413U);
+    BOOST_TEST(handled.size() == 2U);
+    limit = bounds.body_bytes + 1; // has no effect
+    BOOST_TEST(request_once(with_length(limit) + std::string(limit, 'x')).status() == 413U);
+}
+
+// Guards against an edge process that does not learn the limits of the configuration that replicas hold.
+BOOST_AUTO_TEST_CASE(a_process_without_a_replica_follows_the_limits_of_the_newest_configuration)
+{
+    asio::io_context loop;
+    const auto free_address = [&loop]
+    {
+        tcp::acceptor probe(loop, {asio::ip::address_v4::loopback(), 0});
+        return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+    };
+    const std::string replica = free_address();
+    caller_limits held{7, 262144};
+    std::unique_ptr<mesh> peers;
+    peers = std::make_unique<mesh>(
+        loop, peer_greeting{replica, "replica", true},
+        [&](const std::string& from, const mesh_message& message)
+        {
+            if (std::holds_alternative<leader_query>(message))
+            {
+                leader_status status{true, replica, 1, {replica}};
+                status.limits = held;
+                peers->send(from, status);
+            }
+        },
+        [](const std::string&, bool, const std::string&) {});
+    BOOST_REQUIRE_EQUAL(peers->open(""), "");
+    fabric_settings settings;
+    settings.name = "edge";
+    settings.peer_address = free_address();
+    settings.seeds = {replica};
+    decision_log log;
+    fabric_node edge(loop, settings, {}, log);
+    BOOST_REQUIRE_EQUAL(edge.start(), "");
+    const auto reaches = [&](std::int64_t bytes) // the time limit only stops a hanging test
+    {
+        for (int i = 0; i < 200 && edge.limits_of_callers().max_body_bytes != bytes; ++i)
+        {
+            loop.run_for(milliseconds(50));
+        }
+        return edge.limits_of_callers().max_body_bytes == bytes;
+    };
+    BOOST_TEST(edge.limits_of_callers().max_body_bytes == 0);
+    BOOST_TEST(reaches(262144));
+    held = {8, 100000};
+    BOOST_TEST(reaches(100000));
+    held = {7, 262144}; // a replica that is behind
+    loop.run_for(milliseconds(900));
+    BOOST_TEST(edge.limits_of_callers().max_body_bytes == 100000);
+}
