Listeners: one account of memory for all connections of a process

Cause: a listener took 3,000 connections with a body of 1 MiB each, whatever the memory of its machine. Nothing bounded their sum, nor requests without an answer or answers that are not read.

Change: `connection_memory` accounts for what the connections of all listeners of a process take. A body is claimed when its length is announced, or as it arrives in chunks; one that does not fit gets 503 with Retry-After before it is read, so it was not run, and the connection is closed. An eighth is for bodies up to 16 KiB; if that is short as well, the connection with the largest product of bytes and time is closed, unless its request is being handled.

A body counts six times.

--- a/include/walkthread/fabric/web_listener.hpp
+++ b/include/walkthread/fabric/web_listener.hpp
@@ -11,6 +11,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <walkthread/fabric/connection_memory.hpp>
 #include <walkthread/fabric/web.hpp>
 #include <walkthread/units/time.hpp>
 
@@ -35,7 +36,10 @@
 class web_listener
 {
   public:
-    web_listener(boost::asio::io_context& loop, web_limits bounds, web_handler handler);
+    /// @param memory the account of all listeners of the process
+    web_listener(boost::asio::io_context& loop, web_limits bounds, web_handler handler,
+                 std::shared_ptr<connection_memory> memory =
+                     std::make_shared<connection_memory>(connection_memory_limits{}));
     ~web_listener();
     web_listener(const web_listener&) = delete;
     web_listener& operator=(const web_listener&) = delete;
--- a/src/fabric/web_listener.cpp
+++ b/src/fabric/web_listener.cpp
@@ -1,6 +1,7 @@
 #include <walkthread/fabric/web_listener.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <list>
 #include <optional>
 #include <utility>
@@ -11,6 +12,7 @@
 #include <boost/beast/http.hpp>
 
 #include <walkthread/fabric/acceptors.hpp>
+#include <walkthread/node/clock.hpp>
 
 namespace walkthread
 {
@@ -22,6 +24,11 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
+constexpr std::size_t small_body_bytes = 16U << 10U;
+// A body is held as text, decoded, and encoded for the leader, in the queue of a link as well, and the heap
+// keeps gaps.
+constexpr std::size_t memory_per_body_byte = 6;
+constexpr std::int64_t memory_retry_after_s = 1;
 constexpr std::size_t first_read_bytes = 512; // what an idle connection keeps for the next request
 constexpr std::size_t max_read_bytes = 64U << 10U;
 constexpr std::size_t min_chunk_framing = 5; // a size of one digit and two line ends
@@ -66,8 +73,10 @@
 {
     struct session;
 
-    core(asio::io_context& io, web_limits limits, web_handler request_handler)
-        : loop(io), acceptor(io), accept_timer(io), bounds(limits), handler(std::move(request_handler))
+    core(asio::io_context& io, web_limits limits, web_handler request_handler,
+         std::shared_ptr<connection_memory> account)
+        : loop(io), acceptor(io), accept_timer(io), bounds(limits), handler(std::move(request_handler)),
+          memory(std::move(account))
     {
     }
 
@@ -85,6 +94,7 @@
     web_limits bounds;
     web_handler handler;
     std::function<std::size_t()> current_body_limit;
+    std::shared_ptr<connection_memory> memory;
     std::list<session*> idle; ///< without a request, longest idle first
     bool draining_connections = false;
     std::size_t sessions = 0;
@@ -95,7 +105,8 @@
 {
     session(std::shared_ptr<core> parent, tcp::socket socket)
         : owner(std::move(parent)), stream(std::move(socket)),
-          buffer(owner->bounds.header_bytes + owner->bounds.framing_bytes)
+          buffer(owner->bounds.header_bytes + owner->bounds.framing_bytes),
+          memory(owner->memory, std::bind_front(&session::close, this))
     {
         ++owner->sessions;
     }
@@ -132,7 +143,7 @@
     }
 
     // The pending read fails, which ends the session.
-    void close_idle()
+    void close()
     {
         set_idle(false);
         beast::error_code ignored; // the peer may have closed first
@@ -151,6 +162,7 @@
             return;
         }
         buffer.shrink_to_fit();
+        memory.charge(0, monotonic_now());
         stream.async_read_some(buffer.prepare(first_read_bytes),
                                [self = shared_from_this()](beast::error_code failed, std::size_t bytes)
                                {
@@ -175,8 +187,26 @@
         parse();
     }
 
+    // Claims memory for the body as announced, or as received so far if it is chunked.
+    bool claim_memory()
+    {
+        std::size_t body = 0;
+        if (parser->is_header_done())
+        {
+            body = std::max<std::size_t>(parser->content_length().value_or(0), parser->get().body().size());
+        }
+        return memory.resize(buffer.capacity() + memory_per_body_byte * body, body <= small_body_bytes,
+                             monotonic_now());
+    }
+
     void read_more()
     {
+        if (!claim_memory())
+        {
+            refuse(503);
+            return;
+        }
+        memory.set_closable(true);
         const std::size_t size = beast::read_size(buffer, max_read_bytes);
         if (size == 0)
         {
@@ -186,6 +216,7 @@
         stream.async_read_some(buffer.prepare(size),
                                [self = shared_from_this()](beast::error_code failed, std::size_t bytes)
                                {
+                                   self->memory.set_closable(false);
                                    if (failed == asio::error::eof)
                                    {
                                        self->refuse(400);
@@ -208,6 +239,11 @@
         {
             const bool in_content = parser->is_header_done();
             parser->eager(in_content);
+            if (in_content && !claim_memory())
+            {
+                refuse(503);
+                return;
+            }
             const std::size_t used = parser->put(buffer.data(), failed);
             buffer.consume(used);
             content_bytes += in_content ? used : 0;
@@ -246,6 +282,8 @@
         http::request<http::string_body> request = parser->release();
         keep_alive = request.keep_alive();
         stream.expires_never();
+        // What the handler keeps of the request is not freed by closing the connection.
+        memory.charge(buffer.capacity() + memory_per_body_byte * request.body().size(), monotonic_now());
         owner->handler(to_web_request(request),
                        [self = shared_from_this()](web_response answer)
                        {
@@ -260,6 +298,17 @@
         refused = true;
         parser.reset();
         buffer.clear();
+        buffer.shrink_to_fit();
+        owner->memory->count_refusal(status);
+        if (status == 503)
+        {
+            write(web_response{status,
+                               R"({"error":{"detail":"This process is short of memory."}})",
+                               memory_retry_after_s,
+                               {},
+                               false});
+            return;
+        }
         write(web_response{
             status, R"({"error":{"detail":"The request is malformed or too large."}})", {}, {}, false});
     }
@@ -299,10 +348,13 @@
         response.body() = std::move(answer.body);
         response.keep_alive(keep_alive && !owner->draining_connections);
         response.prepare_payload();
+        memory.charge(buffer.capacity() + response.body().size(), monotonic_now());
+        memory.set_closable(true);
         stream.expires_after(owner->bounds.idle_timeout);
         http::async_write(stream, response,
                           [self = shared_from_this()](beast::error_code failed, std::size_t /*bytes*/)
                           {
+                              self->memory.set_closable(false);
                               if (failed || !self->response.keep_alive())
                               {
                                   beast::error_code ignored; // the peer may have closed first
@@ -311,6 +363,8 @@
                                   {
                                       self->set_busy(false);
                                       self->set_idle(true);
+                                      self->response = {};
+                                      self->memory.charge(0, monotonic_now());
                                       self->stream.expires_after(discard_timeout);
                                       self->discard();
                                   }
@@ -326,6 +380,7 @@
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
     http::response<http::string_body> response;
+    connection_memory::claim memory;
     std::size_t content_bytes = 0; ///< parsed bytes of the request behind its header
     std::size_t discarded = 0;     ///< bytes received after a refusal
     bool keep_alive = true;
@@ -345,7 +400,7 @@
     {
         return false;
     }
-    idle.front()->close_idle();
+    idle.front()->close();
     return true;
 }
 
@@ -386,8 +441,9 @@
         });
 }
 
-web_listener::web_listener(asio::io_context& loop, web_limits bounds, web_handler handler)
-    : m_core(std::make_shared<core>(loop, bounds, std::move(handler)))
+web_listener::web_listener(asio::io_context& loop, web_limits bounds, web_handler handler,
+                           std::shared_ptr<connection_memory> memory)
+    : m_core(std::make_shared<core>(loop, bounds, std::move(handler), std::move(memory)))
 {
 }
 
--- a/tests/src/unit-fabric-listener-limits.cpp
+++ b/tests/src/unit-fabric-listener-limits.cpp
@@ -33,6 +33,10 @@
     asio::io_context loop;
     web_limits bounds;
     std::vector<web_request> handled;
+    std::vector<std::function<void(web_response)>> unanswered;
+    bool answers = true;
+    std::shared_ptr<connection_memory> memory =
+        std::make_shared<connection_memory>(connection_memory_limits{});
     std::unique_ptr<web_listener> listener;
     tcp::endpoint address;
 
@@ -54,8 +58,14 @@
             [this](web_request request, const std::function<void(web_response)>& answer)
             {
                 handled.push_back(std::move(request));
+                if (!answers)
+                {
+                    unanswered.push_back(answer);
+                    return;
+                }
                 answer(web_response{200, {}, {}, {}, false});
-            });
+            },
+            memory);
         BOOST_REQUIRE_EQUAL(listener->open("127.0.0.1:" + std::to_string(address.port())), "");
     }
 
@@ -235,6 +245,128 @@
     BOOST_TEST(request_once(with_length(limit) + std::string(limit, 'x')).status() == 413U);
 }
 
+namespace
+{
+constexpr std::size_t large_body = 100U << 10U;
+
+struct memory_fixture : listener_fixture
+{
+    memory_fixture()
+    {
+        bounds.body_bytes = 1U << 20U;
+        memory = std::make_shared<connection_memory>(connection_memory_limits{2U << 20U, 256U << 10U});
+        memory->on_change(
+            [this](bool refusing)
+            {
+                changes.push_back(refusing);
+            });
+        open();
+    }
+    ~memory_fixture()
+    {
+        memory->on_change({}); // connections end with the loop, after this object
+    }
+    memory_fixture(const memory_fixture&) = delete;
+    memory_fixture& operator=(const memory_fixture&) = delete;
+
+    void run_briefly()
+    {
+        loop.restart();
+        loop.run_for(milliseconds(50));
+    }
+
+    // Opens connections that send `text`, until no more memory is claimed.
+    void crowd(const std::string& text)
+    {
+        for (int i = 0; i < 30; ++i)
+        {
+            clients.push_back(connect());
+            boost::system::error_code ignored; // the connection may be refused
+            clients.back().write_some(asio::buffer(text), ignored);
+            run_briefly();
+        }
+        BOOST_TEST(memory->held() <= memory->limits().bytes);
+    }
+
+    std::vector<tcp::socket> clients;
+    std::vector<bool> changes;
+};
+} // namespace
+
+// Guards against a sum of bodies above the memory of the process, each of them within its own limit.
+BOOST_FIXTURE_TEST_CASE(unfinished_bodies_leave_room_for_small_requests, memory_fixture)
+{
+    crowd(with_length(large_body) + std::string(large_body / 2, 'x'));
+    const exchange out = talk(with_length(large_body) + std::string(large_body, 'x'));
+    BOOST_TEST(out.status() == 503U);
+    BOOST_TEST(out.received.find("Retry-After: 1") != std::string::npos);
+    BOOST_TEST(handled.empty());
+    BOOST_TEST(request_once(with_length(1000) + std::string(1000, 'x')).status() == 200U);
+    BOOST_TEST((changes == std::vector<bool>{true}));
+    clients.clear();
+    run_briefly();
+    BOOST_TEST(memory->held() == 0U);
+    BOOST_TEST((changes == std::vector<bool>{true, false}));
+    BOOST_TEST(request_once(with_length(large_body) + std::string(large_body, 'x')).status() == 200U);
+}
+
+BOOST_FIXTURE_TEST_CASE(requests_that_wait_for_their_answer_count, memory_fixture)
+{
+    answers = false;
+    crowd(with_length(large_body) + std::string(large_body, 'x'));
+    BOOST_TEST(handled.size() < clients.size());
+    answers = true;
+    BOOST_TEST(request_once(with_length(large_body) + std::string(large_body, 'x')).status() == 503U);
+    BOOST_TEST(request_once(with_length(1000) + std::string(1000, 'x')).status() == 200U);
+    for (const auto& answer : unanswered)
+    {
+        answer(web_response{200, {}, {}, {}, false});
+    }
+    run_briefly();
+    BOOST_TEST(memory->held() == 0U);
+}
+
+// Guards against small requests that find no room as many others of their kind do not end.
+BOOST_FIXTURE_TEST_CASE(the_connection_that_holds_most_for_longest_gives_way_to_a_small_request,
+                        memory_fixture)
+{
+    const std::size_t small = 16U << 10U;
+    for (int i = 0; i < 3; ++i)
+    {
+        crowd(with_length(small) + std::string(small / 2, 'x'));
+    }
+    BOOST_TEST(memory->closed() > 0U);
+    BOOST_TEST(request_once(with_length(small) + std::string(small, 'x')).status() == 200U);
+    std::array<char, 1> part{};
+    boost::system::error_code failed;
+    clients.front().read_some(asio::buffer(part), failed);
+    BOOST_TEST((failed && failed != asio::error::would_block));
+    failed = {};
+    clients.back().read_some(asio::buffer(part), failed);
+    BOOST_TEST((failed == asio::error::would_block));
+}
+
+// A client that does not read cannot hold more than the account has room for.
+BOOST_FIXTURE_TEST_CASE(responses_that_are_not_read_count, memory_fixture)
+{
+    answers = false;
+    for (int i = 0; i < 6; ++i)
+    {
+        clients.push_back(connect());
+        clients.back().set_option(asio::socket_base::receive_buffer_size(4096));
+        clients.back().write_some(asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: a\r\n\r\n")));
+        run_briefly();
+    }
+    BOOST_REQUIRE_EQUAL(unanswered.size(), 6U);
+    for (const auto& answer : unanswered)
+    {
+        answer(web_response{200, std::string(8U << 20U, 'x'), {}, {}, false});
+        run_briefly();
+        BOOST_TEST(memory->held() <= std::max<std::size_t>(memory->limits().bytes, 9U << 20U));
+    }
+    BOOST_TEST(memory->closed() == 5U);
+}
+
 // Guards against an edge process that does not learn the limits of the configuration that replicas hold.
 BOOST_AUTO_TEST_CASE(a_process_without_a_replica_follows_the_limits_of_the_newest_configuration)
 {
