Web client: bound what a response takes besides its body

Cause: the parser limits header and decoded body of a response, but neither the read buffer nor the bytes on the wire. Trailers or a chunk extension without end were kept in the buffer until the deadline of the call; small chunks with long extensions were read on. A worker's or the advisor's answer could so take memory without bound.

Change: the buffer has a maximum of 128 KB, the response of 8 MB with its framing, twice the limit of its body. Beyond either the call counts as unanswered and the connection is closed. The parser is fed by the channel itself, as beast's reading operation does not return between small chunks. A worker's list of 500 task ends is about 60 KB.

--- a/src/fabric/web_client.cpp
+++ b/src/fabric/web_client.cpp
@@ -28,6 +28,12 @@
                                       // run, so the timeout says nothing about the peer
 constexpr int user_timeout_ms = 1500; // TCP closes a connection with bytes unacknowledged for this long
 constexpr std::size_t max_response_bytes = 4U << 20U; // a worker's list of 500 task ends is about 60 KB
+// A response with its headers, chunk sizes, extensions and trailers.
+constexpr std::size_t max_transferred_bytes = 2 * max_response_bytes;
+// The parser takes the body out of the buffer as it arrives, so this limits headers, chunk extensions and
+// trailers.
+constexpr std::size_t max_buffered_bytes = 128U << 10U;
+constexpr std::size_t max_read_bytes = 64U << 10U;
 
 // Whether a connection failed because of this machine, so that the failure says nothing about the peer.
 bool is_local_failure(const beast::error_code& failed)
@@ -191,25 +197,82 @@
     {
         m_parser.emplace();
         m_parser->body_limit(max_response_bytes);
-        http::async_read(*m_stream, m_buffer, *m_parser,
-                         [keep = self()](beast::error_code failed, std::size_t /*bytes*/)
-                         {
-                             if (failed)
-                             {
-                                 keep->fail(failed == beast::error::timeout);
-                                 return;
-                             }
-                             http::response<http::string_body> response = keep->m_parser->release();
-                             if (!response.keep_alive())
-                             {
-                                 keep->drop_connection();
-                             }
-                             web_response answer;
-                             answer.status = response.result_int();
-                             answer.body = std::move(response.body());
-                             answer.repeated = keep->m_repeated;
-                             keep->handle_response(std::move(answer));
-                         });
+        m_parser->eager(true);
+        m_transferred = 0;
+        parse();
+    }
+
+    void read_more()
+    {
+        const std::size_t size = beast::read_size(m_buffer, max_read_bytes);
+        if (size == 0)
+        {
+            fail();
+            return;
+        }
+        m_stream->async_read_some(m_buffer.prepare(size),
+                                  [keep = self()](beast::error_code failed, std::size_t bytes)
+                                  {
+                                      if (failed == asio::error::eof && keep->m_parser->got_some())
+                                      {
+                                          keep->parse_end_of_stream();
+                                          return;
+                                      }
+                                      if (failed)
+                                      {
+                                          keep->fail(failed == beast::error::timeout);
+                                          return;
+                                      }
+                                      keep->m_buffer.commit(bytes);
+                                      keep->parse();
+                                  });
+    }
+
+    // Parses what has been received. The parser alone bounds neither chunk extensions nor trailers.
+    void parse()
+    {
+        beast::error_code failed;
+        while (!failed && m_buffer.size() > 0 && !m_parser->is_done())
+        {
+            const std::size_t used = m_parser->put(m_buffer.data(), failed);
+            m_buffer.consume(used);
+            m_transferred += used;
+        }
+        const bool malformed = failed && failed != http::error::need_more;
+        if (malformed || m_transferred > max_transferred_bytes)
+        {
+            fail();
+        }
+        else if (m_parser->is_done())
+        {
+            handle_complete_response();
+        }
+        else
+        {
+            read_more();
+        }
+    }
+
+    // A response without a length ends with its connection.
+    void parse_end_of_stream()
+    {
+        beast::error_code failed;
+        m_parser->put_eof(failed);
+        failed ? fail() : handle_complete_response();
+    }
+
+    void handle_complete_response()
+    {
+        http::response<http::string_body> response = m_parser->release();
+        if (!response.keep_alive())
+        {
+            drop_connection();
+        }
+        web_response answer;
+        answer.status = response.result_int();
+        answer.body = std::move(response.body());
+        answer.repeated = m_repeated;
+        handle_response(std::move(answer));
     }
 
     // If another process answers the probe, its response is returned and the request is not sent.
@@ -266,7 +329,8 @@
     asio::io_context& m_loop;
     std::string m_address;
     std::optional<beast::tcp_stream> m_stream;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{max_buffered_bytes};
+    std::size_t m_transferred = 0; ///< bytes of the current response that have been parsed
     std::optional<http::response_parser<http::string_body>> m_parser;
     http::request<http::string_body> m_request;
     std::deque<waiting_request> m_queue;
