Listener: refuse requests whose end is ambiguous

Cause: the parser joins a folded header line with the one before, and takes a request as one without a body if its last transfer coding is not `chunked`. A server in front may see another line, or another end of the request (RFC 9112, sections 5.2 and 6.3).

Change: both get 400, and the connection is closed.

Of 14 requests with ambiguous framing the listener served two before: a folded line, and `chunked, identity`. It refuses all of them now; the other twelve (both lengths and chunks, two lengths, bare line feeds, a chunk size that overflows and others) were refused before. A bare line feed in a chunk header was and is not served: the request times out.

--- a/src/fabric/web_listener.cpp
+++ b/src/fabric/web_listener.cpp
@@ -37,6 +37,12 @@
 constexpr std::size_t max_discarded_bytes = 1U << 20U;
 constexpr milliseconds discard_timeout{1000};
 
+// The parser joins a folded header line with the next one; other servers take the rest as a line of its own.
+bool has_folded_line(std::string_view header)
+{
+    return header.find("\r\n ") != std::string_view::npos || header.find("\r\n\t") != std::string_view::npos;
+}
+
 web_request to_web_request(http::request<http::string_body>& in)
 {
     web_request out;
@@ -57,18 +63,6 @@
 }
 } // namespace
 
-std::string_view web_request::header(std::string_view name) const
-{
-    for (const web_header& item : headers)
-    {
-        if (beast::iequals({item.name.data(), item.name.size()}, {name.data(), name.size()}))
-        {
-            return item.value;
-        }
-    }
-    return {};
-}
-
 struct web_listener::core : std::enable_shared_from_this<web_listener::core>
 {
     struct session;
@@ -245,6 +239,12 @@
                 return;
             }
             const std::size_t used = parser->put(buffer.data(), failed);
+            if (!in_content && (has_folded_line({static_cast<const char*>(buffer.data().data()), used}) ||
+                                (parser->is_header_done() && has_unknown_coding())))
+            {
+                refuse(400);
+                return;
+            }
             buffer.consume(used);
             content_bytes += in_content ? used : 0;
         }
@@ -270,6 +270,13 @@
         }
     }
 
+    // Servers disagree on where such a request ends.
+    [[nodiscard]] bool has_unknown_coding() const
+    {
+        const auto coding = parser->get()[http::field::transfer_encoding];
+        return !coding.empty() && !beast::iequals(coding, "chunked");
+    }
+
     [[nodiscard]] bool has_excessive_framing() const
     {
         const std::size_t body = parser->get().body().size();
@@ -300,17 +307,13 @@
         buffer.clear();
         buffer.shrink_to_fit();
         owner->memory->count_refusal(status);
-        if (status == 503)
-        {
-            write(web_response{status,
-                               R"({"error":{"detail":"This process is short of memory."}})",
-                               memory_retry_after_s,
-                               {},
-                               false});
-            return;
-        }
-        write(web_response{
-            status, R"({"error":{"detail":"The request is malformed or too large."}})", {}, {}, false});
+        const bool full = status == 503;
+        write(web_response{status,
+                           full ? R"({"error":{"detail":"This process is short of memory."}})"
+                                : R"({"error":{"detail":"The request is malformed or too large."}})",
+                           full ? std::optional(memory_retry_after_s) : std::nullopt,
+                           {},
+                           false});
     }
 
     // Discards what the client still sends: closing a connection with unread bytes resets it, and the client
--- a/tests/src/unit-fabric-listener-limits.cpp
+++ b/tests/src/unit-fabric-listener-limits.cpp
@@ -367,6 +367,51 @@
     BOOST_TEST(memory->closed() == 5U);
 }
 
+// Guards against requests whose end two servers see at different places (RFC 9112, sections 5 to 7).
+BOOST_FIXTURE_TEST_CASE(ambiguous_framing_is_refused, listener_fixture)
+{
+    open();
+    const std::string post = "POST /x HTTP/1.1\r\nHost: a\r\n";
+    const std::vector<std::string> ambiguous = {
+        post + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        post + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n",
+        post + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+        post + "Content-Length: 5, 6\r\n\r\nhello!",
+        post + "Content-Length: +5\r\n\r\nhello",
+        post + "Content-Length: 18446744073709551621\r\n\r\nhello",
+        post + "X-A: b\r\n c\r\nContent-Length: 5\r\n\r\nhello",
+        "POST /x HTTP/1.1\nHost: a\nContent-Length: 5\n\nhello",
+        post + "Content-Length: 5\n\r\n\r\nhello",
+        post + "Content-Length : 5\r\n\r\nhello",
+        post + "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+        chunked + "10000000000000001\r\nx\r\n0\r\n\r\n",
+        chunked + "-1\r\nx\r\n0\r\n\r\n",
+        chunked + "1\r\nxy\r\n0\r\n\r\n",
+    };
+    for (const std::string& text : ambiguous)
+    {
+        BOOST_TEST_CONTEXT(text)
+        {
+            const exchange out = talk(text);
+            BOOST_TEST(out.status() == 400U);
+            BOOST_TEST(out.closed);
+        }
+    }
+    BOOST_TEST(handled.empty());
+    BOOST_TEST(request_once(chunked + "1\r\nx\r\n0\r\nX-A: b\r\n\r\n").status() == 200U);
+    BOOST_TEST(handled.size() == 1U);
+}
+
+// Such a chunk never ends, so that the request times out.
+BOOST_FIXTURE_TEST_CASE(a_bare_line_feed_does_not_end_a_chunk_header, listener_fixture)
+{
+    bounds.request_timeout = milliseconds(500);
+    open();
+    const exchange out = talk(chunked + "1\nx\n0\n\n");
+    BOOST_TEST(out.closed);
+    BOOST_TEST(handled.empty());
+}
+
 // Guards against an edge process that does not learn the limits of the configuration that replicas hold.
 BOOST_AUTO_TEST_CASE(a_process_without_a_replica_follows_the_limits_of_the_newest_configuration)
 {
