Listener: trailers are not headers

Cause: the parser adds the trailers of a chunked body to the header fields, which were read after the body. A client could send `Authorization` or a field beginning with "X-" past a server that checks headers only.

Change: the header fields are read when the header ends; trailers are parsed and dropped.

Before: the test's handler got the two trailers as headers. After: none; 16 of 16 tests of unit-fabric-listener-limits pass.

--- a/src/fabric/web_listener.cpp
+++ b/src/fabric/web_listener.cpp
@@ -25,8 +25,7 @@
 using tcp = asio::ip::tcp;
 
 constexpr std::size_t small_body_bytes = 16U << 10U;
-// A body is held as text, decoded, and encoded for the leader, in the queue of a link as well, and the heap
-// keeps gaps.
+// A body is held as text, decoded, and encoded for the leader, and the heap keeps gaps.
 constexpr std::size_t memory_per_body_byte = 6;
 constexpr std::int64_t memory_retry_after_s = 1;
 constexpr std::size_t first_read_bytes = 512; // what an idle connection keeps for the next request
@@ -43,7 +42,7 @@
     return header.find("\r\n ") != std::string_view::npos || header.find("\r\n\t") != std::string_view::npos;
 }
 
-web_request to_web_request(http::request<http::string_body>& in)
+web_request without_body(const http::request<http::string_body>& in)
 {
     web_request out;
     out.method = std::string(in.method_string());
@@ -58,7 +57,6 @@
         }
     }
     out.host = std::string(in[http::field::host]);
-    out.body = std::move(in.body());
     return out;
 }
 } // namespace
@@ -245,6 +243,10 @@
                 refuse(400);
                 return;
             }
+            if (!in_content && parser->is_header_done())
+            {
+                request = without_body(parser->get()); // the parser adds trailers to the headers
+            }
             buffer.consume(used);
             content_bytes += in_content ? used : 0;
         }
@@ -286,12 +288,13 @@
 
     void handle_request()
     {
-        http::request<http::string_body> request = parser->release();
-        keep_alive = request.keep_alive();
+        keep_alive = parser->keep_alive();
+        request.body = std::move(parser->get().body());
+        parser.reset();
         stream.expires_never();
         // What the handler keeps of the request is not freed by closing the connection.
-        memory.charge(buffer.capacity() + memory_per_body_byte * request.body().size(), monotonic_now());
-        owner->handler(to_web_request(request),
+        memory.charge(buffer.capacity() + memory_per_body_byte * request.body.size(), monotonic_now());
+        owner->handler(std::exchange(request, {}),
                        [self = shared_from_this()](web_response answer)
                        {
                            self->write(std::move(answer));
@@ -382,6 +385,7 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
+    web_request request; ///< being received; its body is in the parser
     http::response<http::string_body> response;
     connection_memory::claim memory;
     std::size_t content_bytes = 0; ///< parsed bytes of the request behind its header
--- a/tests/src/unit-fabric-listener-limits.cpp
+++ b/tests/src/unit-fabric-listener-limits.cpp
@@ -412,6 +412,17 @@
     BOOST_TEST(handled.empty());
 }
 
+// Guards against a trailer that acts as a header behind a server that checks headers only.
+BOOST_FIXTURE_TEST_CASE(trailers_are_not_headers, listener_fixture)
+{
+    open();
+    const std::string trailers = "0\r\nX-A: b\r\nAuthorization: Bearer c\r\n\r\n";
+    BOOST_TEST(request_once(chunked + "1\r\nx\r\n" + trailers).status() == 200U);
+    BOOST_REQUIRE_EQUAL(handled.size(), 1U);
+    BOOST_TEST(handled[0].headers.empty());
+    BOOST_TEST(handled[0].body == "x");
+}
+
 // Guards against an edge process that does not learn the limits of the configuration that replicas hold.
 BOOST_AUTO_TEST_CASE(a_process_without_a_replica_follows_the_limits_of_the_newest_configuration)
 {
