Mechanisms: join names without an inserted prefix

The release build failed on arm64 (g++ 12, -Werror=restrict): with the program's new members, inlining brings operator+ of a literal and a temporary string into a form for which the compiler warns of overlapping copies. The names are appended instead; the result is the same.

--- a/include/walkthread/dispatch/mechanisms.hpp
+++ b/include/walkthread/dispatch/mechanisms.hpp
@@ -74,7 +74,8 @@
         {
             if (m_off.test(i))
             {
-                out += (out.empty() ? "" : " ") + std::string(mechanism_names.at(i));
+                out += out.empty() ? "" : " ";
+                out += mechanism_names.at(i);
             }
         }
         return out;
