Dispatch: a failed task returns to its host if no other takes it in time

What callers saw: a submission whose tasks had failed once on one worker was never started again, although that worker was sound and empty. The only other worker that the policy allowed was full of a lasting task.

Cause: a worker on which a task of a step failed was excluded as long as other workers could take the tasks twice over if they were empty. One that is full for good counted for good. Ruled out: the advisor (it was no longer asked about the worker) and quarantine (one submission had failed).

Change: the exclusion is bounded. A step leaves such a worker to others for 2 s after its last start or end: the 3 s within which work has to start, less a second for a query of the advisor, which is sent meanwhile, and the start. Then the worker is its last choice. Single tasks wait also if other workers are few; gangs use all workers at once then, as before. step_waits and explain name the worker, the reason and the time left.

Before, unit-doubtful-hosts on: 6 checks in 4 of 4 cases fail, e.g. "check is_running(pool, free, id) has failed", and for a task beside a free worker "check starts_on(pool, bad) == 1U has failed [2 != 1]".

--- a/include/walkthread/dispatch/candidate.hpp
+++ b/include/walkthread/dispatch/candidate.hpp
@@ -8,9 +8,11 @@
 #include <cstdint>
 #include <limits>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
+#include <walkthread/dispatch/doubtful_host.hpp>
 #include <walkthread/dispatch/host_table.hpp>
 #include <walkthread/dispatch/objective.hpp>
 #include <walkthread/workload/workload_state.hpp>
@@ -37,6 +39,8 @@
     /// Tasks of this step and round that run on a host or are about to; set only if the step limits tasks per
     /// host.
     std::map<worker_incarnation_id, std::uint32_t> placed;
+    std::set<worker_incarnation_id> failed_on; ///< its tasks failed there: other hosts are preferred
+    duration unplaced{};                       ///< time since its last start or end while tasks wait
     [[nodiscard]] bool missed() const
     {
         return expected_timeliness >= timeliness::late;
@@ -82,6 +86,7 @@
     double speed{};            ///< learned, 1 is typical
     bool slow{};               ///< clearly slower than most
     bool watched{};            ///< a crash suspect was started there recently
+    duration others_first{};   ///< the step waits that long for other hosts before it uses this one
     int contact_penalty{}; ///< penalty if it may be unreachable although no call to it has failed: less is
                            ///< better
     bool mixes_serving_and_filling{}; ///< would put filling work beside serving work, or the reverse
--- a/include/walkthread/dispatch/dispatch_counters.hpp
+++ b/include/walkthread/dispatch/dispatch_counters.hpp
@@ -13,6 +13,7 @@
 struct dispatch_counters
 {
     std::uint64_t starts{};
+    std::uint64_t doubtful_starts{}; ///< on hosts where they are likely to fail, as no other host took them
     std::uint64_t ends{};
     std::uint64_t refused_starts{};
     std::uint64_t unanswered_orders{};
--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -20,6 +20,7 @@
 #include <walkthread/dispatch/candidate.hpp>
 #include <walkthread/dispatch/capacity_forecast.hpp>
 #include <walkthread/dispatch/dispatch_counters.hpp>
+#include <walkthread/dispatch/doubtful_host.hpp>
 #include <walkthread/dispatch/drop_blocker.hpp>
 #include <walkthread/dispatch/freed_capacity_log.hpp>
 #include <walkthread/dispatch/gang_wait_times.hpp>
@@ -71,6 +72,11 @@
     /// Complexity: linear in the submissions whose first start orders are not confirmed.
     [[nodiscard]] std::uint32_t pending(const std::string& queue) const;
 
+    /// @brief The hosts with capacity for a step that it leaves alone for now, as it is likely to fail there.
+    /// Complexity: linear in the workers.
+    /// @param ref a ready step
+    [[nodiscard]] std::vector<doubtful_host> doubtful_hosts(const step_ref& ref, monotonic_time now);
+
     [[nodiscard]] const dispatch_counters& counters() const
     {
         return m_counters;
@@ -165,15 +171,25 @@
     [[nodiscard]] std::vector<offer> find_offers_to_query(const candidate& item, std::uint32_t need,
                                                           monotonic_time now);
     [[nodiscard]] std::map<worker_incarnation_id, std::uint32_t> placed_tasks(const candidate& item) const;
-    [[nodiscard]] std::set<worker_incarnation_id> workers_with_failures(const candidate& item);
     [[nodiscard]] int suspicion_penalty(const candidate& item, const host_row& row, monotonic_time now) const;
     [[nodiscard]] offer make_offer(const candidate& item, const host_row& row, monotonic_time now);
     [[nodiscard]] std::vector<offer> find_offers(const candidate& item, monotonic_time now);
     [[nodiscard]] std::vector<offer> find_approved_offers(const candidate& item, monotonic_time now);
     [[nodiscard]] std::vector<offer> find_startable_offers(const candidate& item, monotonic_time now);
     [[nodiscard]] bool is_approved(const candidate& item, worker_incarnation_id worker);
+    [[nodiscard]] static bool is_startable(const candidate& item, const offer& o);
     [[nodiscard]] bool preserves_large_slots(const resources& room, const resources& need) const;
 
+    // dispatcher_doubtful_hosts.cpp: hosts on which work may fail, used only if no others take it in time
+    void examine_hosts(candidate& item, monotonic_time now);
+    [[nodiscard]] std::set<worker_incarnation_id> workers_with_failures(const candidate& item);
+    [[nodiscard]] bool has_other_hosts(const candidate& item, const std::set<worker_incarnation_id>& failed);
+    [[nodiscard]] static host_doubt doubt_of(const candidate& item, const host_row& row);
+    void note_doubtful_starts(const candidate& item, const std::vector<planned_start>& starts,
+                              monotonic_time now);
+    [[nodiscard]] duration wait_for_other_hosts(const candidate& item, const host_row& row) const;
+    [[nodiscard]] bool may_use_soon(const candidate& item, const host_row& row) const;
+
     // dispatcher_gangs.cpp: steps whose tasks all start together
     bool place_gang(const candidate& item, monotonic_time now);
     [[nodiscard]] bool has_crash_suspects(const candidate& item) const;
@@ -392,6 +408,8 @@
     suspect_isolation m_suspects;
     freed_capacity_log m_freed_hosts; ///< hosts on which capacity became free
     std::map<step_ref, waiting_step> m_waiting;
+    /// Steps with waiting tasks: when this leader first considered them after the last start or end.
+    std::map<step_ref, monotonic_time> m_unplaced_since;
     /// Run ends of one submission that are being committed.
     struct pending_ends
     {
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -72,7 +72,10 @@
     /// Between passes over steps that are not urgent: their objectives are seconds, and such passes take most
     /// of the leader's time.
     milliseconds full_pass_interval{20};
-    milliseconds quarantine{4000}; ///< the first one; doubles each time
+    /// Work that workers can take starts within this time; limit of the platform.
+    milliseconds start_bound{3000};
+    milliseconds start_reserve{1000}; ///< part of `start_bound` for a query of the advisor and the start
+    milliseconds quarantine{4000};    ///< the first one; doubles each time
     milliseconds max_quarantine{30000};
     int quarantine_failures = 3;         ///< consecutive failed runs of different submissions
     milliseconds unhealthy_backoff{800}; ///< after a worker reported that it can't start anything
--- a/include/walkthread/fabric/core_node.hpp
+++ b/include/walkthread/fabric/core_node.hpp
@@ -120,7 +120,7 @@
     void handle(const pending_call& call, const call_handler& handler);
     [[nodiscard]] service_reply refuse_unknown(const access_decision& caller, submission_id id) const;
     [[nodiscard]] std::optional<service_reply> check_room(const submit_call& call, std::uint64_t bytes);
-    [[nodiscard]] std::string describe_round(const submission& owner, round_id round) const;
+    [[nodiscard]] std::string describe_round(const submission& owner, round_id round);
     void handle(const put_configuration_call& call, const call_handler& handler);
     void handle(const get_configuration_call& call, const call_handler& handler);
     void handle(const report_call& call, const call_handler& handler);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -111,7 +111,7 @@
             continue;
         }
         count_in_window(item);
-        item.placed = placed_tasks(item);
+        examine_hosts(item, now);
         item.lost_with_host = has_crash_suspects(item);
         failed += place(item, now) ? 0 : 1;
         add_waiting_demand(item);
@@ -271,6 +271,7 @@
     std::erase_if(m_gang_retry_at, over);
     m_gang_wait_times.prune(over);
     std::erase_if(m_waiting, over);
+    std::erase_if(m_unplaced_since, over);
     if (command.ids.empty())
     {
         return;
@@ -317,6 +318,7 @@
     const resources room = host_demand_of(*item.step);
     const resources counted = item.step->size * static_cast<std::int64_t>(starts.size());
     drop_hold(item.ref);
+    m_unplaced_since.erase(item.ref);
     m_planned_by_organisation[item.owner->organisation] += counted;
     const std::uint32_t round = item.ref.round.value();
     const std::uint64_t rounds = round >= item.owner->next_round ? 1 + round - item.owner->next_round : 0;
@@ -337,6 +339,7 @@
             m_suspects.note_start(planned.worker, item.ref.submission, now);
         }
     }
+    note_doubtful_starts(item, starts, now);
     log_event(now, "starts_planned", name_of(item.ref),
               {{"queue", item.queue == nullptr ? item.owner->queue : item.queue->name},
                {"tasks", starts.size()},
--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -55,7 +55,7 @@
             break;
         }
         const host_row& row = m_hosts.at((from + i) % m_hosts.size());
-        if (is_eligible(item, row))
+        if (may_use_soon(item, row))
         {
             offers.push_back(make_offer(item, row, now));
             room += share * offers.back().slots;
@@ -78,13 +78,13 @@
         std::uint32_t slots;
         double weight;
     };
-    // Prefers hosts with free slots, then those not held, fast ones for urgent work, those that keep slots
-    // for large tasks, approved ones, and those with more slots.
+    // Prefers hosts on which it has not failed, then those with free slots, those not held, fast ones for
+    // urgent work, those that keep slots for large tasks, approved ones, and those with more slots.
     const auto order_of = [&item](const offer& o, bool good)
     {
-        const std::uint64_t flags = (o.slots > 0 ? 0U : 16U) | (o.held ? 8U : 0U) |
-                                    (item.urgent() && o.slow ? 4U : 0U) | (o.spares_large_slots ? 0U : 2U) |
-                                    (good ? 0U : 1U);
+        const std::uint64_t flags = (o.others_first > duration{0} ? 32U : 0U) | (o.slots > 0 ? 0U : 16U) |
+                                    (o.held ? 8U : 0U) | (item.urgent() && o.slow ? 4U : 0U) |
+                                    (o.spares_large_slots ? 0U : 2U) | (good ? 0U : 1U);
         const std::uint64_t room = max_counted_slots - std::min<std::uint64_t>(o.slots, max_counted_slots);
         return (flags << 48U) | (room << 32U) | o.worker->id.value();
     };
--- a/src/dispatch/dispatcher_gang_reservations.cpp
+++ b/src/dispatch/dispatcher_gang_reservations.cpp
@@ -94,7 +94,7 @@
         {
             break;
         }
-        item.placed = placed_tasks(item);
+        examine_hosts(item, now);
         std::optional<gang_reservation> found = find_reservation(item, next, now);
         if (found && found->ready_ms > 0.0)
         {
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -171,11 +171,12 @@
               {
                   const auto key = [small, &item](const offer& o)
                   {
-                      return small ? std::make_tuple(o.watched, o.contact_penalty, false, -o.speed,
-                                                     std::int64_t{o.worker->id.value()})
-                                   : std::make_tuple(
-                                         o.watched, o.contact_penalty, !preserves_accelerators(item, o),
-                                         -static_cast<double>(o.slots), -std::int64_t{o.worker->id.value()});
+                      return small ? std::make_tuple(o.others_first, o.watched, o.contact_penalty, false,
+                                                     -o.speed, std::int64_t{o.worker->id.value()})
+                                   : std::make_tuple(o.others_first, o.watched, o.contact_penalty,
+                                                     !preserves_accelerators(item, o),
+                                                     -static_cast<double>(o.slots),
+                                                     -std::int64_t{o.worker->id.value()});
                   };
                   return key(a) < key(b);
               });
@@ -292,8 +293,12 @@
     std::sort(offers.begin(), offers.end(),
               [&own, &item](const offer& a, const offer& b)
               {
-                  return std::make_tuple(own(b), preserves_accelerators(item, b), b.slots, b.worker->id) <
-                         std::make_tuple(own(a), preserves_accelerators(item, a), a.slots, a.worker->id);
+                  const auto key = [&own, &item](const offer& o)
+                  {
+                      return std::make_tuple(-o.others_first, own(o), preserves_accelerators(item, o),
+                                             o.slots, o.worker->id);
+                  };
+                  return key(b) < key(a);
               });
     capacity_hold next;
     next.each = host_demand_of(*item.step);
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -200,41 +200,6 @@
     return item.step->gang ? place_gang(item, now) : place_individually(item, now);
 }
 
-// Workers on which tasks of this step failed are excluded as long as enough others can take it.
-std::set<worker_incarnation_id> dispatcher::workers_with_failures(const candidate& item)
-{
-    std::set<worker_incarnation_id> failed;
-    for (const auto& [index, task] : step_tasks(*item.owner, item.ref).records())
-    {
-        if (task.failed_on.value() != 0 && task.state() == work_phase::waiting)
-        {
-            failed.insert(task.failed_on);
-        }
-    }
-    if (failed.empty() || !uses(mechanism::failed_hosts))
-    {
-        return {};
-    }
-    const bool advised = item.queue != nullptr && item.queue->advised;
-    const step_advice& known = m_advice.of(item.ref);
-    const double need = item.step->gang ? item.step->count : 1;
-    double others = 0;
-    for (std::size_t place = 0; place < m_hosts.size() && others < need * 2; ++place)
-    {
-        const host_row& row = m_hosts.at(place);
-        const worker_incarnation_id id = row.worker->id;
-        const auto entry = known.entries.find(id);
-        const bool bad = advised && entry != known.entries.end() && !entry->second.good;
-        if (!bad && !failed.contains(id) && is_eligible(item, row))
-        {
-            const bool is_known = !advised || entry != known.entries.end();
-            others += (is_known ? 1.0 : m_advice.good_share(item.owner->queue_key())) *
-                      slots(item, id, row.worker->description.size);
-        }
-    }
-    return others >= need * 2 ? failed : std::set<worker_incarnation_id>{};
-}
-
 // Sort key of hosts that may be unreachable although no call to them has failed; lower is better. Hosts come
 // last if they have not answered since another host of their rack was suspected, or for longer than a poll is
 // held open. Tasks lost with a host prefer the hosts with the latest contact, as waiting for a second lease
@@ -274,22 +239,22 @@
                            preserves_large_slots(o.room, host_demand_of(*item.step));
     o.watched = uses(mechanism::suspects_apart) &&
                 m_suspects.has_foreign_suspect(row.worker->id, item.ref.submission, now);
+    o.others_first = wait_for_other_hosts(item, row);
     o.contact_penalty = suspicion_penalty(item, row, now);
     o.mixes_serving_and_filling = (item.step->fills && row.view->serving > 0) ||
                                   (item.step->latency_target_ms > 0 && row.view->filling > 0);
     return o;
 }
 
-// All workers that are eligible for the step, whether or not they have free capacity now.
+// All workers that the step may use soon, whether or not they have free capacity now.
 std::vector<dispatcher::offer> dispatcher::find_offers(const candidate& item, monotonic_time now)
 {
-    const std::set<worker_incarnation_id> failed = workers_with_failures(item);
     std::vector<offer> offers;
     offers.reserve(m_hosts.size());
     for (std::size_t place = 0; place < m_hosts.size(); ++place)
     {
         const host_row& row = m_hosts.at(place);
-        if (is_eligible(item, row) && !failed.contains(row.worker->id))
+        if (may_use_soon(item, row))
         {
             offers.push_back(make_offer(item, row, now));
         }
@@ -316,11 +281,10 @@
         return find_offers(item, now);
     }
     std::vector<offer> offers;
-    const std::set<worker_incarnation_id> failed = workers_with_failures(item);
     for (const auto& [id, entry] : m_advice.of(item.ref).entries)
     {
-        const host_row* row = entry.good && !failed.contains(id) ? m_hosts.find(id) : nullptr;
-        if (row != nullptr && is_eligible(item, *row))
+        const host_row* row = entry.good ? m_hosts.find(id) : nullptr;
+        if (row != nullptr && may_use_soon(item, *row))
         {
             offers.push_back(make_offer(item, *row, now));
         }
@@ -333,13 +297,18 @@
 {
     std::vector<offer> offers = find_approved_offers(item, now);
     std::erase_if(offers,
-                  [](const offer& o)
+                  [&item](const offer& o)
                   {
-                      return o.slots == 0 || o.ticket.empty();
+                      return !is_startable(item, o);
                   });
     return offers;
 }
 
+bool dispatcher::is_startable(const candidate& item, const offer& o)
+{
+    return o.slots > 0 && !o.ticket.empty() && item.unplaced >= o.others_first;
+}
+
 // Whether a host could still take as many large tasks, such as those of gangs, after starting this one.
 bool dispatcher::preserves_large_slots(const resources& room, const resources& need) const
 {
@@ -376,18 +345,11 @@
             continue;
         }
         const offer o = make_offer(item, *row, now);
-        if (o.slots > 0 && !o.ticket.empty())
+        if (is_startable(item, o))
         {
             offers.push_back(o);
         }
     }
-    const std::set<worker_incarnation_id> failed =
-        offers.empty() ? std::set<worker_incarnation_id>{} : workers_with_failures(item);
-    std::erase_if(offers,
-                  [&failed](const offer& o)
-                  {
-                      return failed.contains(o.worker->id);
-                  });
     return offers;
 }
 
@@ -445,9 +407,10 @@
               {
                   const auto key = [urgent](const offer& o)
                   {
-                      return std::make_tuple(o.watched, o.contact_penalty, o.mixes_serving_and_filling,
-                                             !o.near_data, o.held, urgent ? o.slow : !o.slow,
-                                             !o.spares_large_slots, urgent ? -o.speed : 0.0, o.worker->id);
+                      return std::make_tuple(o.others_first, o.watched, o.contact_penalty,
+                                             o.mixes_serving_and_filling, !o.near_data, o.held,
+                                             urgent ? o.slow : !o.slow, !o.spares_large_slots,
+                                             urgent ? -o.speed : 0.0, o.worker->id);
                   };
                   return key(a) < key(b);
               });
--- a/src/dispatch/dispatcher_polling.cpp
+++ b/src/dispatch/dispatcher_polling.cpp
@@ -385,6 +385,7 @@
                {"how", name_of(end.how)},
                {"took_ms", took},
                {"number", end.number}});
+    m_unplaced_since.erase(end.run.task.step);
     const step_spec* spec = m_state.find(end.run.task.step);
     if (spec == nullptr || known == view.runs.end())
     {
--- a/src/dispatch/dispatcher_preempt.cpp
+++ b/src/dispatch/dispatcher_preempt.cpp
@@ -45,6 +45,11 @@
     const resources room = host_demand_of(*item.step);
     std::uint32_t found = 0;
     std::vector<offer> offers = find_approved_offers(item, now);
+    std::erase_if(offers,
+                  [](const offer& o)
+                  {
+                      return o.others_first > duration{0}; // nothing is stopped for a start that may fail
+                  });
     std::sort(offers.begin(), offers.end(),
               [](const offer& a, const offer& b)
               {
--- a/src/dispatch/dispatcher_waiting.cpp
+++ b/src/dispatch/dispatcher_waiting.cpp
@@ -99,7 +99,7 @@
     }
     static_cast<void>(
         evaluate_candidate(*longest, wall)); // its timeliness decides which holds count against it
-    longest->placed = placed_tasks(*longest);
+    examine_hosts(*longest, now);
     std::uint32_t free = 0;
     std::uint32_t open = 0;
     std::uint32_t whole = 0;
@@ -174,6 +174,7 @@
                                     return m_advice.usable(item.second, now, m_settings.ticket_margin);
                                 });
     }
+    const std::vector<doubtful_host> doubtful = doubtful_hosts(ref, now);
     const auto of = [&hosts](host_availability reason)
     {
         return hosts.at(static_cast<std::size_t>(reason));
@@ -191,6 +192,9 @@
                {"questions", questions},
                {"suspects", m_state.crashes().suspects().size()},
                {"without_room", without_room},
+               {"doubtful", doubtful.size()},
+               {"doubtful_host", doubtful.empty() ? std::string{} : doubtful.front().worker},
+               {"doubtful_for_ms", doubtful.empty() ? duration{0} : doubtful.front().wait_left},
                {"usable", of(host_availability::usable)},
                {"dropped", of(host_availability::dropped)},
                {"unanswered", of(host_availability::unanswered)},
--- a/src/fabric/core_calls.cpp
+++ b/src/fabric/core_calls.cpp
@@ -148,8 +148,24 @@
     handler(make_reply(reply_kind::done, found->second.complete() ? "completed" : "running"));
 }
 
+namespace
+{
+std::string describe(const std::vector<doubtful_host>& hosts)
+{
+    std::string text;
+    for (const doubtful_host& host : hosts)
+    {
+        const auto left = std::chrono::duration_cast<milliseconds>(host.wait_left).count();
+        text += " Uses " + host.worker + " only if no other worker takes it (" +
+                std::string(host_doubt_names.at(static_cast<std::size_t>(host.doubt))) + "), " +
+                (left > 0 ? "not within " + std::to_string(left) + " ms." : "from now on.");
+    }
+    return text;
+}
+} // namespace
+
 // The steps of a round that is in progress or begins next.
-std::string core_node::describe_round(const submission& owner, round_id round) const
+std::string core_node::describe_round(const submission& owner, round_id round)
 {
     std::string text;
     const wall_ms due = owner.spec.due_at(round);
@@ -165,6 +181,10 @@
         text += " Round " + std::to_string(round.value()) + " step " + std::to_string(s) + ": " +
                 std::to_string(tasks.completed()) + " of " + std::to_string(tasks.size()) +
                 " tasks completed" + waits;
+        if (ready && !closed && m_dispatcher)
+        {
+            text += describe(m_dispatcher->doubtful_hosts({owner.id, round, s}, monotonic_now()));
+        }
     }
     return text;
 }
--- a/src/fabric/core_metrics.cpp
+++ b/src/fabric/core_metrics.cpp
@@ -83,6 +83,9 @@
     count("walkthread_advice_clients_examined_total", "Processes examined for questions to the advisor.",
           m_advisor_queries.clients_examined());
     count("walkthread_task_starts_total", "Orders to start a task.", c.starts);
+    count("walkthread_task_starts_doubtful_total",
+          "Starts planned on hosts where they are likely to fail, as no other host took them.",
+          c.doubtful_starts);
     count("walkthread_task_ends_total", "Ends that workers listed.", c.ends);
     count("walkthread_task_starts_refused_total", "Orders that a worker refused.", c.refused_starts);
     count("walkthread_orders_unanswered_total", "Orders without an answer.", c.unanswered_orders);
