Dispatch: workers on probation, in place of an exclusion that doubles

What callers saw: a submission that only one worker may run, accepted one second after that worker had failed a few runs for 1.5 s, started 14 to 30 s later beside that worker, sound and empty.

Cause: from the third failed run in a row on, each further one doubled the time of exclusion, also runs that had begun before it: one disturbance of a few milliseconds made 4, 8, 16 and 30 s. And the exclusion held whether or not another worker could take the work. Ruled out: the advisor (not asked about the worker) and failed_on (the submission had never run).

Change: worker_probation, one class, in place of five fields. A worker on probation is the last choice of a step: after 1 s without a start or end, one start a second, until a run that was sent since completes. Runs sent before say nothing new. Stalled runs go the same way. Log lines, a gauge, step_waits and explain show it. A new leader learns it from three failures.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -92,6 +92,11 @@
     {
         return m_shares.shares();
     }
+    /// @brief The number of workers on probation; updated about four times a second.
+    [[nodiscard]] std::size_t workers_on_probation() const
+    {
+        return m_workers_on_probation;
+    }
     [[nodiscard]] const std::map<worker_incarnation_id, worker_view>& views() const
     {
         return m_views;
@@ -187,6 +192,8 @@
     [[nodiscard]] static host_doubt doubt_of(const candidate& item, const host_row& row);
     void note_doubtful_starts(const candidate& item, const std::vector<planned_start>& starts,
                               monotonic_time now);
+    [[nodiscard]] static std::uint32_t trial_slots(const candidate& item, const worker_view& view,
+                                                   std::uint32_t room, monotonic_time now);
     [[nodiscard]] duration wait_for_other_hosts(const candidate& item, const host_row& row) const;
     [[nodiscard]] bool may_use_soon(const candidate& item, const host_row& row) const;
 
@@ -368,6 +375,7 @@
     monotonic_time m_waiting_log_due{};                      ///< next log line about the longest waiting step
     std::map<std::string, monotonic_time> m_suspected_racks; ///< when a host there was last suspected
     std::size_t m_runs_on_unresponsive_workers = 0;          ///< on workers silent for longer than a lease
+    std::size_t m_workers_on_probation = 0;
     contact_streak m_contact_history;
     monotonic_time m_review_due{};
     pass_schedule m_schedule;
--- a/include/walkthread/dispatch/doubtful_host.hpp
+++ b/include/walkthread/dispatch/doubtful_host.hpp
@@ -19,10 +19,11 @@
 {
     none,
     failed_before, ///< a task of the step failed there
+    on_probation,  ///< runs of several submissions failed there, or one made no progress
 };
 
 /// @brief The names used in logs and explanations, in the order of `host_doubt`.
-inline constexpr std::array<std::string_view, 2> host_doubt_names{"", "failed there before"};
+inline constexpr std::array<std::string_view, 3> host_doubt_names{"", "failed there before", "on probation"};
 
 /// @brief A host with capacity for a step that the step leaves alone in favour of others.
 struct doubtful_host
--- a/include/walkthread/dispatch/host_availability.hpp
+++ b/include/walkthread/dispatch/host_availability.hpp
@@ -24,15 +24,17 @@
     silent,     ///< its last answer is too long ago
     doubted,    ///< the last call to it failed
     leaving,    ///< it announced that it leaves
-    avoided,    ///< in quarantine or back-off: runs failed there, or it could not start any
+    avoided,    ///< in back-off: it could not start a run
     closed,     ///< its host is being drained for maintenance
     cordoned,   ///< nothing new starts in its hall, at an operator's request
+    /// Runs failed or made no progress there: it gets only work that no other host takes.
+    on_probation,
 };
 
 /// @brief The names used in logs and metrics, in the order of `host_availability`.
-inline constexpr std::array<std::string_view, 10> host_availability_names{
-    "usable",  "dropped", "unanswered", "unreported", "silent",
-    "doubted", "leaving", "avoided",    "closed",     "cordoned"};
+inline constexpr std::array<std::string_view, 11> host_availability_names{
+    "usable",  "dropped", "unanswered", "unreported", "silent",      "doubted",
+    "leaving", "avoided", "closed",     "cordoned",   "on_probation"};
 
 /// @brief Whether a worker may get new work, or why not. Complexity: constant.
 /// @param closed whether its host is being drained
--- a/include/walkthread/dispatch/mechanisms.hpp
+++ b/include/walkthread/dispatch/mechanisms.hpp
@@ -23,7 +23,7 @@
     outlook_order,  ///< work that can still be on time goes first; off: order by urgency and age only
     preemption,     ///< less urgent runs with checkpoints are stopped for urgent work and for gangs
     learned_speeds, ///< the speeds of hosts are learned from run times
-    quarantine,     ///< hosts on which runs of several submissions fail in a row are avoided for a while
+    quarantine,     ///< hosts on which runs of several submissions fail in a row are put on probation
     failed_hosts,   ///< a task is not retried where it failed if there are other hosts
     large_slots,    ///< small tasks are placed where they leave capacity for tasks of gangs
     short_looks,    ///< polls are short while many of them are lost
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -18,6 +18,7 @@
 #include <walkthread/dispatch/orders.hpp>
 #include <walkthread/dispatch/worker_contact.hpp>
 #include <walkthread/dispatch/worker_lease.hpp>
+#include <walkthread/dispatch/worker_probation.hpp>
 #include <walkthread/units/time.hpp>
 
 namespace walkthread
@@ -74,10 +75,8 @@
     milliseconds full_pass_interval{20};
     /// Work that workers can take starts within this time; limit of the platform.
     milliseconds start_bound{3000};
-    milliseconds start_reserve{1000}; ///< part of `start_bound` for a query of the advisor and the start
-    milliseconds quarantine{4000};    ///< the first one; doubles each time
-    milliseconds max_quarantine{30000};
-    int quarantine_failures = 3;         ///< consecutive failed runs of different submissions
+    milliseconds start_reserve{1000};    ///< part of `start_bound` for a query of the advisor and the start
+    probation_settings probation{};      ///< of workers on which runs fail
     milliseconds unhealthy_backoff{800}; ///< after a worker reported that it can't start anything
     milliseconds stall_timeout{
         2500}; ///< a run without progress for that long, and for three times the usual interval, is stalled
@@ -170,11 +169,9 @@
     /// A command that records the last state of its runs, or that it answers again, waits for its commit.
     bool status_commit_pending{};
     bool draining{};
-    monotonic_time leaves_at{}; ///< while draining: it does not leave earlier
-    int consecutive_failures{};
-    submission_id last_failed{};
-    monotonic_time avoid_until{};
-    milliseconds next_quarantine{};
+    monotonic_time leaves_at{};   ///< while draining: it does not leave earlier
+    monotonic_time avoid_until{}; ///< it could not start a run: gets nothing new until then
+    worker_probation probation;
     std::uint32_t serving{}; ///< tasks with a latency target in the last poll answer
     /// Filling tasks (best-effort tasks that use spare capacity) in the last poll answer.
     std::uint32_t filling{};
--- a/src/dispatch/dispatcher_doubtful_hosts.cpp
+++ b/src/dispatch/dispatcher_doubtful_hosts.cpp
@@ -51,7 +51,7 @@
         const worker_incarnation_id id = row.worker->id;
         const auto entry = known.entries.find(id);
         const bool bad = advised && entry != known.entries.end() && !entry->second.good;
-        if (!bad && !failed.contains(id) && is_eligible(item, row))
+        if (!bad && !failed.contains(id) && row.usable && is_eligible(item, row))
         {
             const bool is_known = !advised || entry != known.entries.end();
             others += (is_known ? 1.0 : m_advice.good_share(item.owner->queue_key())) *
@@ -63,16 +63,26 @@
 
 host_doubt dispatcher::doubt_of(const candidate& item, const host_row& row)
 {
-    return item.failed_on.contains(row.worker->id) ? host_doubt::failed_before : host_doubt::none;
+    return item.failed_on.contains(row.worker->id)         ? host_doubt::failed_before
+           : row.reason == host_availability::on_probation ? host_doubt::on_probation
+                                                           : host_doubt::none;
 }
 
 // How long the step waits for other hosts before it uses this one. Those may have no capacity for it until
 // some run ends that never does, so the wait is limited.
 duration dispatcher::wait_for_other_hosts(const candidate& item, const host_row& row) const
 {
-    return doubt_of(item, row) == host_doubt::none
-               ? duration{0}
-               : duration(m_settings.start_bound - m_settings.start_reserve);
+    const milliseconds longest = m_settings.start_bound - m_settings.start_reserve;
+    switch (doubt_of(item, row))
+    {
+    case host_doubt::failed_before:
+        return longest;
+    case host_doubt::on_probation: // then it may have to wait for its turn as well
+        return longest - m_settings.probation.trial_interval;
+    case host_doubt::none:
+        break;
+    }
+    return duration{0};
 }
 
 // Whether the host is eligible, and the step will have waited long enough for others by the time a query of
@@ -83,6 +93,14 @@
            item.unplaced + m_settings.start_reserve >= wait_for_other_hosts(item, row);
 }
 
+// The tasks of a step that may start now on a worker on probation: one, or a gang's.
+std::uint32_t dispatcher::trial_slots(const candidate& item, const worker_view& view, std::uint32_t room,
+                                      monotonic_time now)
+{
+    const std::uint32_t most = item.step->gang ? room : std::min(room, 1U);
+    return now < view.probation.next_trial() ? 0 : most;
+}
+
 void dispatcher::note_doubtful_starts(const candidate& item, const std::vector<planned_start>& starts,
                                       monotonic_time now)
 {
@@ -96,6 +114,10 @@
             continue;
         }
         ++m_counters.doubtful_starts;
+        if (row.reason == host_availability::on_probation)
+        {
+            m_views.at(planned.worker).probation.record_trial(now);
+        }
         if (noted.insert(planned.worker).second)
         {
             log_event(now, "doubtful_host_used", name_of(item.ref),
@@ -119,8 +141,12 @@
         const host_doubt doubt = doubt_of(item, row);
         if (doubt != host_doubt::none && is_eligible(item, row) && slots(item, row.worker->id, row.open) > 0)
         {
-            const duration left = wait_for_other_hosts(item, row) - item.unplaced;
-            out.push_back({row.worker->description.id, doubt, std::max(left, duration{0})});
+            const duration step_left = wait_for_other_hosts(item, row) - item.unplaced;
+            const duration trial_left = row.reason == host_availability::on_probation
+                                            ? row.view->probation.next_trial() - now
+                                            : duration{0};
+            out.push_back(
+                {row.worker->description.id, doubt, std::max({step_left, trial_left, duration{0}})});
         }
     }
     return out;
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -446,8 +446,8 @@
     // Only a few hosts are named: a heap yields the best ones without sorting all.
     const auto has_less_capacity = [](const offer& a, const offer& b)
     {
-        return std::make_tuple(a.slots, a.whole, a.worker->id) <
-               std::make_tuple(b.slots, b.whole, b.worker->id);
+        return std::make_tuple(-a.others_first, a.slots, a.whole, a.worker->id) <
+               std::make_tuple(-b.others_first, b.slots, b.whole, b.worker->id);
     };
     std::make_heap(unknown.begin(), unknown.end(), has_less_capacity);
     double expected_free_slots = 0;
--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -377,12 +377,14 @@
     }
 }
 
-// Stops stalled runs so that they start elsewhere, and avoids their worker for a while. Also stops runs with
+// Stops stalled runs so that they start elsewhere, and puts their worker on probation. Also stops runs with
 // checkpoints on workers that are about to leave.
 void dispatcher::check_stalled_runs(monotonic_time now)
 {
+    m_workers_on_probation = 0;
     for (auto& [id, view] : m_views)
     {
+        m_workers_on_probation += view.probation.active(now) ? 1 : 0;
         std::erase_if(view.unanswered_starts,
                       [this, now](const auto& item)
                       {
@@ -406,13 +408,13 @@
             // Measured up to the last answer: runs of an unresponsive worker may well make progress.
             const bool stalled =
                 !step.long_running && !paced && view.contact.last_heard() - known.last_progress > stall_limit;
-            if (stalled)
+            if (stalled && view.probation.record_stall(known.sent, now))
             {
-                view.avoid_until = std::max(view.avoid_until, now + view.next_quarantine);
-                log_event(now, "worker_avoided", m_state.find(id)->description.id,
+                log_event(now, "worker_on_probation", m_state.find(id)->description.id,
                           {{"reason", "run made no progress"},
                            {"run", name_of(run)},
-                           {"unchanged_ms", now - known.last_progress}});
+                           {"unchanged_ms", now - known.last_progress},
+                           {"for_ms", view.probation.until() - now}});
             }
             if (leaving || stalled)
             {
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -161,7 +161,8 @@
 
 bool dispatcher::is_eligible(const candidate& item, const host_row& row) const
 {
-    if (!row.usable || row.pool != item.pool)
+    const bool open = row.usable || row.reason == host_availability::on_probation;
+    if (!open || row.pool != item.pool)
     {
         return false;
     }
@@ -240,6 +241,7 @@
     o.watched = uses(mechanism::suspects_apart) &&
                 m_suspects.has_foreign_suspect(row.worker->id, item.ref.submission, now);
     o.others_first = wait_for_other_hosts(item, row);
+    o.slots = row.usable ? o.slots : trial_slots(item, *row.view, o.slots, now);
     o.contact_penalty = suspicion_penalty(item, row, now);
     o.mixes_serving_and_filling = (item.step->fills && row.view->serving > 0) ||
                                   (item.step->latency_target_ms > 0 && row.view->filling > 0);
--- a/src/dispatch/dispatcher_polling.cpp
+++ b/src/dispatch/dispatcher_polling.cpp
@@ -374,7 +374,7 @@
     pending->second.waiting.push_back(std::move(then));
 }
 
-// Learns run times and the worker's speed from an end, and avoids workers on which runs keep failing.
+// Learns run times and the worker's speed from an end, and puts workers on which runs fail on probation.
 void dispatcher::evaluate_end(worker_view& view, const reported_end& end, monotonic_time now)
 {
     const submission* owner = m_state.find(end.run.task.step.submission);
@@ -398,8 +398,11 @@
     }
     if (end.how == run_end::completed)
     {
-        view.consecutive_failures = 0;
-        view.next_quarantine = m_settings.quarantine;
+        if (view.probation.record_completion(known->second.sent, now))
+        {
+            log_event(now, "probation_over", m_state.find(view.id)->description.id,
+                      {{"run", name_of(end.run)}});
+        }
         if (!step.long_running && !known->second.inherited && m_state.find(end.run.task) != nullptr &&
             m_state.find(end.run.task)->checkpoint.empty())
         {
@@ -417,20 +420,13 @@
             view.speed += learns ? speed_smoothing * sound * (seen - view.speed) : 0.0;
         }
     }
-    else if (end.how == run_end::failed && !step.long_running && view.last_failed != owner->id &&
-             uses(mechanism::quarantine))
+    else if (end.how == run_end::failed && !step.long_running && uses(mechanism::quarantine) &&
+             view.probation.record_failure(owner->id, known->second.sent, now))
     {
-        view.last_failed = owner->id;
-        if (++view.consecutive_failures >= m_settings.quarantine_failures)
-        {
-            view.avoid_until = now + view.next_quarantine;
-            log_event(now, "worker_avoided", m_state.find(view.id)->description.id,
-                      {{"reason", "consecutive failures"},
-                       {"failures", view.consecutive_failures},
-                       {"for_ms", duration(view.next_quarantine)}});
-            view.next_quarantine = std::min(2 * view.next_quarantine, m_settings.max_quarantine);
-            view.consecutive_failures = m_settings.quarantine_failures - 1;
-        }
+        log_event(now, "worker_on_probation", m_state.find(view.id)->description.id,
+                  {{"reason", "consecutive failures"},
+                   {"run", name_of(end.run)},
+                   {"for_ms", view.probation.until() - now}});
     }
 }
 
--- a/src/dispatch/dispatcher_views.cpp
+++ b/src/dispatch/dispatcher_views.cpp
@@ -116,7 +116,7 @@
     view.id = worker.id;
     view.awaits_first_poll = true;
     view.contact = worker_contact(now);
-    view.next_quarantine = m_settings.quarantine;
+    view.probation = worker_probation(m_settings.probation);
     view.draining = worker.leaving;
     view.sequence = worker.leaving_sequence;     // delayed older reports are ignored
     view.leaves_at = now + m_settings.max_lease; // assumed until the worker reports to this leader
--- a/src/dispatch/dispatcher_waiting.cpp
+++ b/src/dispatch/dispatcher_waiting.cpp
@@ -204,7 +204,8 @@
                {"leaving", of(host_availability::leaving)},
                {"avoided", of(host_availability::avoided)},
                {"closed", of(host_availability::closed)},
-               {"cordoned", of(host_availability::cordoned)}});
+               {"cordoned", of(host_availability::cordoned)},
+               {"on_probation", of(host_availability::on_probation)}});
 }
 
 } // namespace walkthread
--- a/src/dispatch/dispatcher_window.cpp
+++ b/src/dispatch/dispatcher_window.cpp
@@ -43,7 +43,7 @@
     for (std::size_t place = 0; place < m_hosts.size(); ++place)
     {
         const host_row& row = m_hosts.at(place);
-        if (is_eligible(item, row))
+        if (row.usable && is_eligible(item, row))
         {
             free += row.free;
             used += row.worker->description.size - row.open;
--- a/src/dispatch/host_availability.cpp
+++ b/src/dispatch/host_availability.cpp
@@ -38,7 +38,11 @@
     {
         return host_availability::closed;
     }
-    return cordoned ? host_availability::cordoned : host_availability::usable;
+    if (cordoned)
+    {
+        return host_availability::cordoned;
+    }
+    return view.probation.active(now) ? host_availability::on_probation : host_availability::usable;
 }
 
 } // namespace walkthread
--- a/src/fabric/core_metrics.cpp
+++ b/src/fabric/core_metrics.cpp
@@ -69,6 +69,9 @@
     page.add_gauge("walkthread_unheard_runs",
                    "Runs that count as running on workers not heard for longer than a lease.",
                    m_dispatcher ? static_cast<double>(m_dispatcher->runs_on_unresponsive_workers()) : 0.0);
+    page.add_gauge("walkthread_workers_on_probation",
+                   "Workers that get only work that no other worker takes.",
+                   m_dispatcher ? static_cast<double>(m_dispatcher->workers_on_probation()) : 0.0);
     if (m_dispatcher && !m_dispatcher->shares().empty())
     {
         page.add({collect_shares(m_dispatcher->shares())});
