Dispatch: a leave is a hint, and a refused connection proves the end

What callers saw: a leave of a former incarnation, held back on a cut path, arrived while the present incarnation under the same id was leaving. Its lasting task was started on another worker while it ran on.

Cause: a leave names only an id, and dropped the incarnation that has it, if that one had announced that it leaves.

Change: a leave is acknowledged at once and its worker polled; nothing else follows from it. A worker that announced that it leaves has ended when its address refuses a connection ("a dead port resets; a machine without power or behind a cut says nothing"); else another incarnation's answer or the end of its lease tells, as before. What the rule rests on is replicated, so the next leader has it. The web client tells refused connections from others; unit-fabric expects the narrower result in place of "unreachable".

Simulated workers that left refuse connections now, as the platform's do.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -55,7 +55,8 @@
     /// state, with false if the worker has to report again
     void handle_report(const worker_report& report, monotonic_time now,
                        const std::function<void(bool)>& done);
-    /// @brief Handles a worker's notice that it is shutting down now.
+    /// @brief Handles a notice that a worker is shutting down now. It is a hint only, as it names no
+    /// incarnation and its sender may still be running: the address is polled at once.
     void handle_leave(const std::string& id, const std::function<void(bool)>& done);
     /// @brief Runs one scheduling pass: urgent and long-running steps each time, the others once per
     /// `dispatch_settings::full_pass_interval`. Complexity: at most the steps considered times the workers.
@@ -143,6 +144,7 @@
     [[nodiscard]] bool has_known_pool(const worker_report& report) const;
     [[nodiscard]] bool lacks_start_time(const worker_report& report) const;
     void handle_known_report(worker_view& view, const worker_report& report, monotonic_time now);
+    void record_departure(worker_view& view, monotonic_time now);
     void record_leaving(const worker_incarnation& known, const worker_report& report,
                         const std::function<void(bool)>& done);
     void verify_incarnation(const worker_report& report, worker_incarnation_id present,
--- a/include/walkthread/dispatch/orders.hpp
+++ b/include/walkthread/dispatch/orders.hpp
@@ -126,6 +126,7 @@
     std::int64_t clock_ms{};
     std::vector<reported_run> running;
     std::vector<reported_end> ended;
+    bool refused{}; ///< `unreachable` as the address refused the connection: no process listens there
 };
 
 /// @brief A query to the placement advisor.
--- a/include/walkthread/fabric/web_client.hpp
+++ b/include/walkthread/fabric/web_client.hpp
@@ -24,6 +24,7 @@
 {
     not_sent,    ///< lack of a connection or of time in this process: certainly not executed
     unreachable, ///< no connection to the address could be made: certainly not executed
+    refused,     ///< the address refused the connection, as no process listens there: certainly not executed
     unanswered,  ///< no complete response in time: it may have been executed or may still be
 };
 
--- a/src/dispatch/dispatcher_polling.cpp
+++ b/src/dispatch/dispatcher_polling.cpp
@@ -129,6 +129,11 @@
         drop_replaced_worker(*view, now);
         return;
     }
+    if (answer.refused && m_state.find(worker)->leaving && !view->drop_proposed)
+    {
+        record_departure(*view, now);
+        return;
+    }
     const process_start_ms known = m_state.find(worker)->description.process_start;
     // An answer without a process start time does not come from this worker if its reports have one.
     const bool from_other_process = answer.outcome == order_outcome::accepted &&
--- a/src/dispatch/dispatcher_reports.cpp
+++ b/src/dispatch/dispatcher_reports.cpp
@@ -231,31 +231,46 @@
                     });
 }
 
+// The notice may be a delayed one of a former incarnation with the same id, and its sender runs on until it
+// is acknowledged. So nothing is started elsewhere because of it: a refused connection, another incarnation's
+// answer or the end of the lease shows that the process has ended.
 void dispatcher::handle_leave(const std::string& id, const std::function<void(bool)>& done)
 {
     const worker_incarnation* known = m_state.find_id(id);
-    if (known == nullptr)
+    worker_view* view = known == nullptr ? nullptr : view_of(known->id);
+    if (view != nullptr)
     {
-        done(true);
-        return;
+        const monotonic_time now = m_hooks.now();
+        log_event(now, "leave_noticed", id,
+                  {{"born", known->description.process_start.value()},
+                   {"leaving", known->leaving},
+                   {"runs", known->occupied.size()}});
+        poll_promptly(*view, now);
+        m_hooks.wake();
     }
-    if (!known->leaving)
-    {
-        // A delayed notice of a former incarnation, or of one that never reported that it was leaving: the
-        // next polls tell.
-        log_event(m_hooks.now(), "leave_not_taken", id, {{"born", known->description.process_start.value()}});
-        done(true);
-        return;
-    }
-    m_hooks.propose(drop_worker{known->id, true, {}},
-                    [this, alive = m_alive, id, done](bool committed)
+    done(true);
+}
+
+// The process of a worker that leaves has ended: its address refuses connections.
+void dispatcher::record_departure(worker_view& view, monotonic_time now)
+{
+    view.drop_proposed = true;
+    const worker_incarnation& worker = *m_state.find(view.id);
+    log_event(now, "worker_left", worker.description.id,
+              {{"born", worker.description.process_start.value()},
+               {"runs", worker.occupied.size()},
+               {"unheard_ms", now - view.contact.last_heard()}});
+    m_hooks.propose(drop_worker{view.id, true, {}},
+                    [this, alive = m_alive, id = view.id](bool)
                     {
-                        if (*alive && committed)
+                        if (worker_view* later = *alive ? view_of(id) : nullptr; later != nullptr)
+                        {
+                            later->drop_proposed = false; // not committed: the next poll tells again
+                        }
+                        if (*alive)
                         {
-                            log_event(m_hooks.now(), "worker_left", id, {});
                             m_hooks.wake();
                         }
-                        done(committed);
                     });
 }
 
--- a/src/fabric/pooled_client.cpp
+++ b/src/fabric/pooled_client.cpp
@@ -83,7 +83,7 @@
         return !ok(outcome) && error_of(outcome) == failure;
     };
     m_not_sent += failed_as(web_failure::not_sent) ? 1 : 0;
-    m_unreachable += failed_as(web_failure::unreachable) ? 1 : 0;
+    m_unreachable += failed_as(web_failure::unreachable) || failed_as(web_failure::refused) ? 1 : 0;
     const auto channel = m_channels.find(connection);
     const bool open = channel != m_channels.end() && channel->second->is_open();
     if (!open)
--- a/src/fabric/web_client.cpp
+++ b/src/fabric/web_client.cpp
@@ -118,8 +118,11 @@
         }
         const bool late = failed == beast::error::timeout &&
                           asio::steady_timer::clock_type::now() > m_connect_deadline + max_timer_delay;
-        return m_closed || late || is_local_failure(failed) ? web_failure::not_sent
-                                                            : web_failure::unreachable;
+        if (m_closed || late || is_local_failure(failed))
+        {
+            return web_failure::not_sent;
+        }
+        return failed == asio::error::connection_refused ? web_failure::refused : web_failure::unreachable;
     }
 
     void attempt()
--- a/tests/src/simulated_pool.hpp
+++ b/tests/src/simulated_pool.hpp
@@ -136,11 +136,22 @@
                                     }
                                 });
     }
-    // A worker announces that it is terminating now; `then` is called when that is acknowledged.
-    void leave(const std::string& incarnation, const std::function<void()>& then)
+    // A worker announces that it is terminating now; `then` is called when that is acknowledged. Its machine
+    // refuses connections afterwards, unless it loses power (`silent`).
+    void leave(const std::string& incarnation, const std::function<void()>& then, bool silent = false)
     {
-        m_workers[incarnation].terminated = true;
-        m_workers[incarnation].running.clear();
+        sim_worker& worker = m_workers[incarnation];
+        worker.terminated = true;
+        worker.refuses_connections = !silent;
+        worker.running.clear();
+        if (auto handler = std::exchange(worker.pending_poll, nullptr); handler)
+        {
+            at(silent ? lost_answer_timeout : duration(m_settings.network_delay),
+               [handler]
+               {
+                   handler({order_outcome::unanswered, {}, 0, {}, {}});
+               });
+        }
         m_leader->handle_leave(incarnation,
                                [then](bool counted)
                                {
--- a/tests/src/simulated_workers.hpp
+++ b/tests/src/simulated_workers.hpp
@@ -39,6 +39,11 @@
                handler(answer);
            });
     }
+    [[nodiscard]] bool refuses(const std::string& incarnation) const
+    {
+        const auto worker = m_workers.find(incarnation);
+        return worker != m_workers.end() && worker->second.refuses_connections;
+    }
     // The addressed incarnation does not answer: another one at its address identifies itself.
     order_outcome answer_for_absent_worker(const worker_address& to, duration timeout,
                                            const std::function<void(const order_answer&)>& handler)
@@ -51,8 +56,7 @@
                                                   item.first != to.id && !worker.terminated &&
                                                   !worker.faults.unresponsive;
                                        });
-        const auto meant = m_workers.find(to.id);
-        const bool refused = meant != m_workers.end() && meant->second.refuses_connections;
+        const bool refused = refuses(to.id);
         // A call on an open connection is sent and gets no answer; afterwards there is no connection to that
         // address.
         const bool connected = !refused && m_connected.contains({to.id, to.fence});
@@ -444,9 +448,11 @@
         {
             const order_outcome outcome =
                 answer_for_absent_worker(order.to, order.timeout + milliseconds(order.wait_ms),
-                                         [handler](const order_answer& answer)
+                                         [handler, refused = refuses(order.to.id)](const order_answer& answer)
                                          {
-                                             handler({answer.outcome, {}, 0, {}, {}});
+                                             const bool no_process =
+                                                 refused && answer.outcome == order_outcome::unreachable;
+                                             handler({answer.outcome, {}, 0, {}, {}, no_process});
                                          });
             if (outcome == order_outcome::unanswered)
             {
--- a/tests/src/unit-fabric.cpp
+++ b/tests/src/unit-fabric.cpp
@@ -456,7 +456,7 @@
     BOOST_TEST(taken == 3U);
 }
 
-BOOST_AUTO_TEST_CASE(a_refused_connection_is_unreachable)
+BOOST_AUTO_TEST_CASE(a_refused_connection_is_told_from_one_that_times_out)
 {
     asio::io_context loop;
     bool called = false;
@@ -471,7 +471,7 @@
     loop.run_for(seconds(20));
     BOOST_TEST(called);
     BOOST_REQUIRE(!ok(out));
-    BOOST_TEST((error_of(out) == web_failure::unreachable)); // certainly not executed
+    BOOST_TEST((error_of(out) == web_failure::refused)); // certainly not executed: no process listens there
 }
 
 // ---------------------------------------------------------------------------------------------------------
--- a/tests/src/unit-late-leave.cpp
+++ b/tests/src/unit-late-leave.cpp
@@ -8,7 +8,8 @@
 
 namespace
 {
-constexpr duration settle_time = seconds(1); // until leaders, polls and reports have reached a steady state
+constexpr duration longest_lease = seconds(6); // the platform's
+constexpr duration settle_time = seconds(1);   // until leaders, polls and reports have reached a steady state
 
 std::vector<submission_id> submit_many(simulated_pool& pool, int count, std::int64_t run_ms)
 {
@@ -20,6 +21,35 @@
     return out;
 }
 
+// Starts a submission with one lasting task on each of w0 and w1.
+submission_id submit_lasting(simulated_pool& pool)
+{
+    step_spec step = make_step(2, 2000, 1000);
+    step.long_running = true;
+    step.per_host_limit = 1;
+    const submission_id id = pool.submit("plain", {step});
+    pool.run(settle_time);
+    BOOST_REQUIRE(pool.running_on("w0") == 1U);
+    return id;
+}
+
+// w0 announces that it leaves, and ends. w2 is there to take its work.
+void leave_as_planned(simulated_pool& pool, bool silent)
+{
+    pool.add_worker("w2", "h2");
+    pool.report("w0", true, 10'000);
+    pool.run(milliseconds(500));
+    bool acknowledged = false;
+    pool.leave(
+        "w0",
+        [&acknowledged]
+        {
+            acknowledged = true;
+        },
+        silent);
+    BOOST_TEST(acknowledged);
+}
+
 void check_completed(const simulated_pool& pool, const std::vector<submission_id>& all)
 {
     for (const submission_id id : all)
@@ -49,3 +79,73 @@
     pool.run(seconds(15));
     check_completed(pool, all);
 }
+
+// A leave is acknowledged at once, and again when it is repeated, although it proves nothing.
+BOOST_AUTO_TEST_CASE(a_leave_is_acknowledged_while_its_worker_runs_on)
+{
+    simulated_pool pool(small_pool_settings(2));
+    pool.start_leader();
+    pool.run(settle_time);
+    const submission_id id = submit_lasting(pool);
+    pool.report("w0", true, 10'000);
+    pool.run(milliseconds(100));
+    int acknowledged = 0;
+    for (int i = 0; i < 3; ++i)
+    {
+        pool.leader().handle_leave("w0",
+                                   [&acknowledged](bool counted)
+                                   {
+                                       acknowledged += counted ? 1 : 0;
+                                   });
+        BOOST_TEST(acknowledged == i + 1);
+        pool.run(seconds(1));
+    }
+    BOOST_TEST(pool.state().find(id)->active == 2U);
+    BOOST_TEST(pool.starts_on("w0") == 1U);
+    check_invariants(pool);
+}
+
+// A worker that left as planned: its machine refuses connections, and its lasting task starts elsewhere at
+// once.
+BOOST_AUTO_TEST_CASE(work_of_a_worker_that_left_starts_elsewhere_at_once)
+{
+    for (const bool next_leader : {false, true})
+    {
+        simulated_pool pool(small_pool_settings(2));
+        pool.start_leader();
+        pool.run(settle_time);
+        const submission_id id = submit_lasting(pool);
+        leave_as_planned(pool, false);
+        if (next_leader)
+        {
+            pool.start_leader();
+        }
+        pool.run(milliseconds(500));
+        BOOST_TEST(pool.starts_on("w2") == 1U);
+        BOOST_TEST(pool.state().find(id)->active == 2U);
+        check_invariants(pool);
+    }
+}
+
+// A machine without power says nothing, so the end of the lease is what proves that its worker has ended.
+BOOST_AUTO_TEST_CASE(work_of_a_worker_whose_machine_is_silent_starts_elsewhere_after_its_lease)
+{
+    for (const bool next_leader : {false, true})
+    {
+        simulated_pool pool(small_pool_settings(2));
+        pool.start_leader();
+        pool.run(settle_time);
+        const submission_id id = submit_lasting(pool);
+        leave_as_planned(pool, true);
+        if (next_leader)
+        {
+            pool.start_leader();
+        }
+        pool.run(seconds(3));
+        BOOST_TEST(pool.starts_on("w2") == 0U);
+        pool.run(longest_lease);
+        BOOST_TEST(pool.starts_on("w2") == 1U);
+        BOOST_TEST(pool.state().find(id)->active == 2U);
+        check_invariants(pool);
+    }
+}
