Dispatch: prepare offers only for steps whose hosts are scanned

Cause, suspected: each pass looked for failed tasks of every waiting step and noted since when it waits, also of the steps that it then passes over, on a leader that is short of processor time.

Change: both are done where hosts are scanned for the step. Large tasks reserve hosts on which they are likely to fail last.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -154,8 +154,8 @@
     // dispatcher_place.cpp: choice of workers
     [[nodiscard]] std::uint32_t permitted_tasks(const candidate& item) const;
     [[nodiscard]] std::uint32_t tasks_within_memory(const candidate& item) const;
-    bool place(const candidate& item, monotonic_time now);
-    bool place_individually(const candidate& item, monotonic_time now);
+    bool place(candidate& item, monotonic_time now);
+    bool place_individually(candidate& item, monotonic_time now);
     void update_typical_speed();
     [[nodiscard]] bool is_eligible(const candidate& item, const host_row& row) const;
     [[nodiscard]] std::string_view ticket_for(const candidate& item, worker_incarnation_id worker,
@@ -167,7 +167,7 @@
     [[nodiscard]] std::uint32_t waiting_tasks(const candidate& item) const;
     [[nodiscard]] bool has_waiting_tasks(const candidate& item) const;
     [[nodiscard]] bool recently_scanned(const candidate& item, monotonic_time now) const;
-    [[nodiscard]] std::vector<offer> find_offers_on_freed_hosts(const candidate& item, monotonic_time now);
+    [[nodiscard]] std::vector<offer> find_offers_on_freed_hosts(candidate& item, monotonic_time now);
     void plan_tasks(const candidate& item, std::vector<offer>& offers, std::vector<planned_start>& starts,
                     std::vector<std::string>& tickets, std::uint32_t& left) const;
     bool plan_crash_suspects(const candidate& item, std::vector<offer>& offers,
@@ -188,7 +188,7 @@
     [[nodiscard]] bool preserves_large_slots(const resources& room, const resources& need) const;
 
     // dispatcher_doubtful_hosts.cpp: hosts on which work may fail, used only if no others take it in time
-    void examine_hosts(candidate& item, monotonic_time now);
+    void prepare_offers(candidate& item, monotonic_time now);
     [[nodiscard]] std::set<worker_incarnation_id> workers_with_failures(const candidate& item);
     [[nodiscard]] bool has_other_hosts(const candidate& item, const std::set<worker_incarnation_id>& failed);
     [[nodiscard]] static host_doubt doubt_of(const candidate& item, const host_row& row);
@@ -200,7 +200,7 @@
     [[nodiscard]] bool may_use_soon(const candidate& item, const host_row& row) const;
 
     // dispatcher_gangs.cpp: steps whose tasks all start together
-    bool place_gang(const candidate& item, monotonic_time now);
+    bool place_gang(candidate& item, monotonic_time now);
     [[nodiscard]] bool has_crash_suspects(const candidate& item) const;
     [[nodiscard]] bool has_suspect_in_backoff(const candidate& item, monotonic_time now) const;
     [[nodiscard]] bool start_gang(const candidate& item, monotonic_time now);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -111,7 +111,7 @@
             continue;
         }
         count_in_window(item);
-        examine_hosts(item, now);
+        item.placed = placed_tasks(item);
         item.lost_with_host = has_crash_suspects(item);
         failed += place(item, now) ? 0 : 1;
         add_waiting_demand(item);
--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -78,8 +78,8 @@
         std::uint32_t slots;
         double weight;
     };
-    // Prefers hosts on which it has not failed, then those with free slots, those not held, fast ones for
-    // urgent work, those that keep slots for large tasks, approved ones, and those with more slots.
+    // Prefers hosts on which it is not likely to fail, then those with free slots, those not held, fast ones
+    // for urgent work, those that keep slots for large tasks, approved ones, and those with more slots.
     const auto order_of = [&item](const offer& o, bool good)
     {
         const std::uint64_t flags = (o.others_first > duration{0} ? 32U : 0U) | (o.slots > 0 ? 0U : 16U) |
--- a/src/dispatch/dispatcher_doubtful_hosts.cpp
+++ b/src/dispatch/dispatcher_doubtful_hosts.cpp
@@ -10,10 +10,10 @@
 namespace walkthread
 {
 
-// Fills in what a placement of the step needs to know about hosts.
-void dispatcher::examine_hosts(candidate& item, monotonic_time now)
+// Fills in what offers for the step depend on. Not done for steps that are only passed over, as it visits the
+// step's tasks.
+void dispatcher::prepare_offers(candidate& item, monotonic_time now)
 {
-    item.placed = placed_tasks(item);
     item.failed_on = workers_with_failures(item);
     item.unplaced = now - m_unplaced_since.try_emplace(item.ref, now).first->second;
 }
@@ -134,7 +134,8 @@
     sync_views(now);
     m_hosts.begin_pass(now);
     candidate item = make_candidate(ref);
-    examine_hosts(item, now);
+    item.placed = placed_tasks(item);
+    prepare_offers(item, now);
     for (std::size_t place = 0; place < m_hosts.size(); ++place)
     {
         const host_row& row = m_hosts.at(place);
--- a/src/dispatch/dispatcher_gang_reservations.cpp
+++ b/src/dispatch/dispatcher_gang_reservations.cpp
@@ -94,7 +94,8 @@
         {
             break;
         }
-        examine_hosts(item, now);
+        item.placed = placed_tasks(item);
+        prepare_offers(item, now);
         std::optional<gang_reservation> found = find_reservation(item, next, now);
         if (found && found->ready_ms > 0.0)
         {
--- a/src/dispatch/dispatcher_gangs.cpp
+++ b/src/dispatch/dispatcher_gangs.cpp
@@ -67,7 +67,7 @@
     return false;
 }
 
-bool dispatcher::place_gang(const candidate& item, monotonic_time now)
+bool dispatcher::place_gang(candidate& item, monotonic_time now)
 {
     const bool holds = m_holds.contains(item.ref);
     const bool backing_off = !holds && !item.urgent() && now < m_gang_retry_at[item.ref];
@@ -76,6 +76,7 @@
         return true;
     }
     m_gang_retry_at[item.ref] = now + gang_retry_interval;
+    prepare_offers(item, now);
     update_large_task_size(item);
     if (start_gang(item, now))
     {
--- a/src/dispatch/dispatcher_place.cpp
+++ b/src/dispatch/dispatcher_place.cpp
@@ -188,7 +188,7 @@
 }
 
 // Returns false if workers were considered but nothing could be started.
-bool dispatcher::place(const candidate& item, monotonic_time now)
+bool dispatcher::place(candidate& item, monotonic_time now)
 {
     if (item.queue != nullptr && item.queue->advised)
     {
@@ -330,22 +330,30 @@
 
 // Only considers hosts on which capacity became free since the step's last scan, as the others had none for
 // it. With hundreds of waiting steps, scanning all their hosts each time would take most of a core.
-std::vector<dispatcher::offer> dispatcher::find_offers_on_freed_hosts(const candidate& item,
-                                                                      monotonic_time now)
+std::vector<dispatcher::offer> dispatcher::find_offers_on_freed_hosts(candidate& item, monotonic_time now)
 {
     const auto news = m_freed_hosts.since(m_waiting.at(item.ref).seen);
     if (!news)
     {
+        prepare_offers(item, now);
         return find_startable_offers(item, now);
     }
-    std::vector<offer> offers;
+    std::vector<const host_row*> freed;
     for (const worker_incarnation_id id : *news)
     {
         const host_row* row = is_approved(item, id) ? m_hosts.find(id) : nullptr;
-        if (row == nullptr || !is_eligible(item, *row))
+        if (row != nullptr && is_eligible(item, *row))
         {
-            continue;
+            freed.push_back(row);
         }
+    }
+    std::vector<offer> offers;
+    if (!freed.empty())
+    {
+        prepare_offers(item, now);
+    }
+    for (const host_row* row : freed)
+    {
         const offer o = make_offer(item, *row, now);
         if (is_startable(item, o))
         {
@@ -388,10 +396,14 @@
     }
 }
 
-bool dispatcher::place_individually(const candidate& item, monotonic_time now)
+bool dispatcher::place_individually(candidate& item, monotonic_time now)
 {
     const bool scanned_recently = recently_scanned(item, now);
     const std::uint64_t news = m_freed_hosts.position();
+    if (!scanned_recently)
+    {
+        prepare_offers(item, now);
+    }
     std::vector<offer> offers =
         scanned_recently ? find_offers_on_freed_hosts(item, now) : find_startable_offers(item, now);
     if (scanned_recently && offers.empty())
--- a/src/dispatch/dispatcher_reserve.cpp
+++ b/src/dispatch/dispatcher_reserve.cpp
@@ -113,8 +113,8 @@
     std::sort(places.begin(), places.end(),
               [](const place& a, const place& b)
               {
-                  return std::make_tuple(!a.kept, a.wait_ms, a.at.worker->id) <
-                         std::make_tuple(!b.kept, b.wait_ms, b.at.worker->id);
+                  return std::make_tuple(a.at.others_first, !a.kept, a.wait_ms, a.at.worker->id) <
+                         std::make_tuple(b.at.others_first, !b.kept, b.wait_ms, b.at.worker->id);
               });
     const std::size_t wanted =
         std::min<std::size_t>({left, places.size(), max_hosts - std::min(max_hosts, others)});
--- a/src/dispatch/dispatcher_waiting.cpp
+++ b/src/dispatch/dispatcher_waiting.cpp
@@ -99,7 +99,8 @@
     }
     static_cast<void>(
         evaluate_candidate(*longest, wall)); // its timeliness decides which holds count against it
-    examine_hosts(*longest, now);
+    longest->placed = placed_tasks(*longest);
+    prepare_offers(*longest, now);
     std::uint32_t free = 0;
     std::uint32_t open = 0;
     std::uint32_t whole = 0;
