Dispatch: query the advisor about present hosts only

Cause: a reservation keeps its hosts until the next review, also one that was dropped in between.

Change: hosts that are gone are left out of the query.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -267,8 +267,8 @@
     void query_advisor(const candidate& item, std::uint32_t need, monotonic_time now);
     void renew_tickets(const candidate& item, monotonic_time now);
     [[nodiscard]] bool may_query_advisor(const candidate& item, bool pressing, monotonic_time now);
-    void send_advisor_query(const candidate& item, const std::vector<worker_incarnation_id>& workers,
-                            bool pressing, monotonic_time now);
+    void send_advisor_query(const candidate& item, std::vector<worker_incarnation_id> workers, bool pressing,
+                            monotonic_time now);
     void handle_advice(const step_ref& ref, const std::string& queue,
                        const std::vector<worker_incarnation_id>& workers, const advice_answer& answer,
                        milliseconds validity);
--- a/src/dispatch/dispatcher_advice.cpp
+++ b/src/dispatch/dispatcher_advice.cpp
@@ -189,9 +189,15 @@
     }
 }
 
-void dispatcher::send_advisor_query(const candidate& item, const std::vector<worker_incarnation_id>& workers,
+void dispatcher::send_advisor_query(const candidate& item, std::vector<worker_incarnation_id> workers,
                                     bool pressing, monotonic_time now)
 {
+    // A reservation names its hosts until the next review, also those that were dropped since.
+    std::erase_if(workers,
+                  [this](worker_incarnation_id worker)
+                  {
+                      return m_state.find(worker) == nullptr;
+                  });
     if (workers.empty())
     {
         return;
