Logs: what showed that a worker that left has no runs, and its lease

Nothing in the logs told a task that was started elsewhere behind a proven end from one that was started too early: worker_left gave neither what proved the end nor whether the worker's lease could still hold. It gives both now, and each run that ends with a worker that left has a line of its own.

Nothing is decided differently.

--- a/include/walkthread/dispatch/worker_lease.hpp
+++ b/include/walkthread/dispatch/worker_lease.hpp
@@ -66,6 +66,12 @@
     {
         return m_latest_end_ms;
     }
+    /// @brief Time until the latest end of any lease that this leader granted, in milliseconds and without
+    /// regard to the rate error of the worker's clock; 0 or less if it is over or if none was granted.
+    [[nodiscard]] std::int64_t remaining_ms(monotonic_time now) const
+    {
+        return m_clock_known ? m_latest_end_ms - clock_now(now) : 0;
+    }
     /// @brief Whether every lease has certainly expired, so that nothing can run there.
     /// @param drift the maximum rate error of a worker's clock
     [[nodiscard]] bool surely_expired(monotonic_time now, double drift) const;
--- a/src/dispatch/dispatcher_reports.cpp
+++ b/src/dispatch/dispatcher_reports.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include <walkthread/workload/names.hpp>
+
 namespace walkthread
 {
 
@@ -258,8 +260,15 @@
     const worker_incarnation& worker = *m_state.find(view.id);
     log_event(now, "worker_left", worker.description.id,
               {{"born", worker.description.process_start.value()},
+               {"proof", "refused connection"},
                {"runs", worker.occupied.size()},
-               {"unheard_ms", now - view.contact.last_heard()}});
+               {"unheard_ms", now - view.contact.last_heard()},
+               {"lease_left_ms", view.lease.remaining_ms(now)}});
+    for (const auto& [run, room] : worker.occupied)
+    {
+        log_event(now, "run_lost", name_of(run),
+                  {{"worker", worker.description.id}, {"reason", "its worker left"}});
+    }
     m_hooks.propose(drop_worker{view.id, true, {}},
                     [this, alive = m_alive, id = view.id](bool)
                     {
