Test: a leaving worker closes its port before its runs end

The simulated workers get the departure that shows it: port closed and connections reset, runs go on until the process ends.

--- a/tests/src/faulty_leader_pool.hpp
+++ b/tests/src/faulty_leader_pool.hpp
@@ -31,14 +31,7 @@
         worker.faults.unresponsive = true;
         const monotonic_time until = std::max(m_isolated_until[incarnation], now() + span);
         m_isolated_until[incarnation] = until;
-        if (auto handler = std::exchange(worker.pending_poll, nullptr); handler)
-        {
-            at(lost_answer_timeout,
-               [handler]
-               {
-                   handler({order_outcome::unanswered, {}, 0, {}, {}});
-               });
-        }
+        end_pending_poll(worker, lost_answer_timeout);
         at(until - now(),
            [this, incarnation]
            {
--- a/tests/src/simulated_pool.hpp
+++ b/tests/src/simulated_pool.hpp
@@ -144,14 +144,7 @@
         worker.terminated = true;
         worker.refuses_connections = !silent;
         worker.running.clear();
-        if (auto handler = std::exchange(worker.pending_poll, nullptr); handler)
-        {
-            at(silent ? lost_answer_timeout : duration(m_settings.network_delay),
-               [handler]
-               {
-                   handler({order_outcome::unanswered, {}, 0, {}, {}});
-               });
-        }
+        end_pending_poll(worker, silent ? lost_answer_timeout : duration(m_settings.network_delay));
         m_leader->handle_leave(incarnation,
                                [then](bool counted)
                                {
@@ -161,6 +154,27 @@
                                    }
                                });
     }
+    // A worker announces that it is terminating now, closes its port and resets its connections. Its runs go
+    // on until its process ends `runs_on` later.
+    void leave_before_end(const std::string& incarnation, duration runs_on)
+    {
+        sim_worker& worker = m_workers[incarnation];
+        worker.port_closed = true;
+        worker.refuses_connections = true;
+        worker.faults.reports_lost = true;
+        end_pending_poll(worker, m_settings.network_delay);
+        m_leader->handle_leave(incarnation, [](bool) {});
+        at(runs_on,
+           [this, incarnation]
+           {
+               sim_worker& ended = m_workers[incarnation];
+               ended.terminated = true;
+               for (const auto& [run, state] : std::exchange(ended.running, {}))
+               {
+                   end_gang_members(run);
+               }
+           });
+    }
     void add_worker(const std::string& incarnation, const std::string& host, bool reports = true)
     {
         sim_worker& worker = m_workers[incarnation];
@@ -206,14 +220,8 @@
         {
             end_gang_members(run);
         }
-        if (auto handler = std::exchange(worker.pending_poll, nullptr); handler)
-        {
-            at(refuses_connections ? duration(m_settings.network_delay) : lost_answer_timeout,
-               [handler]
-               {
-                   handler({order_outcome::unanswered, {}, 0, {}, {}});
-               });
-        }
+        end_pending_poll(worker,
+                         refuses_connections ? duration(m_settings.network_delay) : lost_answer_timeout);
     }
     // The worker process dies and restarts after a while under the same id. It has lost all its state, and
     // its counters start again. Its connections are refused, or time out if `silent` (its machine lost
@@ -229,15 +237,11 @@
             ++m_crashes[run.task];
             end_gang_members(run);
         }
-        if (auto handler = std::exchange(worker.pending_poll, nullptr); handler)
+        if (worker.pending_poll)
         {
             poll_later(worker.pending_poll_order);
-            at(silent ? lost_answer_timeout : duration(m_settings.network_delay),
-               [handler]
-               {
-                   handler({order_outcome::unanswered, {}, 0, {}, {}});
-               });
         }
+        end_pending_poll(worker, silent ? lost_answer_timeout : duration(m_settings.network_delay));
         at(down,
            [this, incarnation, reports, number = worker.poll_number]
            {
@@ -360,6 +364,18 @@
     }
     // Time until a pending poll fails when its connection is not closed.
     static constexpr milliseconds lost_answer_timeout{1700};
+    // The poll that a worker has not answered yet fails after `delay`.
+    void end_pending_poll(sim_worker& worker, duration delay)
+    {
+        if (auto handler = std::exchange(worker.pending_poll, nullptr); handler)
+        {
+            at(delay,
+               [handler]
+               {
+                   handler({order_outcome::unanswered, {}, 0, {}, {}});
+               });
+        }
+    }
 
   private:
     // Ends the other members of a gang after one member was lost.
@@ -394,14 +410,7 @@
             ++m_crashes[run.task];
             end_gang_members(run);
         }
-        if (auto handler = std::exchange(worker.pending_poll, nullptr); handler)
-        {
-            at(m_settings.network_delay,
-               [handler]
-               {
-                   handler({order_outcome::unanswered, {}, 0, {}, {}});
-               });
-        }
+        end_pending_poll(worker, m_settings.network_delay);
         at(m_settings.restart,
            [this, incarnation, host = worker.description.host]
            {
--- a/tests/src/simulation_records.hpp
+++ b/tests/src/simulation_records.hpp
@@ -210,6 +210,8 @@
         bool terminated = false;
         // Connections to it are refused: its process has ended, its machine is up.
         bool refuses_connections = false;
+        // Its port is closed and its connections are reset, while its runs go on until its process ends.
+        bool port_closed = false;
         bool draining = false;
         double slowness = 1.0;
         std::uint64_t fence = 0;
@@ -348,7 +350,8 @@
     {
         const auto found = m_workers.find(incarnation);
         const bool silent =
-            found == m_workers.end() || found->second.terminated || found->second.faults.unresponsive;
+            found == m_workers.end() || found->second.terminated || found->second.port_closed ||
+            found->second.faults.unresponsive;
         return silent ? nullptr : &found->second;
     }
     double random_fraction()
