Dispatch: what a leaving worker runs has ended with its lease, not with its port

Cause: the end of a leaving worker's process was inferred from what it does on its way out. A process sends its leave before it ends, and may close its port, reset its connections and give its machine to the next worker before its last run has ended.

So that little is left to prove, lasting runs are stopped while the worker still answers, as those with checkpoints were, and leases are 1.8 s long from the time on at which it may leave.

Why this works: a worker kills what it runs when its lease is over, whatever its port does, and each lease is recorded before the poll that grants it.

Tests: work_of_a_worker_that_left_starts_elsewhere_at_once asked for a start within 0.5 s of a refused connection, which proves nothing. Its successor asks that the lasting task is at work elsewhere when the announced time is over. The simulated workers' later reports tell the time that is left instead of 3 s anew.

--- a/include/walkthread/dispatch/dispatcher.hpp
+++ b/include/walkthread/dispatch/dispatcher.hpp
@@ -19,6 +19,7 @@
 #include <walkthread/dispatch/backlog_window.hpp>
 #include <walkthread/dispatch/candidate.hpp>
 #include <walkthread/dispatch/capacity_forecast.hpp>
+#include <walkthread/dispatch/departure_proof.hpp>
 #include <walkthread/dispatch/dispatch_counters.hpp>
 #include <walkthread/dispatch/doubtful_host.hpp>
 #include <walkthread/dispatch/drop_blocker.hpp>
@@ -144,13 +145,21 @@
     [[nodiscard]] bool has_known_pool(const worker_report& report) const;
     [[nodiscard]] bool lacks_start_time(const worker_report& report) const;
     void handle_known_report(worker_view& view, const worker_report& report, monotonic_time now);
-    void record_departure(worker_view& view, monotonic_time now);
     void record_leaving(const worker_incarnation& known, const worker_report& report,
                         const std::function<void(bool)>& done);
     void verify_incarnation(const worker_report& report, worker_incarnation_id present,
                             const std::function<void(bool)>& done);
     void admit(const worker_report& report, const poll_answer& answer, const std::function<void(bool)>& done);
 
+    // dispatcher_departures.cpp: workers that leave
+    [[nodiscard]] bool may_leave_soon(const worker_view& view, monotonic_time now) const;
+    [[nodiscard]] milliseconds lease_for(const worker_view& view, monotonic_time now) const;
+    [[nodiscard]] bool is_leaving(const worker_view& view) const;
+    [[nodiscard]] bool may_still_run(const worker_view& view, monotonic_time now) const;
+    bool handle_departure(worker_view& view, const poll_answer& answer, monotonic_time sent,
+                          monotonic_time now);
+    void record_departure(worker_view& view, departure_proof proof, monotonic_time now);
+
     // dispatcher_place.cpp: choice of workers
     [[nodiscard]] std::uint32_t permitted_tasks(const candidate& item) const;
     [[nodiscard]] std::uint32_t tasks_within_memory(const candidate& item) const;
--- a/include/walkthread/dispatch/worker_contact.hpp
+++ b/include/walkthread/dispatch/worker_contact.hpp
@@ -79,7 +79,7 @@
             m_kept_failed_poll = m_last_failed_poll;
         }
     }
-    /// @brief Records that its host refused a connection or broke one, so that its process has ended.
+    /// @brief Records that its host refused a connection or broke one: its process has ended or is about to.
     void record_refusal(monotonic_time now)
     {
         m_refused_since = m_refused_since.value_or(now);
--- a/include/walkthread/dispatch/worker_view.hpp
+++ b/include/walkthread/dispatch/worker_view.hpp
@@ -92,8 +92,13 @@
     milliseconds startup_crash_window{500};
     /// `startup_crash_window` plus the commit and the transfer to the host.
     milliseconds suspect_watch_period{700};
-    milliseconds drain_stop_lead{
-        1000}; ///< before a draining worker leaves: runs with checkpoints are stopped
+    /// Before a draining worker leaves, runs that lose nothing by it are stopped: lasting ones and those with
+    /// checkpoints.
+    milliseconds drain_stop_lead{1000};
+    /// For a worker that may leave before its lease ends; its last runs are known to be over after that time.
+    /// One lost poll does not end it: two waits and one timeout are shorter.
+    milliseconds leaving_lease{1800};
+    milliseconds leaving_poll_wait{400}; ///< for polls of such a worker
     milliseconds final_retention{
         150000}; ///< final submissions are kept for that long; more than the platform's limit
     /// A poll sent that long after the platform accepted the maintenance of a host reaches its next
--- a/src/dispatch/dispatcher_orders.cpp
+++ b/src/dispatch/dispatcher_orders.cpp
@@ -308,16 +308,15 @@
         }
         return;
     }
+    known.stop_retry = now + stop_retry;
     if (answer.outcome == order_outcome::wrong_incarnation)
     {
         drop_replaced_worker(*view, now);
-        return;
     }
-    if (surely_not_executed(answer.outcome))
+    else if (surely_not_executed(answer.outcome))
     {
         record_unsent_call(*view, answer.outcome, now);
     }
-    known.stop_retry = now + stop_retry;
 }
 
 // A refused connection makes the worker suspected, whichever call it was for; a poll confirms or clears that.
@@ -377,8 +376,9 @@
     }
 }
 
-// Stops stalled runs so that they start elsewhere, and puts their worker on probation. Also stops runs with
-// checkpoints on workers that are about to leave.
+// Stops stalled runs so that they start elsewhere, and puts their worker on probation. On workers that are
+// about to leave, also stops lasting runs and those with checkpoints: while the worker answers, the end of a
+// run is certain, and it can start elsewhere at once.
 void dispatcher::check_stalled_runs(monotonic_time now)
 {
     m_workers_on_probation = 0;
@@ -399,8 +399,8 @@
                 continue;
             }
             const step_spec& step = *spec;
-            const bool leaving =
-                view.draining && step.checkpoints && view.leaves_at - now < m_settings.drain_stop_lead;
+            const bool leaving = view.draining && (step.checkpoints || step.long_running) &&
+                                 view.leaves_at - now < m_settings.drain_stop_lead;
             const double expected = m_objectives.expected_ms(owner->queue_key(), step) * stall_factor;
             const duration stall_limit = std::max<duration>(
                 m_settings.stall_timeout, milliseconds(static_cast<std::int64_t>(expected)));
--- a/src/dispatch/dispatcher_polling.cpp
+++ b/src/dispatch/dispatcher_polling.cpp
@@ -73,12 +73,15 @@
     // A worker whose answers are lost may still receive polls. Its lease has to expire at some time, so a
     // poll of an unresponsive worker does not renew it.
     const bool unresponsive = view.contact.time_since_contact(now) > m_settings.silent_after();
-    if (view.lease.clock_known() && !unresponsive)
+    const bool may_have_left = is_leaving(view) && view.contact.refused_since().has_value();
+    if (view.lease.clock_known() && !unresponsive && !may_have_left)
     {
-        order.until_ms = view.lease.grant(now, std::min(m_settings.lease, m_settings.max_lease));
+        order.until_ms = view.lease.grant(now, lease_for(view, now));
     }
     const bool shared = view.serving > 0 && view.filling > 0;
+    const bool leaves_soon = may_leave_soon(view, now) && !view.runs.empty();
     const milliseconds wait = polls_often_lost() ? m_settings.short_poll_wait
+                              : leaves_soon      ? m_settings.leaving_poll_wait
                               : shared           ? m_settings.colocation_poll_wait
                                                  : m_settings.poll_wait;
     // A worker that has just become idle is likely to get work again, so that only the next poll finds it
@@ -124,17 +127,22 @@
     {
         view->poll_in_flight = false;
     }
-    if (answer.outcome == order_outcome::wrong_incarnation)
+    const process_start_ms known = m_state.find(worker)->description.process_start;
+    // An answer to a poll that was sent before the known incarnation's last answer may be one of a former
+    // one.
+    const bool another_answers = answer.outcome == order_outcome::accepted &&
+                                 answer.process_start != process_start_ms{} &&
+                                 answer.process_start != known && sent >= view->contact.last_heard();
+    const bool replaced = another_answers || answer.outcome == order_outcome::wrong_incarnation;
+    if ((answer.refused || replaced) && handle_departure(*view, answer, sent, now))
     {
-        drop_replaced_worker(*view, now);
         return;
     }
-    if (answer.refused && m_state.find(worker)->leaving && !view->drop_proposed)
+    if (answer.outcome == order_outcome::wrong_incarnation)
     {
-        record_departure(*view, now);
+        drop_replaced_worker(*view, now);
         return;
     }
-    const process_start_ms known = m_state.find(worker)->description.process_start;
     // An answer without a process start time does not come from this worker if its reports have one.
     const bool from_other_process = answer.outcome == order_outcome::accepted &&
                                     known != process_start_ms{} && answer.process_start == process_start_ms{};
@@ -457,9 +465,16 @@
     }
 }
 
-// A replaced incarnation is dropped for good: a delayed report does not bring it back.
+// A replaced incarnation is dropped for good: a delayed report does not bring it back. If it had announced
+// that it leaves, its runs may outlive its port.
 void dispatcher::drop_replaced_worker(worker_view& view, monotonic_time now)
 {
+    if (may_still_run(view, now))
+    {
+        view.contact.record_refusal(now);
+        poll_promptly(view, now);
+        return;
+    }
     drop_incarnation(view, "replaced by another incarnation at its address", true, now);
 }
 
--- a/src/dispatch/dispatcher_reports.cpp
+++ b/src/dispatch/dispatcher_reports.cpp
@@ -4,8 +4,6 @@
 
 #include <algorithm>
 
-#include <walkthread/workload/names.hpp>
-
 namespace walkthread
 {
 
@@ -166,7 +164,10 @@
                      const bool unchanged = still == nullptr || still->id == present;
                      const bool is_running = answer.outcome == order_outcome::accepted &&
                                              answer.process_start == report.description.process_start;
-                     if (is_running && unchanged)
+                     sync_views(m_hooks.now());
+                     const worker_view* former = still == nullptr ? nullptr : view_of(still->id);
+                     const bool awaited = former != nullptr && may_still_run(*former, m_hooks.now());
+                     if (is_running && unchanged && !awaited)
                      {
                          admit(report, answer, done);
                          return;
@@ -178,6 +179,7 @@
                                 {"outcome", static_cast<int>(answer.outcome)},
                                 {"born", report.description.process_start.value()},
                                 {"lives", answer.process_start.value()},
+                                {"awaits_departure", awaited},
                                 {"present", still == nullptr ? std::string{} : still->description.id}});
                      done(false);
                  });
@@ -233,54 +235,4 @@
                     });
 }
 
-// The notice may be a delayed one of a former incarnation with the same id, and its sender runs on until it
-// is acknowledged. So nothing is started elsewhere because of it: a refused connection, another incarnation's
-// answer or the end of the lease shows that the process has ended.
-void dispatcher::handle_leave(const std::string& id, const std::function<void(bool)>& done)
-{
-    const worker_incarnation* known = m_state.find_id(id);
-    worker_view* view = known == nullptr ? nullptr : view_of(known->id);
-    if (view != nullptr)
-    {
-        const monotonic_time now = m_hooks.now();
-        log_event(now, "leave_noticed", id,
-                  {{"born", known->description.process_start.value()},
-                   {"leaving", known->leaving},
-                   {"runs", known->occupied.size()}});
-        poll_promptly(*view, now);
-        m_hooks.wake();
-    }
-    done(true);
-}
-
-// The process of a worker that leaves has ended: its address refuses connections.
-void dispatcher::record_departure(worker_view& view, monotonic_time now)
-{
-    view.drop_proposed = true;
-    const worker_incarnation& worker = *m_state.find(view.id);
-    log_event(now, "worker_left", worker.description.id,
-              {{"born", worker.description.process_start.value()},
-               {"proof", "refused connection"},
-               {"runs", worker.occupied.size()},
-               {"unheard_ms", now - view.contact.last_heard()},
-               {"lease_left_ms", view.lease.remaining_ms(now)}});
-    for (const auto& [run, room] : worker.occupied)
-    {
-        log_event(now, "run_lost", name_of(run),
-                  {{"worker", worker.description.id}, {"reason", "its worker left"}});
-    }
-    m_hooks.propose(drop_worker{view.id, true, {}},
-                    [this, alive = m_alive, id = view.id](bool)
-                    {
-                        if (worker_view* later = *alive ? view_of(id) : nullptr; later != nullptr)
-                        {
-                            later->drop_proposed = false; // not committed: the next poll tells again
-                        }
-                        if (*alive)
-                        {
-                            m_hooks.wake();
-                        }
-                    });
-}
-
 } // namespace walkthread
--- a/tests/fakes/platform_cell.py
+++ b/tests/fakes/platform_cell.py
@@ -4,12 +4,14 @@
 """
 
 import collections
+import enum
 import http.client
 import http.server
 import json
 import os
 import random
 import signal
+import socket
 import subprocess
 import tempfile
 import threading
@@ -21,6 +23,7 @@
 WORKER_CPU = 16000  # millicores
 CRASH_DELAY_S, RESTART_DELAY_S = 0.01, 2.0  # delay until a task crashes its worker; delay until the worker's next incarnation
 GANG_S, GANG_CHECK_S = 3.0, 0.05  # how long a member waits for the others of its gang, and how often it looks
+USUAL_STAY_MS = 2000  # of a worker that leaves: the platform's shortest drain
 LATE_EXECUTION_S = (2.0, 4.0)  # delay of an unanswered order's execution; on the platform it is 2 to 12 s
 
 
@@ -49,9 +52,19 @@
     the connection is closed without a response."""
 
     def __init__(self, handle):
+        self.connections = connections = set()
+
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
+            def setup(self):
+                super().setup()
+                connections.add(self.connection)
+
+            def finish(self):
+                connections.discard(self.connection)
+                super().finish()
+
             def answer(self):
                 length = int(self.headers.get("Content-Length") or 0)
                 body = json.loads(self.rfile.read(length)) if length else None
@@ -62,11 +75,11 @@
                 out = json.dumps(document).encode() if document is not None else b""
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(out)))
-                self.end_headers()
                 try:
+                    self.end_headers()
                     self.wfile.write(out)
-                except BrokenPipeError:
-                    pass  # the client was killed meanwhile
+                except (BrokenPipeError, ConnectionResetError):
+                    self.close_connection = True  # the client was killed, or this worker's connections have ended
 
             do_GET = do_POST = do_PUT = do_DELETE = answer
 
@@ -79,9 +92,28 @@
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
     def close(self):
+        """Closes the port. Open connections are served further."""
         self.server.shutdown()
         self.server.server_close()
 
+    def end_connections(self):
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # the client has closed it
+
+
+class Port(enum.Enum):
+    """When a leaving worker closes its port. Its connections end with its port, unless it closes before the leave."""
+    CLOSES_AT_THE_END = 1
+    CLOSES_BEFORE_THE_LEAVE = 2
+    CLOSES_AFTER_THE_ANSWER = 3
+
+
+# How a worker that leaves ends: for how long its runs go on after the answer to its leave, and when its port closes.
+Departure = collections.namedtuple("Departure", "runs_on_s port", defaults=(0.0, Port.CLOSES_AT_THE_END))
+
 
 # A completed run that a call of the leader acknowledged, and when a call to that worker last found its lease lapsed.
 Acknowledged = collections.namedtuple("Acknowledged", "task run at lease_lapsed_at")
@@ -100,7 +132,7 @@
         self.lease_lapsed_at = 0.0  # the last call that found the lease lapsed
         self.running, self.highest, self.finished, self.next_end = {}, {}, [], 1
         self.sequence, self.heartbeat_address, self.live = 0, None, True
-        self.draining, self.leaving_acknowledged = False, threading.Event()
+        self.draining, self.leaving_acknowledged, self.leaves_at = False, threading.Event(), None
         self.orders_unanswered_until = self.reports_paused_until = 0.0
         self.server = Server(self.handle)
         self.address = cell.reachable(self.server.address)
@@ -159,7 +191,7 @@
             crash_timer.daemon = True
             crash_timer.start()
         elif not self.cell.is_long_running(body["task"]):
-            timer = threading.Timer(self.cell.run_seconds, self.complete, (key,))
+            timer = threading.Timer(self.cell.run_seconds_of(body["task"]), self.complete, (key,))
             timer.daemon = True
             timer.start()
         return 200, {"clock-ms": self.clock()}
@@ -221,24 +253,45 @@
                 self.cell.workers[self.cell.workers.index(self)] = Worker(
                     self.cell, self.number, random.choice([self.worker_id, self.worker_id + "a"]))
 
-    def leave(self, next_worker_id, linger_s):
+    def leave(self, next_worker_id, linger_s, departure=Departure()):
         """Announces that it leaves, keeps serving for a while, and ends. Returns the worker on another host that replaces it."""
-        self.draining = True
-        self.report()
-        ending = threading.Timer(linger_s, self.finish)
+        self.announce_leave(linger_s)
+        ending = threading.Timer(linger_s, self.finish, (departure,))
         ending.daemon = True
         ending.start()
         return Worker(self.cell, self.cell.next_host(), next_worker_id)
 
-    def finish(self):
-        for address in self.cell.operator_addresses():
-            if call(address, "DELETE", "/walkthread/instances/" + self.worker_id, timeout=1.0)[0] == 200:
-                break
+    def remaining_ms(self):
+        """How much longer a worker that leaves stays at least; always the usual time if it has not said when it leaves."""
+        return USUAL_STAY_MS if self.leaves_at is None else int(max(0.0, self.leaves_at - time.monotonic()) * 1000)
+
+    def announce_leave(self, stays_s):
+        self.leaves_at = time.monotonic() + stays_s
+        self.draining = True
+        self.report()
+
+    def finish(self, departure=Departure()):
+        """Sends its leave until it is answered, and ends. Its runs may outlive its leave, its connections and its port."""
+        if departure.port is Port.CLOSES_BEFORE_THE_LEAVE:
+            self.cell.close_port(self)
+        self.send_leave()
+        self.reports_paused_until = float("inf")
+        if departure.port is Port.CLOSES_AFTER_THE_ANSWER:
+            self.cell.close_port(self, with_connections=True)
+        time.sleep(departure.runs_on_s)
         with self.lock:
+            ended = list(self.running)
             self.live = False
             self.running.clear()
             self.lock.notify_all()
-        self.server.close()
+        self.cell.close_port(self, with_connections=True)
+        for task, run_id in ended:
+            self.cell.break_gang(task, run_id)
+
+    def send_leave(self):
+        for address in self.cell.operator_addresses():
+            if call(address, "DELETE", "/walkthread/instances/" + self.worker_id, timeout=1.0)[0] == 200:
+                break
 
     def end(self, key, how):
         del self.running[key]
@@ -261,9 +314,14 @@
                                         if r[0] <= body["last-seen"] and r[3] == "done"]
         self.finished = [row for row in self.finished if row[0] > body["last-seen"]]
         self.lock.wait_for(lambda: self.finished, body.get("wait-ms", 0) / 1000.0)
-        running = [[task, run, "", 50] for task, run in self.running]
+        running = [[task, run, "", self.percent(task, began)] for (task, run), began in self.running.items()]
         return 200, {"clock-ms": self.clock(), "born": self.process_start_ms, "running": running, "finished": self.finished[:500]}
 
+    def percent(self, task, began):
+        """How far a run is; a lasting one is at work at once."""
+        part = (time.monotonic() - began) / self.cell.run_seconds_of(task)
+        return 100 if self.cell.is_long_running(task) else min(99, int(100 * part))
+
     def heartbeat_loop(self):
         while self.live:
             if time.monotonic() >= self.reports_paused_until:
@@ -277,7 +335,7 @@
                 "version": "v1", "slots": 8, "state": "draining" if draining else "ready", "room": {"cpu": WORKER_CPU, "mem-mb": 65536, "gpu": 0},
                 "labels": ["a", "r1-%d" % (self.number % 2)], "clock-ms": self.clock(), "sequence": self.sequence,
                 "born": self.process_start_ms}
-        body.update({"remaining-ms": 2000} if draining else {})
+        body.update({"remaining-ms": self.remaining_ms()} if draining else {})
         targets = ([self.heartbeat_address] if self.heartbeat_address else []) + self.cell.operator_addresses()
         for target in targets:
             status, answer = call(target, "PUT", "/walkthread/instances/" + self.worker_id, body, timeout=1.0)
@@ -328,6 +386,25 @@
         started = {(t, r) for t, r, *_ in list(self.starts)}
         return all(("%s.%d" % (step, i), run_id) in started for i in range(self.gangs[step]))
 
+    def close_port(self, worker, with_connections=False):
+        """Closes a worker's port while its process goes on, and ends its open connections if asked."""
+        worker.server.close()
+        if with_connections:
+            worker.server.end_connections()
+
+    def run_seconds_of(self, _task):
+        """How long a task runs."""
+        return self.run_seconds
+
+    def break_gang(self, task, run_id):
+        """Ends the other members of a task's gang after one has ended with its worker."""
+        step = task.rsplit(".", 1)[0]
+        members = {("%s.%d" % (step, i), run_id) for i in range(self.gangs.get(step, 0))}
+        for worker in self.workers + self.leaving_workers:
+            with worker.lock:
+                for key in members & set(worker.running):
+                    worker.end(key, "broken")
+
     def cpu_of(self, _task):
         """Millicores that a task uses; 0 if the test does not know."""
         return 0
--- a/tests/soak/peer_proxy.py
+++ b/tests/soak/peer_proxy.py
@@ -117,11 +117,17 @@
             except OSError:
                 pass  # already closed
 
-    def simulate_process_exit(self):
-        """Permanently resets and refuses connections, as if the process behind it had ended."""
+    def simulate_closed_port(self):
+        """Permanently refuses connections; open ones go on."""
+        if not self.live:
+            return
         self.live = False
         self.listener.shutdown(socket.SHUT_RDWR)  # unblocks the pending accept; close() alone would not
         self.listener.close()
+
+    def simulate_process_exit(self):
+        """Permanently resets and refuses connections, as if the process behind it had ended."""
+        self.simulate_closed_port()
         with self.faults.lock:
             pairs = [pair for link, found in self.faults.open.items() if link[1] == self.name for pair in found]
         for client, server in pairs:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,7 +2,7 @@
 workers observe.
 
 Usage: soak.py BUILD [--seed N] [--seconds S] [--cores N] [--edges N] [--workers N] [--calm] [--poison] [--gone] [--evacuate] [--moves]
-       [--large] [--keep FOLDER]
+       [--large] [--departures] [--keep FOLDER]
 
 With --calm, one fault at a time hits the leader right after an acknowledgement and is followed by a fault-free period. Rules
 with a time limit are checked only in such periods, which overlapping faults do not leave.
@@ -16,6 +16,9 @@
 
 With --large, configurations of 1,440 routes come in quick succession and disks are small.
 
+With --departures, workers keep leaving while tasks of several seconds and lasting tasks run on them; their runs, connections and ports
+may outlive their leave.
+
 With --poison, some submissions have a task that crashes each worker that starts it; they end as failed.
 
 The seed selects the faults, their order and their targets. Timing still differs between runs, as these are real processes.
@@ -55,6 +58,9 @@
 CALM_AFTER_FAULT_S = 6.0             # fault-free time after a single fault; above CALM_S
 EXTRA_WORKERS = 8                # with --gone: additional workers that may be lost; with --moves: half of all are in each pool
 LEADER_POLL_S = 0.3
+LONG_TASK_S, LONG_TASK_SHARE = 5.0, 0.2  # with --departures: tasks that are likely to run when their worker leaves
+DEPARTURE_PAUSE_S = (0.3, 2.0)   # with --departures: between two workers that leave
+LASTING_S = (2.0, 8.0)           # with --departures: until a lasting submission is cancelled
 EVACUATED_S = (4.0, 10.0)        # with --evacuate: how long a zone stays evacuated
 ACKNOWLEDGED_S = 30              # time limit for an operator's order, sent again until it is acknowledged
 TERM = re.compile(r"\nwalkthread_term (\d+)")
@@ -69,8 +75,8 @@
 class SoakCell(PlatformCell):
     """A cell whose processes and workers are reached through proxies."""
 
-    def __init__(self, build, cores, edges, workers, run_seconds, zones=("a",), pools=("pool",), large=False):
-        self.pools, self.large = pools, large
+    def __init__(self, build, cores, edges, workers, run_seconds, zones=("a",), pools=("pool",), large=False, departures=False):
+        self.pools, self.large, self.departures = pools, large, departures
         self.unused_routes = LARGE_ROUTES if large else 0
         self.faults, self.proxies, self.bind, self.sizes, self.poison = Faults(), {}, {}, {}, set()
         super().__init__(build, cores, edges, workers, run_seconds, zones)
@@ -106,6 +112,15 @@
         self.proxies[address] = PeerProxy(address, ("127.0.0.1", 0), (host, int(port)), self.faults)
         return "%s:%d" % self.proxies[address].listener.getsockname()
 
+    def close_port(self, worker, with_connections=False):
+        super().close_port(worker, with_connections)
+        proxy = self.proxies[worker.server.address]
+        (proxy.simulate_process_exit if with_connections else proxy.simulate_closed_port)()
+
+    def run_seconds_of(self, task):
+        is_long = self.departures and int(task[:4], 16) < LONG_TASK_SHARE * 0x10000
+        return LONG_TASK_S if is_long else self.run_seconds
+
     def cpu_of(self, task):
         name, _, step, _ = task.split(".")
         return self.sizes[name][int(step)]["cpu"] if name in self.sizes else 0
@@ -135,7 +150,7 @@
     def __init__(self, number, cell, checker, seed):
         super().__init__(daemon=True)
         self.number, self.cell, self.checker, self.random = number, cell, checker, random.Random(seed * 100 + number)
-        self.stopping, self.channels, self.names = threading.Event(), {}, []
+        self.stopping, self.channels, self.names, self.lasting = threading.Event(), {}, [], {}
         # A separate generator, so that --poison does not change other random choices.
         self.poison_share, self.poison_random = 0.0, random.Random(seed * 1000 + number)
 
@@ -158,6 +173,9 @@
             self.submit()
             for name in self.random.sample(self.names, min(3, len(self.names))):
                 self.read(name)
+            for name in [name for name, until in self.lasting.items() if time.monotonic() >= until]:
+                del self.lasting[name]
+                self.cancel(name)
             time.sleep(self.random.uniform(0.02, 0.2))
 
     def submit(self):
@@ -176,6 +194,9 @@
             if status in (429, 503):
                 break
             time.sleep(0.1)
+        if status == 200 and long_running and self.cell.departures:
+            self.lasting[name] = time.monotonic() + self.random.uniform(*LASTING_S)
+            return
         if status == 200 and (long_running or self.random.random() < CANCEL_SHARE):
             time.sleep(self.random.uniform(0.2, 1.0) if long_running else 0.0)
             self.cancel(name)
@@ -267,6 +288,17 @@
         time.sleep(injector.random.uniform(0.5, 3.0))
 
 
+def inject_departures(cell, injector, checker, end):
+    """Lets one worker after the other leave, beside other faults."""
+    draws = injector.departures
+    while time.monotonic() < end and not checker.failures:
+        task = threading.Thread(target=injector.replace_worker_at, daemon=True,
+                                args=(draws.randrange(len(cell.workers)), draws.uniform(0.2, 3.0)))
+        task.start()
+        injector.threads.append(task)
+        time.sleep(draws.uniform(*DEPARTURE_PAUSE_S))
+
+
 def inject_after_acknowledgements(cell, injector, checker, end):
     """Injects one fault at a time into the leader, right after an acknowledgement, followed by a fault-free period."""
     kinds = ["leaving", "leaving", "cancel", "submit", "configure"]
@@ -325,6 +357,8 @@
     for thread in clients + [operator]:
         thread.start()
     end, over = time.monotonic() + chosen.seconds, threading.Event()
+    if chosen.departures:
+        threading.Thread(target=inject_departures, args=(cell, injector, checker, end), daemon=True).start()
     if chosen.gone:
         threading.Thread(target=record_leader_changes, args=(cell, injector, checker, over), daemon=True).start()
         inject_while_losing_workers(cell, injector, checker, end, chosen.workers)
@@ -388,12 +422,13 @@
     options.add_argument("--evacuate", action="store_true")
     options.add_argument("--moves", action="store_true")
     options.add_argument("--large", action="store_true")
+    options.add_argument("--departures", action="store_true")
     options.add_argument("--keep")
     chosen = options.parse_args()
     workers = chosen.workers + (EXTRA_WORKERS if chosen.gone or chosen.moves else 0)
     cell = SoakCell(chosen.build, chosen.cores, chosen.edges, workers, run_seconds=0.3,
                     zones=("a", "b") if chosen.evacuate else ("a",),
-                    pools=("pool", "reserve") if chosen.moves else ("pool",), large=chosen.large)
+                    pools=("pool", "reserve") if chosen.moves else ("pool",), large=chosen.large, departures=chosen.departures)
     checker, log = GuaranteeChecker(cell), []
     checker.stall_limit_s = STALL_LIMIT_S if chosen.gone else checker.stall_limit_s
     try:
--- a/tests/soak/trouble.py
+++ b/tests/soak/trouble.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-from platform_cell import loopback
+from platform_cell import Departure, Port, loopback
 
 LOSS_KINDS = ["its process ends", "its machine falls silent", "it said that it leaves"]
 
@@ -19,6 +19,8 @@
         self.cell, self.random, self.max_unavailable = cell, random.Random(seed), max_unavailable
         self.unavailable, self.threads, self.log, self.lock = set(), [], [], threading.Lock()
         self.new_ids = 0
+        # A separate generator, so that departures do not change other random choices.
+        self.departures = random.Random(seed * 17 + 9)
 
     def record(self, text):
         self.log.append("%.2f %s" % (time.monotonic(), text))
@@ -170,9 +172,16 @@
             old = self.cell.workers[index]
             self.record("worker %s leaves" % old.worker_id)
             self.cell.leaving_workers.append(old)
-            self.cell.workers[index] = old.leave(new_id, hold + 1.0)
+            self.cell.workers[index] = old.leave(new_id, hold + 1.0, self.choose_departure())
         return old
 
+    def choose_departure(self):
+        if not self.cell.departures:
+            return Departure()
+        departure = Departure(self.departures.choice([0.0, 0.1, 0.7, 3.0]), self.departures.choice(list(Port)))
+        self.record("its runs go on for %.1f s, its port %s" % (departure.runs_on_s, departure.port.name.lower()))
+        return departure
+
     def disrupt_leader(self, hold):
         """Kills, pauses or isolates the current leader."""
         leader = self.cell.leader()
--- a/tests/src/simulated_pool.hpp
+++ b/tests/src/simulated_pool.hpp
@@ -77,7 +77,7 @@
         {
             if (!worker.terminated && !worker.faults.reports_lost)
             {
-                report(incarnation, worker.draining);
+                report_again(incarnation);
             }
         }
         m_pass_due = false;
@@ -109,11 +109,19 @@
     {
         deliver(make_report(incarnation, draining, remaining_ms));
     }
+    // Reports again what the worker last said, with the time that is left.
+    void report_again(const std::string& incarnation)
+    {
+        const sim_worker& worker = m_workers[incarnation];
+        const auto left = std::chrono::duration_cast<milliseconds>(worker.leaves_at - m_now);
+        report(incarnation, worker.draining, std::max<std::int64_t>(left.count(), 0));
+    }
     // Creates a report as the worker would send it. It may be delivered later, after newer ones.
     worker_report make_report(const std::string& incarnation, bool draining, std::int64_t remaining_ms = 3000)
     {
         sim_worker& worker = m_workers[incarnation];
         worker.draining = draining;
+        worker.leaves_at = m_now + milliseconds(remaining_ms);
         worker_report out;
         out.description = worker.description;
         out.draining = draining;
@@ -425,7 +433,7 @@
         {
             if (m_leader && !worker.terminated && !worker.faults.unresponsive && !worker.faults.reports_lost)
             {
-                report(incarnation, worker.draining);
+                report_again(incarnation);
             }
         }
         at(milliseconds(1500),
--- a/tests/src/simulation_records.hpp
+++ b/tests/src/simulation_records.hpp
@@ -213,6 +213,7 @@
         // Its port is closed and its connections are reset, while its runs go on until its process ends.
         bool port_closed = false;
         bool draining = false;
+        monotonic_time leaves_at{}; // while draining: not before
         double slowness = 1.0;
         std::uint64_t fence = 0;
         std::uint64_t sequence = 0;
@@ -349,9 +350,8 @@
     sim_worker* find(const std::string& incarnation)
     {
         const auto found = m_workers.find(incarnation);
-        const bool silent =
-            found == m_workers.end() || found->second.terminated || found->second.port_closed ||
-            found->second.faults.unresponsive;
+        const bool silent = found == m_workers.end() || found->second.terminated ||
+                            found->second.port_closed || found->second.faults.unresponsive;
         return silent ? nullptr : &found->second;
     }
     double random_fraction()
--- a/tests/src/unit-late-leave.cpp
+++ b/tests/src/unit-late-leave.cpp
@@ -33,11 +33,11 @@
     return id;
 }
 
-// w0 announces that it leaves, and ends. w2 is there to take its work.
-void leave_as_planned(simulated_pool& pool, bool silent)
+// w0 announces that it leaves, and ends half a second later. w2 is there to take its work.
+void leave_as_planned(simulated_pool& pool, bool silent, std::int64_t remaining_ms = 10'000)
 {
     pool.add_worker("w2", "h2");
-    pool.report("w0", true, 10'000);
+    pool.report("w0", true, remaining_ms);
     pool.run(milliseconds(500));
     bool acknowledged = false;
     pool.leave(
@@ -105,9 +105,9 @@
     check_invariants(pool);
 }
 
-// A worker that left as planned: its machine refuses connections, and its lasting task starts elsewhere at
-// once.
-BOOST_AUTO_TEST_CASE(work_of_a_worker_that_left_starts_elsewhere_at_once)
+// A worker that leaves when the time is over that it announced: its lasting task is at work elsewhere by
+// then.
+BOOST_AUTO_TEST_CASE(work_of_a_worker_that_leaves_is_at_work_elsewhere_by_then)
 {
     for (const bool next_leader : {false, true})
     {
@@ -115,7 +115,10 @@
         pool.start_leader();
         pool.run(settle_time);
         const submission_id id = submit_lasting(pool);
-        leave_as_planned(pool, false);
+        pool.report("w0", true, 1500);
+        pool.run(seconds(1));
+        leave_as_planned(pool, false, 500);
+        BOOST_TEST(pool.running_on("w2") == 1U);
         if (next_leader)
         {
             pool.start_leader();
--- a/tests/src/unit-leave-before-end.cpp
+++ b/tests/src/unit-leave-before-end.cpp
@@ -10,7 +10,7 @@
 {
 constexpr duration settle_time = seconds(1);   // until leaders, polls and reports have reached a steady state
 constexpr duration longest_lease = seconds(6); // the platform's
-constexpr milliseconds announced{2000};           // before a worker leaves
+constexpr milliseconds announced{2000};        // before a worker leaves
 
 enum class work
 {
@@ -62,6 +62,31 @@
     }
 }
 
+// The next worker of the machine starts while runs of the former one go on there: they were started elsewhere
+// at once.
+BOOST_AUTO_TEST_CASE(a_task_does_not_run_twice_while_the_next_worker_of_its_machine_answers)
+{
+    for (const work kind : {work::single, work::lasting, work::gang})
+    {
+        for (const bool reports : {false, true})
+        {
+            for (const int runs_on_ms : {500, 2000, 8000})
+            {
+                simulated_pool pool(small_pool_settings(2));
+                const submission_id id = announce_leave(pool, kind);
+                pool.run(milliseconds(500));
+                pool.leave_before_end("w0", milliseconds(runs_on_ms));
+                pool.add_worker("w3", "h0", reports);
+                pool.run(milliseconds(runs_on_ms) + longest_lease + settle_time);
+                BOOST_TEST(pool.state().find(id)->active == 2U);
+                BOOST_TEST((pool.state().find_id("w3") != nullptr) == reports);
+                BOOST_TEST(pool.state().find_id("w0") == nullptr);
+                check_invariants(pool);
+            }
+        }
+    }
+}
+
 // A lasting task is stopped while its leaving worker still answers, so that nothing is left to prove at the
 // end.
 BOOST_AUTO_TEST_CASE(a_lasting_task_is_at_work_elsewhere_when_its_worker_leaves)
