--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -16,6 +16,7 @@
          (42, 3, 25, ["--evacuate"], "work stalled permanently: a replaced worker that ran on kept its successor from being polled"),
          (51, 3, 15, ["--moves"], "none: a queue that is sent to another pool while work waits and runs"),
          (61, 3, 15, ["--large"], "none: large configurations in quick succession on small disks"),
+         (8805, 5, 12, ["--departures"], "tasks ran twice: a refused connection was taken for the end of a leaving worker's runs"),
          (2, 3, 40, ["--calm"], "an older configuration was read: a partitioned leader counted leases that no follower had granted")]
 
 
